Add the demo: a deployment under load while all of it is replaced

Found: msgspec moves keyword-only fields of a base behind the others, so the flow id stood last in datagrams; a lost CLOSE left a leaving agent with flows that nobody wanted, and it never ended.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo and the measurements; none of them is a test."""
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,142 @@
+"""The demo: a deployment under load while all of it is replaced.
+
+Steps go to stderr; the last line on stdout is one JSON object. The exit
+status is 1 if anything happened that must never happen.
+"""
+
+import asyncio
+import json
+import re
+import signal
+import sys
+import time
+from collections import Counter
+from dataclasses import asdict
+
+import uvloop
+
+from standins.deployment import Deployment
+from standins.load import Judgement, Load, judge
+
+MAPS = 7
+LOGS = 3
+BALANCERS = 3
+STREAMS = 100
+READERS = 20
+UPLOADERS = 3
+STEADY_SECONDS = 8.0
+SETTLE_SECONDS = 3.0
+TARGETS_AT_ONCE = 4
+NET = "127.81.1"
+_began = time.monotonic()
+
+
+def _say(text: str) -> None:
+    print(f"[{time.monotonic() - _began:5.1f} s] {text}", file=sys.stderr, flush=True)
+
+
+async def _start(deployment: Deployment) -> None:
+    _say("platform and fabric stand-ins start")
+    await deployment.start_surroundings()
+    _say(f"{BALANCERS} balancers, {MAPS} map and {LOGS} log targets start")
+    names = [(f"maps-{n}", "maps") for n in range(1, MAPS + 1)]
+    names += [(f"logs-{n}", "logs") for n in range(1, LOGS + 1)]
+    await asyncio.gather(
+        *(deployment.start_balancer(f"b{n}") for n in range(1, BALANCERS + 1)),
+        *(deployment.start_pair(name, service) for name, service in names),
+    )
+    await _apply(deployment, "the first configuration")
+    await deployment.wait_ready(*(name for name, _ in names))
+
+
+async def _apply(deployment: Deployment, what: str, **changes) -> float:
+    """Apply a configuration; return seconds until it is in force everywhere."""
+    folder = deployment.write_services(**changes)
+    status, out, err = await deployment.operate("apply", str(folder), "--wait")
+    if status:
+        raise RuntimeError(f"apply ended with {status}: {err}")
+    seconds = float(re.search(r"after ([0-9.]+) s", out)[1])
+    _say(f"{what} is in force on all balancers after {seconds} s")
+    return seconds
+
+
+async def _replace_balancers(deployment: Deployment) -> None:
+    for n in range(1, BALANCERS + 1):
+        new = f"b{n + BALANCERS}"
+        await deployment.start_balancer(new)
+        await deployment.wait_ready(new)
+        status = await deployment.retire_balancer(f"b{n}")
+        _say(f"balancer b{n} left with status {status}; {new} has its place")
+
+
+async def _replace_targets(deployment: Deployment) -> None:
+    pairs = [("maps", n, n + MAPS) for n in range(1, MAPS + 1)]
+    pairs += [("logs", n, n + LOGS) for n in range(1, LOGS + 1)]
+    gate = asyncio.Semaphore(TARGETS_AT_ONCE)
+
+    async def replace(service: str, old: int, new: int) -> None:
+        async with gate:
+            await deployment.start_pair(f"{service}-{new}", service)
+            await deployment.wait_ready(f"{service}-{new}")
+            status = await deployment.retire_pair(f"{service}-{old}")
+            _say(f"{service}-{old} left with {status}; {service}-{new} has its place")
+
+    await asyncio.gather(*(replace(*pair) for pair in pairs))
+
+
+async def _run() -> bool:
+    async with Deployment(net=NET) as deployment:
+        await _start(deployment)
+        load = Load(maps=deployment.address("maps"), logs=deployment.address("logs"))
+        _say(f"{STREAMS} streams, {READERS} readers, {UPLOADERS} uploaders start")
+        load.start(streams=STREAMS, readers=READERS, uploaders=UPLOADERS)
+        since = time.time()
+        await asyncio.sleep(STEADY_SECONDS)
+        until = time.time()
+        _say("all balancers and all targets are replaced at the same time")
+        await asyncio.gather(
+            _replace_balancers(deployment), _replace_targets(deployment)
+        )
+        _say(f"balancer b{BALANCERS + 1} is killed")
+        deployment.nodes_by_name[f"b{BALANCERS + 1}"].signal(signal.SIGKILL)
+        await asyncio.sleep(SETTLE_SECONDS)
+        await deployment.retire_balancer(f"b{BALANCERS + 1}")
+        # The dead balancer's lease is still there; the change must not wait
+        # for it, so a new one takes its name.
+        await deployment.start_balancer(f"b{BALANCERS + 1}")
+        await deployment.wait_ready(f"b{BALANCERS + 1}")
+        seconds = await _apply(deployment, "a changed configuration", queue_per_slot=6)
+        await asyncio.sleep(SETTLE_SECONDS)
+        _say("callers finish")
+        await load.stop()
+        judgement = judge(load, deployment.runs())
+        for error in load.errors[:10]:
+            _say(f"error: {error}")
+        for text, count in load.troubles().most_common(10):
+            _say(f"{count} x {text}")
+        _say(f"callers' counts: {dict(load.counts)}, {judgement.not_run} not run")
+        _say(f"longest silence on a stream: {judgement.longest_silence:.2f} s")
+        _show(judgement, _imbalance(deployment.runs(), since, until), seconds)
+        return judgement.is_clean and not load.errors
+
+
+def _imbalance(runs: list[dict], since: float, until: float) -> float:
+    """Return largest over mean of map targets' runs before the replacement."""
+    counts = Counter(
+        run["target"]
+        for run in runs
+        if run["service"] == "maps" and since <= run["at"] <= until
+    )
+    return max(counts.values()) / (sum(counts.values()) / MAPS) if counts else 0.0
+
+
+def _show(judgement: Judgement, imbalance: float, seconds: float) -> None:
+    line = asdict(judgement)
+    del line["not_run"], line["longest_silence"]
+    line["imbalance"] = round(imbalance, 3)
+    line["config_in_force_seconds"] = seconds
+    print(json.dumps(line))
+
+
+if __name__ == "__main__":
+    sys.exit(0 if uvloop.run(_run()) else 1)
--- a/monsoonpier/agent/flows.py
+++ b/monsoonpier/agent/flows.py
@@ -116,10 +116,16 @@
     vias: list[tuple[str, int]]
     expires: float
     mark: int = 1
-    established: bool = False
     requests_by_id: dict[int, Request] = msgspec.field(default_factory=dict)
     streams_by_id: dict[int, Stream] = msgspec.field(default_factory=dict)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a stream or an unfinished request is open."""
+        if self.streams_by_id:
+            return True
+        return any(r.stage is not Stage.FINISHED for r in self.requests_by_id.values())
+
     def came_by(self, via: tuple[str, int], *, ip: str, port: int) -> None:
         """Remember the balancer and the caller's address of a packet."""
         self.ip = ip
--- a/monsoonpier/agent/holder.py
+++ b/monsoonpier/agent/holder.py
@@ -116,13 +116,11 @@
 
     def is_finished(self, *, now: float) -> bool:
         """Tell whether a leaving agent has nothing left to do."""
-        if self._leave_by is None:
+        if self._leave_by is None or self._requests.in_flight:
             return False
-        if self._requests.in_flight or self._requests.queued:
+        if any(flow.is_busy for flow in self._flows_by_id.values()):
             return False
-        if not self._flows_by_id:
-            return True
-        return now >= self._leave_by and not self._streams.open_streams
+        return not self._flows_by_id or now >= self._leave_by
 
     # Packets from callers
 
@@ -147,10 +145,14 @@
             gone = FlowGone(flow=message.flow)
             return [Reply(via=via, ip=frame.ip, port=frame.port, message=gone)]
         flow.came_by(via, ip=frame.ip, port=frame.port)
-        flow.expires = now + IDLE_FLOW_SECONDS
-        flow.established = True
+        flow.expires = now + self._idle_seconds
         return self._established(flow, message, now=now, draw=draw)
 
+    @property
+    def _idle_seconds(self) -> float:
+        """A leaving agent does not wait long for callers that are gone."""
+        return IDLE_FLOW_SECONDS if self._leave_by is None else LINGER_SECONDS
+
     def _open(
         self, frame: Forward, message: Open, *, via: tuple[str, int], now: float
     ) -> list[Action]:
@@ -300,6 +302,9 @@
             return []
         self.life = self.life.leave(now=now)
         self._leave_by = now + LINGER_SECONDS
+        for flow in self._flows_by_id.values():
+            flow.expires = min(flow.expires, self._leave_by)
+            self._set_timer(flow.expires, flow.id, 0)
         return self._ask_to_move(now=now)
 
     def stay(self, *, now: float) -> None:
--- a/monsoonpier/caller/client.py
+++ b/monsoonpier/caller/client.py
@@ -31,13 +31,15 @@
 )
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.wire.codec import FLOW_ID_BYTES
+from monsoonpier.wire.datagrams import Close, caller_codec
 
 __all__ = ["Caller", "StreamItem"]
 
 DEFAULT_DEADLINE_SECONDS = 10.0
 STREAM_RETRY_SECONDS = 0.2
 MAX_STREAM_RETRY_SECONDS = 5.0
-WINDOW = 48  # requests open on one flow; the agent keeps outcomes for 64
+HEAD_BYTES = 24  # version, array header, tag, and the flow id stand in these
+CLOSED_KEPT = 32  # flows that are still answered with `Close`
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +72,7 @@
         self._opening_by_flow: dict[bytes, asyncio.Future] = {}
         self._waiting: dict[tuple[bytes, int], asyncio.Future] = {}
         self._queues: dict[tuple[bytes, int], asyncio.Queue] = {}
+        self._closed_tokens_by_flow: dict[bytes, bytes] = {}
         self._open_lock = asyncio.Lock()
         self._wake = asyncio.Event()
         self._pump_task: asyncio.Task | None = None
@@ -292,22 +295,33 @@
             return
         session.close()
         self._flush(session)
-        self._sessions_by_flow.pop(session.flow, None)
+        if self._sessions_by_flow.pop(session.flow, None) and session.token:
+            self._closed_tokens_by_flow[session.flow] = session.token
+            while len(self._closed_tokens_by_flow) > CLOSED_KEPT:
+                del self._closed_tokens_by_flow[next(iter(self._closed_tokens_by_flow))]
         if self._session is session:
             self._session = None
 
     # Datagrams and time
 
     def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
-        for session in self._find(data):
+        found = self._find(data)
+        for session in found:
             self._handle(session, session.receive(data, now=_now()))
+        if not found:
+            self._close_again(data)
+
+    def _close_again(self, data: bytes) -> None:
+        """Answer a holder that a lost `Close` has left with a dead flow."""
+        for flow, token in self._closed_tokens_by_flow.items():
+            if flow in data[:HEAD_BYTES]:
+                close = caller_codec.encode(Close(flow=flow, token=token))
+                self._socket.send(close, self._address.endpoint)
+                return
 
     def _find(self, data: bytes) -> list[FlowSession]:
         """Return the session a datagram belongs to; its flow id stands in it."""
-        if len(self._sessions_by_flow) == 1:
-            return list(self._sessions_by_flow.values())
-        # Tag (1 or 2 bytes after the array's header), then the 16-byte flow id.
-        head = data[:24]
+        head = data[:HEAD_BYTES]
         return [s for flow, s in self._sessions_by_flow.items() if flow in head]
 
     async def _pump(self) -> None:
--- a/monsoonpier/wire/control.py
+++ b/monsoonpier/wire/control.py
@@ -30,33 +30,33 @@
     """Base of all control messages."""
 
 
-class AskConfiguration(_Control, tag=1):
+class AskConfiguration(_Control, tag=1, kw_only=True):
     """Asks for the configuration if it is newer than ``newer_than``."""
 
     newer_than: int
 
 
-class ConfigurationReply(_Control, tag=2):
+class ConfigurationReply(_Control, tag=2, kw_only=True):
     """The stored text of a configuration; empty if none is newer."""
 
     version: int
     text: str
 
 
-class AskTable(_Control, tag=3):
+class AskTable(_Control, tag=3, kw_only=True):
     """Asks for the records of the buckets whose digests differ."""
 
     digests: Annotated[tuple[bytes, ...], Meta(max_length=256)]
 
 
-class TableReply(_Control, tag=4):
+class TableReply(_Control, tag=4, kw_only=True):
     """The records of the differing buckets and all known balancers."""
 
     records: tuple[TargetRecord, ...]
     balancers: tuple[BalancerRecord, ...]
 
 
-class AskStatus(_Control, tag=5):
+class AskStatus(_Control, tag=5, kw_only=True):
     """Asks a process how it stands."""
 
 
@@ -68,7 +68,7 @@
     suspected: bool
 
 
-class StatusReply(_Control, tag=6):
+class StatusReply(_Control, tag=6, kw_only=True):
     """How a process stands; ``targets`` only from balancers."""
 
     name: Name
@@ -81,13 +81,13 @@
     balancers: tuple[BalancerRecord, ...] = ()
 
 
-class AskDrain(_Control, tag=7):
+class AskDrain(_Control, tag=7, kw_only=True):
     """Asks a process to leave gracefully, as SIGTERM does."""
 
     name: Name
 
 
-class DrainReply(_Control, tag=8):
+class DrainReply(_Control, tag=8, kw_only=True):
     """Says whether the process began to leave."""
 
     accepted: bool
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -38,7 +38,7 @@
     """Base of all frames: an array whose first element is the tag."""
 
 
-class Forward(_Frame, tag=1):
+class Forward(_Frame, tag=1, kw_only=True):
     """A caller's packet on its way to an agent; ``tried`` only with OPEN."""
 
     service: Name
@@ -48,7 +48,7 @@
     tried: Tried = ()
 
 
-class Return(_Frame, tag=2):
+class Return(_Frame, tag=2, kw_only=True):
     """An agent's packet on its way to a caller."""
 
     service: Name
@@ -59,7 +59,7 @@
     load: LoadReport
 
 
-class Bounce(_Frame, tag=3):
+class Bounce(_Frame, tag=3, kw_only=True):
     """An OPEN that an agent did not take, for another candidate."""
 
     service: Name
@@ -73,7 +73,7 @@
     load: LoadReport
 
 
-class Heartbeat(_Frame, tag=4):
+class Heartbeat(_Frame, tag=4, kw_only=True):
     """An agent is alive; sent to its bounded set of balancers."""
 
     name: Name
@@ -82,7 +82,7 @@
     load: LoadReport
 
 
-class BalancerRecord(_Frame, tag=5):
+class BalancerRecord(_Frame, tag=5, kw_only=True):
     """A balancer as its peers and the agents know it."""
 
     name: Name
@@ -99,7 +99,7 @@
         return (self.ip, self.port)
 
 
-class HeartbeatAck(_Frame, tag=6):
+class HeartbeatAck(_Frame, tag=6, kw_only=True):
     """Answers `Heartbeat`: what the balancer knows and holds."""
 
     balancer: Name
@@ -112,7 +112,7 @@
     ] = ()
 
 
-class Announce(_Frame, tag=7):
+class Announce(_Frame, tag=7, kw_only=True):
     """An agent's whole record, at its start and at each change."""
 
     record: TargetRecord
@@ -127,7 +127,7 @@
     silent: bool
 
 
-class Gossip(_Frame, tag=8):
+class Gossip(_Frame, tag=8, kw_only=True):
     """What a balancer tells a peer: news, and digests to find what is missing."""
 
     sender: BalancerRecord
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,370 @@
+"""Starts a whole deployment on loopback, as separate processes, and ends it."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+
+__all__ = ["Deployment", "Node"]
+
+PYTHON = sys.executable
+START_SECONDS = 15.0
+STOP_SECONDS = 30.0
+POLL_SECONDS = 0.05
+KEYS = [{"id": 1, "secret": "5f" * 32}]
+SERVICE_PORTS = {"maps": 7001, "logs": 7002}
+
+
+@dataclass(slots=True, kw_only=True)
+class Node:
+    """One process that the deployment started."""
+
+    name: str
+    ip: str
+    process: asyncio.subprocess.Process
+    log: Path
+
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self.process.pid
+
+    def signal(self, number: int) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def wait(self, seconds: float = STOP_SECONDS) -> int:
+        """Return the exit status; kill the process if it takes too long."""
+        try:
+            async with asyncio.timeout(seconds):
+                return await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+            raise TimeoutError(f"{self.name} did not stop") from None
+
+    async def stop(self) -> int:
+        """Ask it to leave and wait until it has."""
+        self.signal(signal.SIGTERM)
+        return await self.wait()
+
+
+@dataclass(kw_only=True)
+class Deployment:
+    """Processes by name on a /24 of loopback; use as ``async with``.
+
+    Args:
+        net: The first three octets, such as ``127.81.1``; one per deployment
+            that runs at the same time.
+    """
+
+    net: str
+    seed: int = 0
+    nodes_by_name: dict[str, Node] = field(default_factory=dict)
+    folder: Path = field(init=False)
+    _next_host: int = 10
+    _http: aiohttp.ClientSession | None = None
+    _balancer_ips: dict[str, str] = field(default_factory=dict)
+
+    async def __aenter__(self) -> "Deployment":
+        self.folder = Path(tempfile.mkdtemp(prefix="monsoonpier-"))
+        timeout = aiohttp.ClientTimeout(total=5)
+        self._http = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(self, *exception) -> None:
+        for node in list(self.nodes_by_name.values()):
+            if node.process.returncode is None:
+                node.signal(signal.SIGCONT)
+                node.signal(signal.SIGKILL)
+                await node.process.wait()
+        await self._http.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Addresses
+
+    def address(self, service: str) -> str:
+        """Return a service's address at the fabric."""
+        return f"{self.net}.250:{SERVICE_PORTS[service]}"
+
+    @property
+    def platform_url(self) -> str:
+        """The platform stand-in's address."""
+        return f"http://{self.net}.1:2379"
+
+    @property
+    def fabric_url(self) -> str:
+        """The fabric stand-in's control address."""
+        return f"http://{self.net}.2:2380"
+
+    @property
+    def records(self) -> Path:
+        """The file in which all targets record their runs."""
+        return self.folder / "runs.jsonl"
+
+    def runs(self) -> list[dict]:
+        """Return what the targets ran, from their own records."""
+        if not self.records.exists():
+            return []
+        return [json.loads(line) for line in self.records.read_text().splitlines()]
+
+    # Processes
+
+    async def start_surroundings(self) -> None:
+        """Start the platform and the fabric."""
+        vips = [f"--vip={self.address(service)}" for service in SERVICE_PORTS]
+        await asyncio.gather(
+            self.start_platform(),
+            self._start_stand_in(
+                "fabric",
+                "fabric",
+                f"--listen={self.net}.2:2380",
+                f"--seed={self.seed}",
+                *vips,
+                ready=f"{self.fabric_url}/standin/state",
+                ip=f"{self.net}.2",
+            ),
+        )
+
+    async def start_platform(self) -> Node:
+        """Start the platform stand-in, empty."""
+        return await self._start_stand_in(
+            "platform",
+            "platform",
+            f"--listen={self.net}.1:2379",
+            ready=f"{self.platform_url}/standin/calls",
+            ip=f"{self.net}.1",
+        )
+
+    async def start_balancer(
+        self, name: str, *, wait: bool = True, **settings
+    ) -> Node:
+        """Start a balancer and give it to the fabric."""
+        ip = self._take_ip()
+        node = await self._start_process(
+            "balancer", name, ip, wait=wait, service_bind_ip=ip, **settings
+        )
+        self._balancer_ips[ip] = f"http://{ip}:9002/readyz"
+        await self._tell_fabric()
+        return node
+
+    async def start_target(
+        self, name: str, service: str, *options: str, slots: int = 3
+    ) -> Node:
+        """Start a target without its agent."""
+        ip = self._take_ip()
+        return await self._start_stand_in(
+            f"target {name}",
+            "target",
+            f"--listen={ip}:8000",
+            f"--name={name}",
+            f"--service={service}",
+            f"--slots={slots}",
+            f"--records={self.records}",
+            *options,
+            ready=f"http://{ip}:8000/health",
+            ip=ip,
+        )
+
+    async def start_agent(
+        self,
+        name: str,
+        service: str,
+        *,
+        wait: bool = True,
+        data_centre: str = "dc-1",
+        slots: int = 3,
+        **settings,
+    ) -> Node:
+        """Start the agent beside the target of that name."""
+        ip = self.nodes_by_name[f"target {name}"].ip
+        target = {"service": service, "url": f"http://{ip}:8000", "slots": slots}
+        return await self._start_process(
+            "agent",
+            name,
+            ip,
+            wait=wait,
+            target=target,
+            data_centre=data_centre,
+            **settings,
+        )
+
+    async def start_pair(self, name: str, service: str, *options: str, **more) -> Node:
+        """Start a target and its agent; return the agent."""
+        await self.start_target(name, service, *options, slots=more.get("slots", 3))
+        return await self.start_agent(name, service, **more)
+
+    async def retire_pair(self, name: str) -> int:
+        """Let an agent leave, then stop its target; return the agent's status."""
+        status = await self.nodes_by_name[name].stop()
+        await self.nodes_by_name[f"target {name}"].stop()
+        return status
+
+    async def retire_balancer(self, name: str) -> int:
+        """Let a balancer leave and take it from the fabric."""
+        node = self.nodes_by_name[name]
+        status = await node.stop()
+        self._balancer_ips.pop(node.ip, None)
+        await self._tell_fabric()
+        return status
+
+    async def operate(self, *arguments: str) -> tuple[int, str, str]:
+        """Run an operator's command; return status, stdout and stderr."""
+        settings = self._write_settings(
+            "operator", "operator", platform=[self.platform_url]
+        )
+        process = await asyncio.create_subprocess_exec(
+            PYTHON,
+            "-m",
+            "monsoonpier",
+            *arguments,
+            f"--settings={settings}",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        out, err = await process.communicate()
+        return process.returncode, out.decode(), err.decode()
+
+    def write_services(self, **changes) -> Path:
+        """Write the two services' files with this deployment's addresses."""
+        folder = self.folder / "services"
+        folder.mkdir(exist_ok=True)
+        limits = {"cold_start_seconds": changes.get("cold_start_seconds", 3)}
+        limits["queue_per_slot"] = changes.get("queue_per_slot", 4)
+        maps = {
+            "address": self.address("maps"),
+            "targets": ["maps-*"],
+            "prefer": changes.get("prefer", "any"),
+            "kinds": {
+                "map": {"stream": True},
+                "reading": {"idempotent": True, "deadline_seconds": 2},
+                "top-up": {"idempotent": False},
+            },
+            "limits": limits,
+        }
+        logs = {
+            "address": self.address("logs"),
+            "targets": ["logs-*"],
+            "prefer": "any",
+            "kinds": {"log": {"idempotent": False, "deadline_seconds": 60}},
+            "limits": limits,
+        }
+        # JSON is YAML too.
+        for name, service in (("maps", maps), ("logs", logs)):
+            text = json.dumps({"services": {name: service}}, indent=1)
+            (folder / f"{name}.yaml").write_text(text)
+        return folder
+
+    async def fault(self, url: str, **faults) -> None:
+        """Tell a stand-in how to fail."""
+        async with self._http.post(f"{url}/standin/faults", json=faults) as response:
+            response.raise_for_status()
+
+    async def target_fault(self, name: str, **faults) -> None:
+        """Tell a target how to fail."""
+        ip = self.nodes_by_name[f"target {name}"].ip
+        await self.fault(f"http://{ip}:8000", **faults)
+
+    async def metrics(self, name: str) -> dict[str, float]:
+        """Return a process's metrics by name and labels."""
+        ip = self.nodes_by_name[name].ip
+        async with self._http.get(f"http://{ip}:9002/metrics") as response:
+            text = await response.text()
+        lines = (line for line in text.splitlines() if not line.startswith("#"))
+        pairs = (line.rsplit(" ", 1) for line in lines)
+        return {key: float(value) for key, value in pairs}
+
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether a process answers that it is ready."""
+        ip = self.nodes_by_name[name].ip
+        return await self._answers(f"http://{ip}:9002/readyz")
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until all these processes are ready."""
+        for name in names:
+            ip = self.nodes_by_name[name].ip
+            await self._wait_for(f"http://{ip}:9002/readyz", name)
+
+    # Private steps
+
+    def _take_ip(self) -> str:
+        self._next_host += 1
+        return f"{self.net}.{self._next_host}"
+
+    async def _tell_fabric(self) -> None:
+        url = f"{self.fabric_url}/standin/balancers"
+        async with self._http.post(url, json=self._balancer_ips) as response:
+            response.raise_for_status()
+
+    async def _start_stand_in(
+        self, name: str, kind: str, *arguments: str, ready: str, ip: str
+    ) -> Node:
+        node = await self._spawn(name, ip, "-m", "standins", kind, *arguments)
+        await self._wait_for(ready, name)
+        return node
+
+    async def _start_process(
+        self, role: str, name: str, ip: str, *, wait: bool, **settings
+    ) -> Node:
+        file = self._write_settings(
+            role,
+            name,
+            internal=f"{ip}:9000",
+            control=f"{ip}:9001",
+            metrics=f"{ip}:9002",
+            **({"platform": [self.platform_url]} | settings),
+        )
+        node = await self._spawn(name, ip, "-m", "monsoonpier", role, str(file))
+        if wait:
+            await self._wait_for(f"http://{ip}:9002/healthz", name)
+        return node
+
+    def _write_settings(self, role: str, name: str, **settings) -> Path:
+        content = {"role": role, "name": name, "data_centre": "dc-1", "keys": KEYS}
+        file = self.folder / f"{role}-{name}.yaml"
+        file.write_text(json.dumps(content | settings))
+        return file
+
+    async def _spawn(self, name: str, ip: str, *arguments: str) -> Node:
+        log = self.folder / f"{name.replace(' ', '-')}.log"
+        with log.open("ab") as stderr:
+            process = await asyncio.create_subprocess_exec(
+                PYTHON,
+                *arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=stderr,
+                stderr=stderr,
+                env=os.environ | {"PYTHONUNBUFFERED": "1"},
+            )
+        node = Node(name=name, ip=ip, process=process, log=log)
+        self.nodes_by_name[name] = node
+        return node
+
+    async def _wait_for(self, url: str, name: str) -> None:
+        node = self.nodes_by_name[name]
+        try:
+            async with asyncio.timeout(START_SECONDS):
+                while not await self._answers(url):
+                    if node.process.returncode is not None:
+                        break
+                    await asyncio.sleep(POLL_SECONDS)
+                else:
+                    return
+        except TimeoutError:
+            pass
+        raise RuntimeError(f"{name} did not start: {node.log.read_text()[-2000:]}")
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self._http.get(url) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,239 @@
+"""Callers that put load on a deployment, and the judge of what became of it."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from monsoonpier.caller import (
+    Caller,
+    Done,
+    NotRun,
+    Outcome,
+    Refused,
+    RetryBudget,
+)
+
+__all__ = ["Judgement", "Load", "judge"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Asked:
+    """One request as its caller saw it; ``tag`` is in the target's record too."""
+
+    tag: str
+    service: str
+    idempotent: bool
+    outcome: Outcome
+    seconds: float
+
+
+@dataclass(slots=True, kw_only=True)
+class StreamRecord:
+    """One stream as its caller saw it."""
+
+    items: int = 0
+    faults: list[str] = field(default_factory=list)
+    longest_silence: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Judgement:
+    """What targets' and callers' records say together."""
+
+    requests: int
+    streams: int
+    uploads: int
+    broken_flows: int
+    lost_answers: int
+    ran_twice: int
+    wrong_service: int
+    false_not_run: int
+    not_run: int
+    longest_silence: float
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether nothing that must never happen has happened."""
+        return not (
+            self.broken_flows
+            or self.lost_answers
+            or self.ran_twice
+            or self.wrong_service
+            or self.false_not_run
+        )
+
+
+class Load:
+    """Runs callers until told to stop, and keeps their records."""
+
+    def __init__(self, *, maps: str, logs: str, seed: int = 0) -> None:
+        self._maps = maps
+        self._logs = logs
+        self._draw = random.Random(seed)
+        self._stop = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
+        self._number = 0
+        self.asked: list[Asked] = []
+        self.streams: list[StreamRecord] = []
+        self.counts: Counter[str] = Counter()
+        self.errors: list[str] = []
+
+    def start(
+        self, *, streams: int, readers: int, uploaders: int, pause: float = 0.1
+    ) -> None:
+        """Start that many callers of each sort."""
+        jobs = [self._stream() for _ in range(streams)]
+        jobs += [self._read(pause) for _ in range(readers)]
+        jobs += [self._upload(pause) for _ in range(uploaders)]
+        self._tasks += [asyncio.create_task(job) for job in jobs]
+
+    def troubles(self) -> Counter[str]:
+        """Count what callers were told besides answers, for people to read."""
+        counts = Counter(
+            str(asked.outcome)
+            for asked in self.asked
+            if not isinstance(asked.outcome, Done)
+        )
+        for stream in self.streams:
+            counts.update(f"stream: {fault}" for fault in stream.faults[:3])
+        return counts
+
+    async def stop(self) -> None:
+        """Let every caller finish what it has begun, then return."""
+        self._stop.set()
+        for result in await asyncio.gather(*self._tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                self.errors.append(repr(result))
+        self._tasks.clear()
+
+    async def ask(
+        self, caller: Caller, service: str, kind: str, *, size: int = 0, **options
+    ) -> Outcome:
+        """Make one request with a tag of its own, and record its outcome."""
+        self._number += 1
+        answer = self._draw.choice((0, 0, 0, 40_000))
+        tag = f"{service} {self._number} answer={answer}"
+        body = tag.encode() + b"\n" + b"u" * size
+        began = asyncio.get_running_loop().time()
+        outcome = await caller.request(kind, body, **options)
+        if isinstance(outcome, Done) and not _is_whole(outcome.body, service, tag):
+            outcome = NotRun(reason="wrong answer", retry_after=-1)
+            self.errors.append(f"wrong answer to {tag}")
+        self.asked.append(
+            Asked(
+                tag=tag,
+                service=service,
+                idempotent=options.get("idempotent", False),
+                outcome=outcome,
+                seconds=asyncio.get_running_loop().time() - began,
+            )
+        )
+        return outcome
+
+    async def _read(self, pause: float) -> None:
+        """Take readings and top-ups; change the flow now and then."""
+        while not self._stop.is_set():
+            async with Caller(self._maps, budget=RetryBudget()) as caller:
+                for _ in range(self._draw.randint(3, 12)):
+                    idempotent = self._draw.random() < 0.7
+                    kind = "reading" if idempotent else "top-up"
+                    await self.ask(
+                        caller, "maps", kind, idempotent=idempotent, deadline=5.0
+                    )
+                    if self._stop.is_set():
+                        break
+                    await asyncio.sleep(pause * self._draw.uniform(0.5, 1.5))
+                self.counts += caller.counts
+
+    async def _upload(self, pause: float) -> None:
+        while not self._stop.is_set():
+            async with Caller(self._logs) as caller:
+                size = self._draw.choice((20_000, 300_000, 1_500_000))
+                await self.ask(caller, "logs", "log", size=size, deadline=20.0)
+                self.counts += caller.counts
+            await asyncio.sleep(pause)
+
+    async def _stream(self) -> None:
+        record = StreamRecord()
+        self.streams.append(record)
+        loop = asyncio.get_running_loop()
+        async with Caller(self._maps) as caller:
+            last = 0
+            heard = loop.time()
+            stream = caller.stream("map")
+            stopping = asyncio.create_task(self._stop.wait())
+            while not self._stop.is_set():
+                getting = asyncio.ensure_future(anext(stream))
+                await asyncio.wait(
+                    [getting, stopping], return_when=asyncio.FIRST_COMPLETED
+                )
+                if not getting.done():
+                    getting.cancel()
+                    await asyncio.gather(getting, return_exceptions=True)
+                    break
+                try:
+                    item = getting.result()
+                except StopAsyncIteration:
+                    record.faults.append("ended")
+                    break
+                now = loop.time()
+                record.longest_silence = max(record.longest_silence, now - heard)
+                heard = now
+                if item.number != last + 1:
+                    record.faults.append(f"item {item.number} after {last}")
+                if item.body != f"maps item {item.number}".encode():
+                    record.faults.append("wrong item")
+                last = item.number
+                record.items += 1
+            stopping.cancel()
+            if not record.items:
+                record.faults.append("no items")
+            silence = loop.time() - heard
+            record.longest_silence = max(record.longest_silence, silence)
+            self.counts += caller.counts
+
+
+def judge(load: Load, runs: list[dict]) -> Judgement:
+    """Compare what callers were told with what targets ran."""
+    times_by_tag = Counter(run["tag"] for run in runs)
+    unsafe = {a.tag for a in load.asked if not a.idempotent}
+    lost = wrong_not_run = not_run = 0
+    for asked in load.asked:
+        match asked.outcome:
+            case Done():
+                pass
+            case NotRun(retry_after=-1):
+                lost += 1
+            case NotRun() | Refused():
+                not_run += 1
+                # An idempotent request's earlier try may have run; the last
+                # word is then about the last try only.
+                if times_by_tag[asked.tag] and not asked.idempotent:
+                    wrong_not_run += 1
+            case _:
+                lost += 1
+    broken = sum(1 for stream in load.streams if stream.faults)
+    return Judgement(
+        requests=len(load.asked),
+        streams=len(load.streams),
+        uploads=sum(1 for asked in load.asked if asked.service == "logs"),
+        broken_flows=broken + load.counts["flows_lost"] + load.counts["flows_gone"],
+        lost_answers=lost,
+        ran_twice=sum(1 for tag in unsafe if times_by_tag[tag] > 1),
+        wrong_service=sum(
+            1 for run in runs if run["tag"].split(" ")[0] != run["service"]
+        ),
+        false_not_run=wrong_not_run,
+        not_run=not_run,
+        longest_silence=max(
+            (stream.longest_silence for stream in load.streams), default=0.0
+        ),
+    )
+
+
+def _is_whole(body: bytes, service: str, tag: str) -> bool:
+    """Tell whether an answer is the target's whole answer to that tag."""
+    head = f"{service}\n{tag}\n".encode()
+    size = int(tag.rsplit("=", 1)[1])
+    return body == head + b"x" * max(0, size - len(head))
