Stop resend storms of uploads and a request on a flow that has just been left

Cause: behind a spraying fabric parts come out of order, each part beyond a gap set off a report, and each report set off resends of parts that were still on their way; and a MOVE that came with OPENED closed the flow under the request that was about to use it, which then waited for ever. Ruled out: lost datagrams (none dropped by sockets in a run of uploads only).

--- a/monsoonpier/agent/flows.py
+++ b/monsoonpier/agent/flows.py
@@ -1,5 +1,6 @@
 """Records of flows, requests and streams. Mutable: an agent holds many."""
 
+import itertools
 from enum import IntEnum
 
 import msgspec
@@ -61,6 +62,8 @@
     stage: Stage = Stage.RECEIVING
     body_by_part: dict[int, bytes] = msgspec.field(default_factory=dict)
     have_below: int = 0
+    highest: int = -1
+    datagrams: int = 0
     outcome: Verdict | Answer | None = None
 
     @property
@@ -69,22 +72,29 @@
         return self.have_below == self.parts
 
     @property
-    def missing(self) -> tuple[int, ...]:
-        """Gaps among the parts that have come, the earliest first."""
-        highest = max(self.body_by_part, default=-1)
-        return tuple(
+    def has_gap(self) -> bool:
+        """Whether a part has come before an earlier one."""
+        return self.highest >= self.have_below
+
+    def missing(self, most: int) -> tuple[int, ...]:
+        """Return up to ``most`` gaps among the parts, the earliest first."""
+        gaps = (
             part
-            for part in range(self.have_below, highest)
+            for part in range(self.have_below, self.highest)
             if part not in self.body_by_part
         )
+        return tuple(itertools.islice(gaps, most))
 
-    def add(self, part: int, body: bytes) -> None:
-        """Keep one part; a duplicate changes nothing."""
+    def add(self, part: int, body: bytes) -> bool:
+        """Keep one part; tell whether it was new."""
+        self.datagrams += 1
         if part >= self.parts or part in self.body_by_part:
-            return
+            return False
         self.body_by_part[part] = body
+        self.highest = max(self.highest, part)
         while self.have_below in self.body_by_part:
             self.have_below += 1
+        return True
 
     def take_body(self) -> bytes:
         """Return the whole body and forget its parts."""
--- a/monsoonpier/agent/requests.py
+++ b/monsoonpier/agent/requests.py
@@ -348,18 +348,14 @@
     ) -> tuple[list[Action], list]:
         if part.digest != request.digest or part.parts != request.parts:
             return [], []
-        before = len(request.body_by_part)
-        request.add(part.part, part.body)
-        if len(request.body_by_part) > before:
+        had_gap = request.has_gap
+        if request.add(part.part, part.body):
             self._kept_bytes += len(part.body)
         if request.whole:
             return self._admit(flow, request, service=service, now=now, draw=draw)
-        is_due = len(request.body_by_part) % PROGRESS_EVERY == 0
-        if (
-            is_due
-            or part.part > request.have_below
-            or before == len(request.body_by_part)
-        ):
+        # A report for each part beyond a gap would set off as many resends.
+        is_new_gap = request.has_gap and not had_gap
+        if is_new_gap or request.datagrams % PROGRESS_EVERY == 0:
             return [], [_progress(flow, request)]
         return [], []
 
@@ -479,7 +475,7 @@
         flow=flow.id,
         request=request.id,
         have_below=request.have_below,
-        missing=request.missing[:MAX_MISSING],
+        missing=request.missing(MAX_MISSING),
     )
 
 
--- a/monsoonpier/caller/client.py
+++ b/monsoonpier/caller/client.py
@@ -8,6 +8,8 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+import structlog
+
 from monsoonpier.caller.retries import Retry, RetryBudget, decide
 from monsoonpier.caller.session import (
     FlowLostEvent,
@@ -38,6 +40,7 @@
 DEFAULT_DEADLINE_SECONDS = 10.0
 STREAM_RETRY_SECONDS = 0.2
 MAX_STREAM_RETRY_SECONDS = 5.0
+_log = structlog.get_logger("monsoonpier.caller.client")
 HEAD_BYTES = 24  # version, array header, tag, and the flow id stand in these
 CLOSED_KEPT = 32  # flows that are still answered with `Close`
 
@@ -89,6 +92,7 @@
         """Open the caller's socket; flows are opened when they are needed."""
         self._socket = await open_udp(self._receive, ip="0.0.0.0", port=0)
         self._pump_task = asyncio.create_task(self._pump())
+        self._pump_task.add_done_callback(_note_failure)
 
     async def close(self) -> None:
         """Close all flows and the socket."""
@@ -261,26 +265,33 @@
     async def _open_session(self) -> FlowSession | Refused:
         """Return a flow that takes new work, opening one if need be."""
         async with self._open_lock:
-            session = self._session
-            if session is not None and session.is_open and not session.is_moving:
-                return session
-            session = FlowSession(flow=os.urandom(FLOW_ID_BYTES), now=_now())
-            opening = asyncio.get_running_loop().create_future()
-            self._sessions_by_flow[session.flow] = session
-            self._opening_by_flow[session.flow] = opening
-            self._handle(session, session.poll(now=_now()))
-            try:
-                outcome = await opening
-            finally:
-                self._opening_by_flow.pop(session.flow, None)
-                if not session.is_open:
-                    session.close()
-                    self._sessions_by_flow.pop(session.flow, None)
-            if outcome is not None:
-                return outcome
-            self._session = session
-            self.counts["flows"] += 1
-            return session
+            while True:
+                session = self._session
+                if session is not None and session.takes_work:
+                    return session
+                session = FlowSession(flow=os.urandom(FLOW_ID_BYTES), now=_now())
+                refused = await self._open_flow(session)
+                if refused is not None:
+                    return refused
+                # A holder may begin to leave right after it took the flow.
+                if session.takes_work:
+                    self._session = session
+                    self.counts["flows"] += 1
+
+    async def _open_flow(self, session: FlowSession) -> Refused | None:
+        """Send OPEN until it is answered; return a refusal, if it is one."""
+        opening = asyncio.get_running_loop().create_future()
+        self._sessions_by_flow[session.flow] = session
+        self._opening_by_flow[session.flow] = opening
+        self._handle(session, session.poll(now=_now()))
+        try:
+            return await opening
+        finally:
+            self._opening_by_flow.pop(session.flow, None)
+            if not session.takes_work:
+                session.close()
+                self._flush(session)
+                self._sessions_by_flow.pop(session.flow, None)
 
     def _leave_flow(self) -> None:
         """Let the next request open another flow."""
@@ -393,3 +404,9 @@
 def _loop_time(moment: float) -> float:
     """Return a moment of `_now` on the running loop's clock."""
     return asyncio.get_running_loop().time() + (moment - _now())
+
+
+def _note_failure(task: asyncio.Task) -> None:
+    """Say so if a caller's timers have stopped, which must not happen."""
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("caller's timers stopped", exc_info=task.exception())
--- a/monsoonpier/caller/session.py
+++ b/monsoonpier/caller/session.py
@@ -131,6 +131,11 @@
         """Whether the flow has a holder."""
         return bool(self.token) and not self.is_closed
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether new requests and streams may be begun in the flow."""
+        return self.is_open and not self.is_moving
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing is going on in the flow."""
--- a/monsoonpier/caller/transfer.py
+++ b/monsoonpier/caller/transfer.py
@@ -32,6 +32,7 @@
 FIRST_RESEND_SECONDS = 0.1
 MAX_RESEND_SECONDS = 1.0
 FETCH_AGAIN_SECONDS = 0.05
+REORDER_SECONDS = 0.03  # a part may come this much later than its successors
 GRACE_SECONDS = 0.25  # for the agent's own word on a passed deadline
 SILENT_RESENDS = 6  # unanswered in a row: the holder is gone
 
@@ -60,6 +61,7 @@
         self._deadline = deadline
         self._have_below = 0
         self._sent_below = 0
+        self._sent_at_by_part: dict[int, float] = {}
         self._is_whole = False
         self._is_cancelled = False
         self._status = 0
@@ -125,13 +127,19 @@
         if message.have_below < self._have_below or self._is_whole:
             return []
         self._have_below = message.have_below
-        resend = [
-            self._part(number, acked, now=now)
+        overdue = [
+            number
             for number in message.missing[:RESEND_PARTS]
-            if number < self._sent_below
+            if self._is_overdue(number, now=now)
         ]
+        resend = [self._part(number, acked, now=now) for number in overdue]
         return resend + self._next_parts(acked, now=now)
 
+    def _is_overdue(self, number: int, *, now: float) -> bool:
+        """Tell a lost part from one that another balancer still carries."""
+        sent_at = self._sent_at_by_part.get(number, now)
+        return now - sent_at > REORDER_SECONDS
+
     def answer(self, message: AnswerPart, *, acked: int, now: float) -> list:
         """Take one part of the answer; may set the outcome."""
         self._answered(now)
@@ -211,6 +219,7 @@
         return [Fetch(**self._ids(acked), missing=tuple(missing))]
 
     def _part(self, number: int, acked: int, *, now: float) -> RequestPart:
+        self._sent_at_by_part[number] = now
         start = number * PART_BYTES
         time_left = max(0.0, self._deadline - now)
         return RequestPart(
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -144,9 +144,7 @@
             ip=f"{self.net}.1",
         )
 
-    async def start_balancer(
-        self, name: str, *, wait: bool = True, **settings
-    ) -> Node:
+    async def start_balancer(self, name: str, *, wait: bool = True, **settings) -> Node:
         """Start a balancer and give it to the fabric."""
         ip = self._take_ip()
         node = await self._start_process(
--- a/standins/load.py
+++ b/standins/load.py
@@ -16,6 +16,8 @@
 
 __all__ = ["Judgement", "Load", "judge"]
 
+FINISH_SECONDS = 30.0  # longer than any deadline that a caller here sets
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Asked:
@@ -102,6 +104,13 @@
     async def stop(self) -> None:
         """Let every caller finish what it has begun, then return."""
         self._stop.set()
+        if not self._tasks:
+            return
+        done, stuck = await asyncio.wait(self._tasks, timeout=FINISH_SECONDS)
+        for task in stuck:
+            frames = task.get_stack()
+            self.errors.append(f"a caller did not finish: {frames[-1:]}")
+            task.cancel()
         for result in await asyncio.gather(*self._tasks, return_exceptions=True):
             if isinstance(result, Exception):
                 self.errors.append(repr(result))
