--- a/monsoonpier/agent/condition.py
+++ b/monsoonpier/agent/condition.py
@@ -9,6 +9,9 @@
 
 SILENT_RUNS = 3  # runs in a row without an answer: the target is unresponsive
 TRY_AGAIN_SECONDS = 2.0
+NEVER = float("inf")
+MIN_RETRY_SECONDS = 0.05
+UNDATED_RETRY_SECONDS = 1.0  # the state has no end that is known
 _CODES_BY_STATE = {
     "starting": Condition.STARTING,
     "serving": Condition.SERVING,
@@ -26,7 +29,7 @@
 
     state: str = "starting"
     silent_runs: int = 0
-    until: float = 0.0
+    until: float = NEVER
     serving_since: float | None = None
 
     @property
@@ -54,6 +57,12 @@
         """Whether the target has begun to leave."""
         return self.code >= Condition.LEAVING
 
+    def retry_after(self, *, now: float) -> float:
+        """Return seconds after which requests may be taken again."""
+        if self.until == NEVER:
+            return UNDATED_RETRY_SECONDS
+        return max(MIN_RETRY_SECONDS, self.until - now)
+
     def age_ms(self, *, now: float) -> int:
         """Return the time since the target began to serve."""
         if self.serving_since is None:
@@ -99,7 +108,8 @@
         """Return the life at this time: shedding and silence run out."""
         if now < self.until:
             return self
-        return self._after("shed_over", now=now)._after("try_again", now=now)
+        over = self._after("shed_over", now=now)._after("try_again", now=now)
+        return replace(over, until=NEVER)
 
     def _after(self, event: str, *, now: float) -> "TargetLife":
         state = load_chart("target").step(self.state, event)
--- a/monsoonpier/agent/holder.py
+++ b/monsoonpier/agent/holder.py
@@ -50,7 +50,6 @@
 IDLE_FLOW_SECONDS = 60.0
 MOVE_EVERY_SECONDS = 0.5
 LINGER_SECONDS = 5.0  # callers that have not fetched their outcome in this time
-MIN_RETRY_MS = 50
 RETURN_RETRY_MS = 1_000
 
 
--- a/monsoonpier/agent/requests.py
+++ b/monsoonpier/agent/requests.py
@@ -50,7 +50,6 @@
 MAX_ANSWER_BYTES = 8 * 1_048_576
 FIRST_PARTS = 16  # answer parts sent without being asked for
 PROGRESS_EVERY = 8  # parts of an upload between two reports of progress
-MIN_RETRY_MS = 50
 
 
 class RequestDesk:
@@ -321,9 +320,9 @@
         if life.is_leaving:
             return "leaving", 0.0, True
         if not life.takes_requests:
-            return life.state, max(life.until - now, MIN_RETRY_MS / 1000), True
+            return life.state, life.retry_after(now=now), True
         if life.one_at_a_time and self.in_flight:
-            return life.state, MIN_RETRY_MS / 1000, True
+            return life.state, life.retry_after(now=now), True
         if service is None:
             return "no configuration", 1.0, True
         kind = service.kinds_by_name.get(part.kind)
--- a/monsoonpier/charts/chart.py
+++ b/monsoonpier/charts/chart.py
@@ -1,5 +1,6 @@
 """Loads a state chart and steps it: state and event in, state out."""
 
+import logging
 from dataclasses import dataclass, field
 from functools import lru_cache
 from importlib import resources
@@ -9,6 +10,9 @@
 
 __all__ = ["Chart", "load_chart"]
 
+# An event that a state doesn't name is no fault here, and not worth a warning.
+logging.getLogger("transitions").setLevel(logging.ERROR)
+
 
 class _Model:
     """What ``transitions`` moves through the chart; lives for one step."""
--- /dev/null
+++ b/tests/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of caller."""
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,20 @@
+"""A nose2 plugin that collects the names of the tests that failed."""
+
+from nose2.events import Plugin
+
+__all__ = ["FailedNames"]
+
+
+class FailedNames(Plugin):
+    """Keeps names in lists that all instances share."""
+
+    alwaysOn = True  # noqa: N815 (nose2's own name)
+    configSection = "failed-names"  # noqa: N815
+    names: list[str] = []
+    finished: list[str] = []
+
+    def testOutcome(self, event) -> None:  # noqa: N802
+        """Note a failure or an error; called by nose2."""
+        self.finished.append(event.test.id())
+        if event.outcome in ("failed", "error"):
+            self.names.append(event.test.id().split("\n")[0])
