--- a/monsoonpier/agent/flows.py
+++ b/monsoonpier/agent/flows.py
@@ -136,6 +136,12 @@
             return True
         return any(r.stage is not Stage.FINISHED for r in self.requests_by_id.values())
 
+    @property
+    def is_working(self) -> bool:
+        """Whether a request of the flow waits for a slot or runs."""
+        stages = (request.stage for request in self.requests_by_id.values())
+        return any(stage in (Stage.QUEUED, Stage.RUNNING) for stage in stages)
+
     def came_by(self, via: tuple[str, int], *, ip: str, port: int) -> None:
         """Remember the balancer and the caller's address of a packet."""
         self.ip = ip
--- a/monsoonpier/agent/holder.py
+++ b/monsoonpier/agent/holder.py
@@ -48,6 +48,7 @@
 
 UNUSED_FLOW_SECONDS = 10.0  # an OPEN's duplicate leaves only this behind
 IDLE_FLOW_SECONDS = 60.0
+MIN_EXPIRY_SECONDS = 1.0
 MOVE_EVERY_SECONDS = 0.5
 LINGER_SECONDS = 5.0  # callers that have not fetched their outcome in this time
 RETURN_RETRY_MS = 1_000
@@ -328,8 +329,10 @@
     def _due(self, flow: Flow, number: int, *, now: float) -> list[Action]:
         """Handle a timer: 0 is the flow's own, others are request ids."""
         if number == 0:
-            if now >= flow.expires:
+            if now >= flow.expires and not flow.is_working:
                 return self._end_flow(flow)
+            # Work in flight is not cut because its caller is silent.
+            flow.expires = max(flow.expires, now + MIN_EXPIRY_SECONDS)
             self._set_timer(flow.expires, flow.id, 0)
             return []
         stream = flow.streams_by_id.get(number)
