Count flows on their way exactly, and believe an announcement at once

A burst of OPENs was placed by reports that wiped out flows still on their way, and a target that had announced that it serves was skipped until its next heartbeat. Left: flows placed while all targets are cold stay where they are; there is no rebalancing of long streams yet. The demo now waits for the cold start's time.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -25,6 +25,7 @@
 READERS = 20
 UPLOADERS = 3
 STEADY_SECONDS = 8.0
+COLD_START_SECONDS = 3.0
 SETTLE_SECONDS = 3.0
 TARGETS_AT_ONCE = 4
 NET = "127.81.1"
@@ -87,6 +88,8 @@
 async def _run() -> bool:
     async with Deployment(net=NET) as deployment:
         await _start(deployment)
+        _say("targets warm up for their cold start's time")
+        await asyncio.sleep(COLD_START_SECONDS)
         load = Load(maps=deployment.address("maps"), logs=deployment.address("logs"))
         _say(f"{STREAMS} streams, {READERS} readers, {UPLOADERS} uploaders start")
         load.start(streams=STREAMS, readers=READERS, uploaders=UPLOADERS)
--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,290 @@
+"""Steering and placement on the pure decisions, against naive versions."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from monsoonpier.balancer.decision import Balancer
+from monsoonpier.balancer.steering import Candidate, Chosen, choose
+from monsoonpier.model.keys import Key, KeyRing
+from monsoonpier.model.service import Preference
+from monsoonpier.model.target import Condition, LoadReport, TargetRecord
+from monsoonpier.model.token import HolderToken, seal_token
+from monsoonpier.wire.datagrams import Ping, caller_codec
+from monsoonpier.wire.frames import BalancerRecord
+
+__all__ = ["broken_flows", "imbalance"]
+
+KEYS = KeyRing(keys=(Key(id=1, secret=b"k" * 32),))
+FLOWS = 2_000
+TARGETS = 7
+BALANCERS = 3
+SLOTS = 3
+WORK_SECONDS = 0.02
+RUN_SECONDS = 40.0
+COLD_SECONDS = 10.0
+HEARTBEAT_SECONDS = 1.0
+UTILISATION = 0.7
+SEEDS = (1, 2)
+
+
+def _record(number: int) -> TargetRecord:
+    return TargetRecord(
+        name=f"maps-{number}",
+        service="maps",
+        data_centre="dc-1",
+        ip=f"10.1.0.{number}",
+        port=9000,
+        control=f"10.1.0.{number}:9001",
+        instance=bytes([number]) * 8,
+        epoch=1,
+        slots=SLOTS,
+        connections=2_000,
+        condition=Condition.SERVING,
+    )
+
+
+def _balancer(number: int) -> Balancer:
+    own = BalancerRecord(
+        name=f"b{number}",
+        data_centre="dc-1",
+        ip=f"10.2.0.{number}",
+        port=9000,
+        control=f"10.2.0.{number}:9001",
+        epoch=1,
+    )
+    return Balancer(own=own, keys=KEYS)
+
+
+def _hashed(flow: bytes, hosts: list[int]) -> int:
+    """The naive steering: hash of the flow over the balancer's own table."""
+    number = int.from_bytes(blake2b(flow, digest_size=8).digest(), "big")
+    return hosts[number % len(hosts)]
+
+
+def broken_flows() -> Iterator[dict]:
+    """Replace all balancers and targets; count flows that lost their holder.
+
+    Each step adds a target, takes one away and replaces a balancer; each
+    balancer learns of it a step later with probability one half. A holder
+    that leaves asks its flows to move first, for both versions alike, so
+    only packets that reach a wrong target count.
+    """
+    draw = random.Random(11)
+    hosts = list(range(1, TARGETS + 1))
+    tables = [list(hosts) for _ in range(BALANCERS)]
+    balancers = [_balancer(n) for n in range(BALANCERS)]
+    flows = [draw.randbytes(16) for _ in range(FLOWS)]
+    holder = {flow: _hashed(flow, hosts) for flow in flows}
+    broken: dict[str, set] = {"product": set(), "naive hash": set()}
+    for step in range(TARGETS):
+        hosts = [*hosts[1:], TARGETS + 1 + step]
+        balancers[step % BALANCERS] = _balancer(step % BALANCERS)
+        tables = [hosts if draw.random() < 0.5 else table for table in tables]
+        tables[step % BALANCERS] = hosts
+        for flow in flows:
+            if holder[flow] not in hosts:
+                holder[flow] = draw.choice(hosts)  # moved, make before break
+                broken["naive hash"].discard(flow)
+            at = draw.randrange(BALANCERS)
+            if _hashed(flow, tables[at]) != holder[flow]:
+                broken["naive hash"].add(flow)
+            if _steered(balancers[at], flow, holder[flow], draw) != holder[flow]:
+                broken["product"].add(flow)
+    for version, lost in broken.items():
+        yield {
+            "figure": "broken_flows",
+            "version": version,
+            "flows": FLOWS,
+            "value": len(lost),
+        }
+
+
+def _steered(balancer: Balancer, flow: bytes, host: int, draw: random.Random) -> int:
+    """Send a packet through the product's own decision; return its target."""
+    token = HolderToken(
+        service="maps", ip=f"10.1.0.{host}", port=9000, instance=bytes([host]) * 8
+    )
+    sealed = seal_token(token, flow=flow, keys=KEYS)
+    packet = caller_codec.encode(Ping(flow=flow, token=sealed, acked=1))
+    action = balancer.from_caller(
+        packet, caller=("10.9.9.9", 5), service="maps", now=1.0, draw=draw
+    )
+    return int(action.endpoint[0].rsplit(".", 1)[1]) if action else 0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Host:
+    """A target that runs its queue on its slots."""
+
+    record: TargetRecord
+    speed: float = 1.0
+    cold: bool = False
+    running: int = 0
+    queue: list[float] = field(default_factory=list)
+    flows: int = 0
+    done: int = 0
+    area: float = 0.0
+    changed_at: float = 0.0
+    service: float = 0.0
+    reports: int = 0
+
+    def count(self, now: float) -> None:
+        """Add up work in progress over time."""
+        self.area += (self.running + len(self.queue)) * (now - self.changed_at)
+        self.changed_at = now
+
+    def capacity(self) -> float:
+        """Share of a usual target's work over the whole run."""
+        if self.cold:
+            return 1 - 0.75 * COLD_SECONDS / 2 / RUN_SECONDS
+        return self.speed
+
+    def seconds(self, now: float, draw: random.Random) -> float:
+        """Draw how long a run takes now."""
+        speed = self.speed
+        if self.cold:
+            speed = min(1.0, 0.25 + 0.75 * now / COLD_SECONDS)
+        return draw.expovariate(1 / WORK_SECONDS) / speed
+
+    def report(self, now: float) -> LoadReport:
+        """Return the load as its agent would report it."""
+        self.reports += 1
+        age = now if self.cold else 60.0
+        return LoadReport(
+            number=self.reports,
+            in_flight=self.running,
+            queued=len(self.queue),
+            flows=self.flows,
+            service_ms=int(self.service * 1000),
+            age_ms=int(age * 1000),
+            condition=Condition.SERVING,
+        )
+
+
+class _Experiment:
+    """One run: open arrivals, one request a flow, several balancers."""
+
+    def __init__(self, *, policy: str, scenario: str, seed: int) -> None:
+        self._policy = policy
+        self._draw = random.Random(seed)
+        self._events: list = []
+        self._order = itertools.count()
+        self._turns = [itertools.count(n) for n in range(BALANCERS)]
+        self.hosts = [_Host(record=_record(n)) for n in range(1, TARGETS + 1)]
+        if scenario == "one slow":
+            self.hosts[0].speed = 1 / 3
+        if scenario == "one cold":
+            self.hosts[0].cold = True
+        self._views = [
+            {h.record.name: (h.report(0.0), 0) for h in self.hosts}
+            for _ in range(BALANCERS)
+        ]
+
+    def run(self) -> None:
+        """Play the whole run."""
+        rate = UTILISATION * SLOTS / WORK_SECONDS * sum(h.speed for h in self.hosts)
+        self._push(0.0, self._arrive, rate)
+        for host in self.hosts:
+            self._push(self._draw.random(), self._beat, host)
+        while self._events and self._events[0][0] < RUN_SECONDS:
+            now, _, call, argument = heapq.heappop(self._events)
+            call(argument, now)
+        for host in self.hosts:
+            host.count(RUN_SECONDS)
+
+    def _push(self, when: float, call, argument) -> None:
+        heapq.heappush(self._events, (when, next(self._order), call, argument))
+
+    def _arrive(self, rate: float, now: float) -> None:
+        self._push(now + self._draw.expovariate(rate), self._arrive, rate)
+        at = self._draw.randrange(BALANCERS)
+        host = self._pick(at)
+        load, sent = self._views[at][host.record.name]
+        self._views[at][host.record.name] = (load, sent + 1)
+        host.count(now)
+        host.flows += 1
+        host.queue.append(now)
+        self._work(host, at, now)
+
+    def _work(self, host: _Host, at: int, now: float) -> None:
+        if host.queue and host.running < SLOTS:
+            host.queue.pop(0)
+            host.running += 1
+            seconds = host.seconds(now, self._draw)
+            self._push(now + seconds, self._finish, (host, at, seconds))
+
+    def _finish(self, work, now: float) -> None:
+        host, at, seconds = work
+        host.count(now)
+        host.running -= 1
+        host.flows -= 1
+        host.done += 1
+        host.service += 0.2 * (seconds - host.service) if host.service else seconds
+        # Load rides on the reply, through the balancer that passed it.
+        self._views[at][host.record.name] = (host.report(now), 0)
+        self._work(host, self._draw.randrange(BALANCERS), now)
+
+    def _beat(self, host: _Host, now: float) -> None:
+        for view in self._views:
+            view[host.record.name] = (host.report(now), 0)
+        self._push(now + HEARTBEAT_SECONDS, self._beat, host)
+
+    def _pick(self, at: int) -> _Host:
+        match self._policy:
+            case "random":
+                return self._draw.choice(self.hosts)
+            case "round robin":
+                return self.hosts[next(self._turns[at]) % TARGETS]
+            case "full knowledge":
+                return min(self.hosts, key=self._true_wait)
+        view = self._views[at]
+        candidates = [
+            Candidate(
+                record=h.record,
+                load=view[h.record.name][0],
+                sent_since=view[h.record.name][1],
+            )
+            for h in self.hosts
+        ]
+        choice = choose(
+            candidates,
+            data_centre="dc-1",
+            prefer=Preference.ANY,
+            cold_start_seconds=COLD_SECONDS,
+            draw=self._draw,
+        )
+        assert isinstance(choice, Chosen)
+        return self.hosts[int(choice.record.name.split("-")[1]) - 1]
+
+    def _true_wait(self, host: _Host) -> tuple[float, float]:
+        wait = (host.running + len(host.queue) + 1) / host.speed
+        return wait, self._draw.random()
+
+
+def imbalance() -> Iterator[dict]:
+    """Largest over mean of work in progress, and of completed work per capacity."""
+    policies = ("random", "round robin", "product", "full knowledge")
+    for scenario in ("equal", "one slow", "one cold"):
+        for policy in policies:
+            progress, completed = [], []
+            for seed in SEEDS:
+                experiment = _Experiment(policy=policy, scenario=scenario, seed=seed)
+                experiment.run()
+                hosts = experiment.hosts
+                progress.append(_excess([h.area for h in hosts]))
+                completed.append(_excess([h.done / h.capacity() for h in hosts]))
+            yield {
+                "figure": "imbalance",
+                "scenario": scenario,
+                "version": policy,
+                "work_in_progress": round(sum(progress) / len(SEEDS), 3),
+                "completed_per_capacity": round(sum(completed) / len(SEEDS), 3),
+            }
+
+
+def _excess(values: list[float]) -> float:
+    return max(values) / (sum(values) / len(values))
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -43,7 +43,7 @@
     DrainReply,
     StatusReply,
 )
-from monsoonpier.wire.datagrams import reply_codec
+from monsoonpier.wire.datagrams import Opened, reply_codec
 from monsoonpier.wire.frames import (
     Announce,
     BalancerRecord,
@@ -222,6 +222,7 @@
             payload=reply_codec.encode(reply.message),
             agent=self._record.name,
             load=self._holder.load(now=_now()),
+            opened=isinstance(reply.message, Opened),
         )
         self._socket.send(self._codec.encode(frame), reply.via)
 
--- a/monsoonpier/balancer/decision.py
+++ b/monsoonpier/balancer/decision.py
@@ -191,6 +191,8 @@
         match frame:
             case Return():
                 self.table.heard(frame.agent, frame.load, now=now)
+                if frame.opened:
+                    self.table.answered_flow(frame.agent)
                 self.returned += 1
                 return [
                     ToCaller(
@@ -212,6 +214,7 @@
 
     def _bounced(self, frame: Bounce, *, now: float, draw: random.Random) -> list:
         self.table.heard(frame.agent, frame.load, now=now)
+        self.table.answered_flow(frame.agent)
         self.opens_by_result["bounced"] += 1
         message = caller_codec.decode(frame.payload)
         if not isinstance(message, Open):
@@ -235,7 +238,7 @@
         record = self.table.record(frame.name)
         known = record is not None and record.rank == (frame.epoch, frame.change)
         if known:
-            self.table.heard(frame.name, frame.load, now=now, heartbeat=True)
+            self.table.beaten(frame.name, frame.load, now=now)
         return self._ack(record, known=known, introduce=False, sender=sender, now=now)
 
     def _announced(
--- a/monsoonpier/balancer/steering.py
+++ b/monsoonpier/balancer/steering.py
@@ -21,8 +21,8 @@
 class Candidate:
     """A target as one balancer sees it when a flow is opened.
 
-    ``sent_since`` counts the flows that this balancer sent after the report,
-    which therefore doesn't know of them.
+    ``sent_since`` counts the flows that this balancer sent and that no report
+    can know of yet.
     """
 
     record: TargetRecord
@@ -129,7 +129,9 @@
         }
         total = sum(weights)
         self._mean_work = sum(c.work for c in ready) / total
-        self._mean_placed = sum(c.placed for c in ready) / total
+        self._mean_placed = sum(c.placed for c in ready) / sum(
+            c.record.slots for c in ready
+        )
         timed = sorted(c.load.service_ms for c in ready if c.load.service_ms)
         self._median_ms = timed[len(timed) // 2] if timed else 0
 
@@ -137,7 +139,8 @@
         """Return the load relative to the mean; the smaller one is chosen."""
         capacity = self._capacity_by_name[candidate.record.name]
         work = (candidate.work + candidate.sent_since) / capacity
-        placed = candidate.placed / capacity
+        # Flows outlast the cold start, so they count against full capacity.
+        placed = candidate.placed / candidate.record.slots
         relative = work / (self._mean_work + 1) + placed / (self._mean_placed + 1)
         return (relative + 1 / capacity) * self._speed_ratio(candidate)
 
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -72,6 +72,8 @@
             entry.record = record
             entry.learned_at = now
             entry.silent_witnesses.clear()
+            # What the agent announces is newer than its last report.
+            entry.load = msgspec.structs.replace(entry.load, condition=record.condition)
             if is_new_instance:
                 entry.load = LoadReport(number=0, condition=record.condition)
                 entry.sent_since = 0
@@ -79,25 +81,36 @@
         self._toggle(record)
         return True
 
-    def heard(
-        self, name: str, load: LoadReport, *, now: float, heartbeat: bool = False
-    ) -> None:
+    def heard(self, name: str, load: LoadReport, *, now: float) -> None:
         """Take a report that came straight from the target's agent."""
         entry = self._entries_by_name.get(name)
         if entry is None:
             return
         entry.heard_at = now
-        entry.is_witnessed = entry.is_witnessed or heartbeat
         if load.number > entry.load.number:
             entry.load = load
+
+    def beaten(self, name: str, load: LoadReport, *, now: float) -> None:
+        """Take a heartbeat: this balancer is a witness of the target."""
+        self.heard(name, load, now=now)
+        entry = self._entries_by_name.get(name)
+        if entry is not None:
+            entry.is_witnessed = True
+            # An OPEN whose answer was lost must not count for ever.
             entry.sent_since = 0
 
     def sent_flow(self, name: str) -> None:
-        """Count a flow sent to a target since its last report."""
+        """Count a flow that was sent to a target and not answered yet."""
         entry = self._entries_by_name.get(name)
         if entry is not None:
             entry.sent_since += 1
 
+    def answered_flow(self, name: str) -> None:
+        """Note that the target's reports know of one flow more."""
+        entry = self._entries_by_name.get(name)
+        if entry is not None and entry.sent_since:
+            entry.sent_since -= 1
+
     def hear_silence(self, silence: Silence, *, now: float) -> bool:
         """Take a witness's word on a target; tell whether it was news."""
         entry = self._entries_by_name.get(silence.name)
@@ -160,16 +173,9 @@
         return [self._candidate(e, now=now) for e in self._entries_by_name.values()]
 
     def _candidate(self, entry: _Entry, *, now: float) -> Candidate:
-        load = entry.load
-        # A record that was relayed here may be newer than the last report.
-        told = entry.record.condition
-        if load.condition is not told and (
-            not load.number or told >= Condition.LEAVING
-        ):
-            load = msgspec.structs.replace(load, condition=told)
         return Candidate(
             record=entry.record,
-            load=load,
+            load=entry.load,
             sent_since=entry.sent_since,
             suspected=self._is_suspected(entry, now=now),
         )
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -49,7 +49,7 @@
 
 
 class Return(_Frame, tag=2, kw_only=True):
-    """An agent's packet on its way to a caller."""
+    """An agent's packet on its way to a caller; ``opened`` if it took a flow."""
 
     service: Name
     ip: Ip
@@ -57,6 +57,7 @@
     payload: Payload
     agent: Name
     load: LoadReport
+    opened: bool = False
 
 
 class Bounce(_Frame, tag=3, kw_only=True):
--- a/tests/balancer/test_decision.py
+++ b/tests/balancer/test_decision.py
@@ -19,7 +19,13 @@
     caller_codec,
     reply_codec,
 )
-from monsoonpier.wire.frames import Announce, Bounce, Heartbeat, Silence
+from monsoonpier.wire.frames import (
+    Announce,
+    Bounce,
+    Heartbeat,
+    Return,
+    Silence,
+)
 from tests.rig import CALLER, KEYS, balancer, record, service
 
 FLOW = b"f" * 16
@@ -147,6 +153,35 @@
         frame(one, beat(of))
         self.assertIsInstance(send(one, OPEN), ToCaller)
 
+    def test_announced_condition_is_newer(self):
+        """A target that announces that it serves needn't wait for a heartbeat."""
+        one = balancer()
+        of = record("maps-1")
+        frame(one, Announce(record=of))
+        load = LoadReport(number=1, condition=Condition.STARTING)
+        frame(one, Heartbeat(name=of.name, epoch=of.epoch, change=of.change, load=load))
+        self.assertIsInstance(send(one, OPEN), ToCaller)
+        frame(one, Announce(record=of.with_condition(Condition.SERVING)))
+        self.assertIsInstance(send(one, OPEN), ToAgent)
+
+    def test_flows_in_flight_are_counted(self):
+        """A report doesn't wipe out flows that it can't know of yet."""
+        one = self._with_targets(1)
+        for _ in range(3):
+            send(one, OPEN)
+        reply = Return(
+            service="maps",
+            ip=CALLER[0],
+            port=CALLER[1],
+            payload=b"x",
+            agent="maps-1",
+            load=LoadReport(number=5, flows=1, condition=Condition.SERVING),
+            opened=True,
+        )
+        frame(one, reply)
+        (candidate,) = one.table.candidates(service(), now=1.0)
+        self.assertEqual(candidate.placed, 3)
+
     def test_unknown_service(self):
         """Without configuration an OPEN is refused at once."""
         self.assertIsInstance(send(balancer(), OPEN, of="nothing"), ToCaller)
