--- a/monsoonpier/model/service.py
+++ b/monsoonpier/model/service.py
@@ -2,8 +2,8 @@
 
 import fnmatch
 from dataclasses import dataclass, field
-from functools import lru_cache
 from enum import Enum
+from functools import lru_cache
 
 from monsoonpier.model.address import Address
 
