--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli.py
@@ -53,11 +53,10 @@
 
     Example: monsoonpier balancer /etc/monsoonpier/balancer.yaml
 
-    Parameters
-    ----------
-    settings: The process's settings file; MONSOONPIER_<KEY> variables override it.
-    print_settings: Print the settings in force, keys masked, and exit.
-    log_level: The least level that is logged.
+    Args:
+        settings: The process's settings file; MONSOONPIER_<KEY> variables override it.
+        print_settings: Print the settings in force, keys masked, and exit.
+        log_level: The least level that is logged.
     """
     loaded = _settings(settings, "balancer", print_settings=print_settings)
     if loaded is None:
@@ -75,11 +74,10 @@
 
     Example: monsoonpier agent /etc/monsoonpier/agent.yaml
 
-    Parameters
-    ----------
-    settings: The process's settings file; MONSOONPIER_<KEY> variables override it.
-    print_settings: Print the settings in force, keys masked, and exit.
-    log_level: The least level that is logged.
+    Args:
+        settings: The process's settings file; MONSOONPIER_<KEY> variables override it.
+        print_settings: Print the settings in force, keys masked, and exit.
+        log_level: The least level that is logged.
     """
     loaded = _settings(settings, "agent", print_settings=print_settings)
     if loaded is None:
@@ -109,18 +107,17 @@
     -- monsoonpier call 192.0.2.11:7002 log --file hull.csv
     -- monsoonpier call 192.0.2.10:7001 map --stream --items 5
 
-    Parameters
-    ----------
-    address: The service's address, ip:port.
-    kind: The kind of work, as the configuration names it.
-    body: The request's body.
-    file: Send this file's content as the body.
-    stream: Read a stream and write its items to stdout, one a line.
-    after: Begin the stream after this item.
-    items: End after so many items of the stream; 0 is without end.
-    idempotent: The work may be run again if it may have run.
-    deadline: Seconds after which the answer is of no use.
-    log_level: The least level that is logged.
+    Args:
+        address: The service's address, ip:port.
+        kind: The kind of work, as the configuration names it.
+        body: The request's body.
+        file: Send this file's content as the body.
+        stream: Read a stream and write its items to stdout, one a line.
+        after: Begin the stream after this item.
+        items: End after so many items of the stream; 0 is without end.
+        idempotent: The work may be run again if it may have run.
+        deadline: Seconds after which the answer is of no use.
+        log_level: The least level that is logged.
     """
     from monsoonpier.caller.command import Call, run_call
     from monsoonpier.process.logs import configure_logs
@@ -181,12 +178,11 @@
 
     Example: monsoonpier apply services/ --settings operator.yaml --wait
 
-    Parameters
-    ----------
-    who: Your name for the audit trail; by default the login name.
-    wait: Wait until every balancer has it in force, and name those that lag.
-    wait_seconds: How long to wait at the most.
-    log_level: The least level that is logged.
+    Args:
+        who: Your name for the audit trail; by default the login name.
+        wait: Wait until every balancer has it in force, and name those that lag.
+        wait_seconds: How long to wait at the most.
+        log_level: The least level that is logged.
     """
     from monsoonpier.operator import commands
 
@@ -220,10 +216,9 @@
 
     Example: monsoonpier status --settings operator.yaml
 
-    Parameters
-    ----------
-    as_json: Print one JSON object instead of a table.
-    log_level: The least level that is logged.
+    Args:
+        as_json: Print one JSON object instead of a table.
+        log_level: The least level that is logged.
     """
     from monsoonpier.operator import commands
 
@@ -242,10 +237,9 @@
 
     Example: monsoonpier history --settings operator.yaml --count 5
 
-    Parameters
-    ----------
-    count: How many changes to show.
-    log_level: The least level that is logged.
+    Args:
+        count: How many changes to show.
+        log_level: The least level that is logged.
     """
     from monsoonpier.operator import commands
 
@@ -268,13 +262,12 @@
 
     Example: monsoonpier rollback 7 --settings operator.yaml --wait
 
-    Parameters
-    ----------
-    version: The version whose files are applied again.
-    who: Your name for the audit trail; by default the login name.
-    wait: Wait until every balancer has it in force, and name those that lag.
-    wait_seconds: How long to wait at the most.
-    log_level: The least level that is logged.
+    Args:
+        version: The version whose files are applied again.
+        who: Your name for the audit trail; by default the login name.
+        wait: Wait until every balancer has it in force, and name those that lag.
+        wait_seconds: How long to wait at the most.
+        log_level: The least level that is logged.
     """
     from monsoonpier.operator import commands
 
@@ -293,10 +286,9 @@
 
     Example: monsoonpier drain maps-3 --settings operator.yaml
 
-    Parameters
-    ----------
-    name: The process's name, as `status` shows it.
-    log_level: The least level that is logged.
+    Args:
+        name: The process's name, as `status` shows it.
+        log_level: The least level that is logged.
     """
     from monsoonpier.operator import commands
 
--- a/monsoonpier/documents/configuration.py
+++ b/monsoonpier/documents/configuration.py
@@ -78,19 +78,36 @@
 
 
 def difference(old: dict[str, Service], new: dict[str, Service]) -> list[str]:
-    """Return a line for each service added, removed or changed."""
+    """Return a line for each service or part of one that differs."""
     lines = [f"+ {name}: {_describe(new[name])}" for name in sorted(new.keys() - old)]
     lines += [f"- {name}: {_describe(old[name])}" for name in sorted(old.keys() - new)]
     for name in sorted(old.keys() & new.keys()):
-        if old[name] == new[name]:
-            continue
-        for key in ("address", "targets", "prefer", "limits", "kinds_by_name"):
-            before, after = getattr(old[name], key), getattr(new[name], key)
-            if before != after:
-                lines.append(f"~ {name}.{key}: {_short(before)} -> {_short(after)}")
+        before, after = _parts(old[name]), _parts(new[name])
+        for key in sorted(before.keys() | after.keys()):
+            was, is_now = before.get(key, "none"), after.get(key, "none")
+            if was != is_now:
+                lines.append(f"~ {name}.{key}: {was} -> {is_now}")
     return lines
 
 
+def _parts(service: Service) -> dict[str, str]:
+    """Return the text of each part of a service, by its path in the file."""
+    limits = service.limits
+    parts = {
+        "address": str(service.address),
+        "targets": ", ".join(service.targets),
+        "prefer": service.prefer.value,
+        "limits.queue_per_slot": str(limits.queue_per_slot),
+        "limits.cold_start_seconds": f"{limits.cold_start_seconds:g}",
+        "limits.max_request_bytes": str(limits.max_request_bytes),
+    }
+    for name, kind in service.kinds_by_name.items():
+        traits = ["idempotent"] * kind.idempotent + ["stream"] * kind.stream
+        deadline = f"deadline {kind.deadline_seconds:g} s"
+        parts[f"kinds.{name}"] = " ".join([*traits, deadline])
+    return parts
+
+
 def _check_size(texts_by_name: dict[str, str]) -> list[Finding]:
     findings = []
     if not texts_by_name:
@@ -192,17 +209,3 @@
 def _describe(service: Service) -> str:
     kinds = ", ".join(sorted(service.kinds_by_name))
     return f"{service.address}, targets {', '.join(service.targets)}, kinds {kinds}"
-
-
-def _short(value) -> str:
-    match value:
-        case dict():
-            return "{" + ", ".join(_short(v) for v in value.values()) + "}"
-        case Kind(name=name, idempotent=idempotent, stream=stream):
-            traits = "idempotent" * idempotent + "stream" * stream
-            return f"{name} {traits} {value.deadline_seconds}s".replace("  ", " ")
-        case Preference():
-            return value.value
-        case tuple():
-            return ", ".join(map(str, value))
-    return str(value)
