Let a silent target be tried again, and judge it by fair runs only

Three runs in a row that were handed over with less time than a run takes ended late, the agent took the target for unresponsive, and after that nothing could try it: it took no flows, and its flows had all moved away. Ruled out: the retry budget (the fall came in the middle of it, and stayed with unlimited retries); the target (it answered at once). What changed: a target on trial takes flows again, as a cold one, one request at a time, each failed trial doubling the wait; a run with less than three times its usual time is no evidence; the queue leaves time to run.

--- a/monsoonpier/agent/condition.py
+++ b/monsoonpier/agent/condition.py
@@ -8,7 +8,9 @@
 __all__ = ["TargetLife"]
 
 SILENT_RUNS = 3  # runs in a row without an answer: the target is unresponsive
-TRY_AGAIN_SECONDS = 2.0
+TRY_AGAIN_SECONDS = 2.0  # before the first trial; each that fails doubles it
+MAX_TRY_AGAIN_SECONDS = 60.0
+MAX_TRIALS = 8
 NEVER = float("inf")
 MIN_RETRY_SECONDS = 0.05
 UNDATED_RETRY_SECONDS = 1.0  # the state has no end that is known
@@ -17,7 +19,7 @@
     "serving": Condition.SERVING,
     "shedding": Condition.SHEDDING,
     "unresponsive": Condition.UNRESPONSIVE,
-    "trying": Condition.UNRESPONSIVE,
+    "trying": Condition.SERVING,
     "leaving": Condition.LEAVING,
     "gone": Condition.GONE,
 }
@@ -29,6 +31,7 @@
 
     state: str = "starting"
     silent_runs: int = 0
+    failed_trials: int = 0
     until: float = NEVER
     serving_since: float | None = None
 
@@ -71,7 +74,8 @@
 
     def answered(self, *, now: float) -> "TargetLife":
         """Return the life after a run was answered, which is evidence."""
-        return replace(self._after("answered", now=now), silent_runs=0)
+        after = self._after("answered", now=now)
+        return replace(after, silent_runs=0, failed_trials=0)
 
     def healthy(self, *, now: float) -> "TargetLife":
         """Return the life after a health check passed, which is only a hint."""
@@ -90,7 +94,12 @@
         after = replace(self, silent_runs=self.silent_runs + 1)
         if after.silent_runs < SILENT_RUNS and not self.one_at_a_time:
             return after
-        return replace(after._after("silent", now=now), until=now + TRY_AGAIN_SECONDS)
+        wait = TRY_AGAIN_SECONDS * 2**after.failed_trials
+        return replace(
+            after._after("silent", now=now),
+            until=now + min(wait, MAX_TRY_AGAIN_SECONDS),
+            failed_trials=min(after.failed_trials + 1, MAX_TRIALS),
+        )
 
     def leave(self, *, now: float) -> "TargetLife":
         """Return the life after the order to leave."""
@@ -116,7 +125,8 @@
         if state == self.state:
             return self
         since = self.serving_since
-        if state == "starting":
+        if state in ("starting", "unresponsive"):
+            # What comes back from these is cold, and gets little at first.
             since = None
         elif since is None and load_chart("target").has(state, "takes_flows"):
             since = now
--- a/monsoonpier/agent/holder.py
+++ b/monsoonpier/agent/holder.py
@@ -268,7 +268,8 @@
         self, key: RequestKey, result: RunResult, *, now: float, draw: random.Random
     ) -> list[Action]:
         """Take the result of a request that was handed over."""
-        self.life = _judge(self.life, result, now=now)
+        is_fair = self._requests.had_fair_time(key)
+        self.life = _judge(self.life, result, is_fair=is_fair, now=now)
         flow, replies = self._requests.ended(key, result, now=now, draw=draw)
         actions = self._replies(flow, replies) if flow else []
         return actions + self._fill_slots(now=now)
@@ -390,7 +391,9 @@
         return []
 
 
-def _judge(life: TargetLife, result: RunResult, *, now: float) -> TargetLife:
+def _judge(
+    life: TargetLife, result: RunResult, *, is_fair: bool, now: float
+) -> TargetLife:
     """Return the target's life after a run ended this way."""
     match result:
         case Answered():
@@ -399,6 +402,8 @@
             return life.shed(retry_after=retry_after, now=now)
         case NeverSent():
             return life.refused(now=now)
+        case TimedOut() if not is_fair and not life.one_at_a_time:
+            return life
         case TimedOut() | Broke():
             return life.ran_silent(now=now)
         case Aborted():
--- a/monsoonpier/agent/limits.py
+++ b/monsoonpier/agent/limits.py
@@ -81,7 +81,7 @@
         return NotAdmitted(
             reason="overloaded", retry_after=pressure.retry_after(now=now, draw=draw)
         )
-    if pressure.wait_seconds >= time_left:
+    if pressure.wait_seconds + pressure.service_seconds >= time_left:
         return NotAdmitted(
             reason="would be late",
             retry_after=pressure.retry_after(now=now, draw=draw),
--- a/monsoonpier/agent/requests.py
+++ b/monsoonpier/agent/requests.py
@@ -47,6 +47,7 @@
 
 WINDOW = 64  # unfinished or unacknowledged requests in a flow
 MAX_KEPT_BYTES = 64 * 1_048_576  # outcomes and incoming bodies, of all flows
+FAIR_TIMES = 3.0  # the usual time of a run; a shorter deadline is no evidence
 MAX_ANSWER_BYTES = 8 * 1_048_576
 FIRST_PARTS = 16  # answer parts sent without being asked for
 PROGRESS_EVERY = 8  # parts of an upload between two reports of progress
@@ -65,7 +66,7 @@
         self._queue: OrderedDict[RequestKey, tuple[Flow, Request, bytes]] = (
             OrderedDict()
         )
-        self._running_by_key: dict[RequestKey, tuple[Flow, Request]] = {}
+        self._running_by_key: dict[RequestKey, tuple[Flow, Request, float]] = {}
         self._kept_bytes = 0
         self._service_seconds = 0.0
         self._refusals = 0.0
@@ -198,6 +199,13 @@
 
     # The target's results
 
+    def had_fair_time(self, key: RequestKey) -> bool:
+        """Tell whether a run was given time enough to speak against the target."""
+        found = self._running_by_key.get(key)
+        if found is None:
+            return False
+        return found[2] >= FAIR_TIMES * self._service_seconds
+
     def ended(
         self, key: RequestKey, result: RunResult, *, now: float, draw: random.Random
     ) -> tuple[Flow | None, list]:
@@ -205,7 +213,7 @@
         found = self._running_by_key.pop(key, None)
         if found is None:
             return None, []
-        flow, request = found
+        flow, request, _ = found
         if isinstance(result, Answered):
             self._service_seconds = (
                 smooth(self._service_seconds, result.seconds)
@@ -400,10 +408,9 @@
     def _start(self, flow: Flow, request: Request, body: bytes, *, now: float) -> Run:
         request.stage = Stage.RUNNING
         key = RequestKey(flow.id, request.id)
-        self._running_by_key[key] = (flow, request)
-        return Run(
-            key=key, kind=request.kind, body=body, time_left=request.deadline - now
-        )
+        time_left = request.deadline - now
+        self._running_by_key[key] = (flow, request, time_left)
+        return Run(key=key, kind=request.kind, body=body, time_left=time_left)
 
     def _finish(self, flow: Flow, request: Request, outcome: Verdict | Answer) -> None:
         self._kept_bytes -= sum(map(len, request.body_by_part.values()))
--- a/tests/agent/test_named_cases.py
+++ b/tests/agent/test_named_cases.py
@@ -13,7 +13,9 @@
     Shed,
     TimedOut,
 )
+from monsoonpier.agent.condition import TargetLife
 from monsoonpier.agent.requests import MAX_KEPT_BYTES, WINDOW
+from monsoonpier.model.target import Condition
 from monsoonpier.model.token import HolderToken, open_token, seal_token
 from monsoonpier.wire.datagrams import (
     MIN_OPEN_BYTES,
@@ -438,6 +440,58 @@
         desk.end(5, Answered(status=200, body=b"", seconds=0.1))
         self.assertTrue(desk.holder.life.takes_flows)
 
+    def test_silent_target_is_tried_again_though_no_flow_is_left(self):
+        """A silent target takes a flow again in time, or nothing could try it."""
+        desk = Desk()
+        for number in (1, 2, 3):
+            desk.request(number, time_left_ms=100)
+        desk.tick(0.2)
+        for number in (1, 2, 3):
+            desk.end(number, TimedOut())
+        desk.send(Close(flow=FLOW, token=desk.token))
+        open_again = Open(flow=b"n" * 16, padding=bytes(MIN_OPEN_BYTES))
+        self.assertNotIsInstance(desk.send(open_again)[0], Reply)
+        desk.tick(2.1)
+        report = desk.holder.load(now=desk.now)
+        self.assertEqual(report.condition, Condition.SERVING)
+        self.assertLess(report.age_ms, 100)
+        self.assertIsInstance(desk.send(open_again)[0], Reply)
+
+    def test_trials_become_rare(self):
+        """Each trial that fails doubles the time to the next."""
+        life = TargetLife().healthy(now=0.0)
+        for _ in range(3):
+            life = life.ran_silent(now=0.0)
+        waits, now = [], 0.0
+        for _ in range(7):
+            waits.append(life.until - now)
+            now = life.until
+            life = life.at(now=now).ran_silent(now=now)
+        self.assertEqual(waits, [2.0, 4.0, 8.0, 16.0, 32.0, 60.0, 60.0])
+
+    def test_short_deadlines_are_no_evidence(self):
+        """Runs that had less time than usual don't make a target look ill."""
+        desk = Desk()
+        desk.request(1)
+        desk.end(1, Answered(status=200, body=b"", seconds=0.2))
+        for number in (2, 3, 4, 5):
+            desk.request(number, time_left_ms=150)
+            desk.tick(0.16)
+            desk.end(number, TimedOut())
+        self.assertEqual(desk.holder.life.state, "serving")
+
+    def test_queue_leaves_time_to_run(self):
+        """A request that would only begin before its deadline is refused."""
+        desk = Desk()
+        desk.request(1)
+        desk.end(1, Answered(status=200, body=b"", seconds=0.3))
+        for number in (2, 3, 4):
+            desk.request(number, time_left_ms=5000)
+        self.assertEqual(
+            verdicts(desk.request(5, time_left_ms=350)), [VerdictKind.NOT_RUN]
+        )
+        self.assertEqual(verdicts(desk.request(6, time_left_ms=5000)), [])
+
     def test_shedding_ends(self):
         """A target that sheds is spared until its own time is over."""
         desk = Desk()
