Give an agent its own service only, and pack configuration for peers

Ruled out: sending differences, which needs a history on each balancer. Agents read only the list of balancers from the platform, with back-off up to 30 s.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 import statistics
 import sys
 import time
@@ -15,7 +16,7 @@
 
 from bench.probe import KEYRING, FakeAgents, breathe, fit, read_cost
 from monsoonpier.documents.configuration import parse_files
-from monsoonpier.documents.stored import Stored, encode_stored, unstore
+from monsoonpier.documents.stored import Stored, encode_stored, pack, unstore
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.model.token import HolderToken, seal_token
 from monsoonpier.process.udp import open_udp
@@ -273,18 +274,23 @@
 
 def _configuration(figures: dict) -> None:
     """What taking a configuration costs, by the number of services."""
-    points, sizes = [], []
+    points, sizes, packed = [], [], []
+    draw = random.Random(3)
     for count in SERVICE_COUNTS:
         services = {
             f"service-{n}": {
                 "address": f"192.0.2.{n % 250 + 1}:{7000 + n}",
                 "targets": [f"service-{n}-*"],
-                "kinds": {"reading": {"idempotent": True}, "map": {"stream": True}},
+                "kinds": {
+                    f"reading-{draw.randbytes(4).hex()}": {"idempotent": True},
+                    "map": {"stream": True},
+                },
             }
             for n in range(count)
         }
         files = {"all.yaml": json.dumps({"services": services})}
         parsed = parse_files(files)
+        assert not parsed.findings, parsed.findings
         stored = Stored(
             version=1,
             apply_id="0" * 32,
@@ -293,16 +299,20 @@
             files=files,
             services=parsed.services_by_name,
         )
-        text = encode_stored(stored).decode()
+        value = encode_stored(stored)
         times = []
         for _ in range(3):
             began = time.process_time()
-            unstore(text)
+            unstore(value)
             times.append((time.process_time() - began) * 1000)
         points.append((count, statistics.median(times)))
-        sizes.append((count, len(text)))
+        sizes.append((count, len(value)))
+        packed.append((count, len(pack(value))))
     figures["configuration milliseconds by services"] = fit(points)
     figures["configuration bytes by services"] = fit(sizes)
+    figures["configuration bytes by services, packed"] = fit(packed)
+    one = len(pack(value, service="service-7"))
+    figures["configuration bytes for an agent, packed"] = one
 
 
 async def _run() -> dict:
@@ -316,11 +326,11 @@
         await deployment.operate("apply", str(folder), "--wait")
         await deployment.wait_ready("b1")
         for measure in (
+            _idle_balancer,
             _passed_packets,
             _new_flows,
             _targets_known,
             _open_flows,
-            _idle_balancer,
         ):
             await measure(deployment, figures)
             _say(figures)
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -22,13 +22,14 @@
 from monsoonpier.agent.target_client import HealthHint, TargetClient
 from monsoonpier.agent.witnesses import Witnesses
 from monsoonpier.documents.settings import Settings
-from monsoonpier.documents.stored import unstore
+from monsoonpier.documents.stored import unpack, unstore
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.model.token import HolderToken
+from monsoonpier.platform.backoff import Backoff
 from monsoonpier.platform.etcd import EtcdPlatform
 from monsoonpier.platform.interface import PlatformError
-from monsoonpier.platform.keys import BALANCERS, CONFIGURATION
+from monsoonpier.platform.keys import BALANCERS
 from monsoonpier.process.control import ControlServer, NoAnswer, ask
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
@@ -60,7 +61,8 @@
 HEARTBEAT_SECONDS = 1.0
 HEALTH_SECONDS = 1.0
 INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
-FIND_SECONDS = 2.0  # between looks at the platform while no balancer answers
+FIND_SECONDS = 1.0  # between looks at the platform while no balancer answers
+MAX_FIND_SECONDS = 30.0
 INSTANCE_BYTES = 8
 FAREWELLS = 3  # the record of a gone target is sent this often: datagrams get lost
 FAREWELL_SECONDS = 0.1
@@ -344,18 +346,24 @@
         self._note_condition(before)
 
     async def _find_balancers_forever(self) -> None:
-        """Ask seeds and the platform while no balancer has answered."""
+        """Ask seeds and the platform while no balancer has answered.
+
+        When a whole fleet is cut off it must not take the platform's rates.
+        """
+        backoff = Backoff(first_seconds=FIND_SECONDS, most_seconds=MAX_FIND_SECONDS)
         while True:
-            if self._witnesses.is_cut_off:
+            if not self._witnesses.is_cut_off:
+                backoff = backoff.after_success()
+            else:
                 for seed in self._settings.seeds:
                     self._send_control(self._announcement(), seed.endpoint)
                 await self._read_platform()
-            await asyncio.sleep(FIND_SECONDS * self._draw.uniform(0.5, 1.5))
+                backoff = backoff.after_failure()
+            await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
 
     async def _read_platform(self) -> None:
         try:
             found = await self._platform.read(BALANCERS, prefix=True)
-            stored = await self._platform.read(CONFIGURATION)
         except PlatformError as error:
             _log.info("platform unreachable", reason=str(error))
             return
@@ -363,27 +371,27 @@
             record = self._codec.decode(value.value)
             if isinstance(record, BalancerRecord):
                 self._witnesses.learn(record)
-        for value in stored.values_by_key.values():
-            self._configure(value.value.decode())
 
     def _fetch_from(self, balancer: BalancerRecord) -> None:
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.create_task(self._fetch(balancer))
 
     async def _fetch(self, balancer: BalancerRecord) -> None:
-        question = AskConfiguration(newer_than=self._configuration.version)
+        question = AskConfiguration(
+            newer_than=self._configuration.version, service=self._record.service
+        )
         try:
             reply = await ask(balancer.control, question, keys=self._settings.keys)
         except NoAnswer as error:
             _log.info("configuration not fetched", reason=str(error))
             return
-        if isinstance(reply, ConfigurationReply) and reply.text:
-            self._configure(reply.text)
+        if isinstance(reply, ConfigurationReply) and reply.packed:
+            self._configure(reply.packed)
 
-    def _configure(self, text: str) -> None:
+    def _configure(self, packed: bytes) -> None:
         """Put a configuration in force unless it is older than the present one."""
         try:
-            configuration = unstore(text)
+            configuration = unstore(unpack(packed))
         except ValueError as error:
             _log.error("stored configuration not usable", reason=str(error))
             return
--- a/monsoonpier/balancer/platform_link.py
+++ b/monsoonpier/balancer/platform_link.py
@@ -42,7 +42,7 @@
         platform: Platform,
         peers: Peers,
         codec: FrameCodec,
-        configure: Callable[[str], None],
+        configure: Callable[[bytes], None],
         draw: random.Random,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -135,7 +135,7 @@
                     CONFIGURATION, from_revision=revision + 1
                 ):
                     if event.value is not None:
-                        self._configure(event.value.decode())
+                        self._configure(event.value)
             except (PlatformError, CompactedError) as error:
                 _log.info("watch begins anew", reason=str(error))
                 await asyncio.sleep(self._draw.uniform(0.5, 1.0))
@@ -155,6 +155,6 @@
                 self._peers.learn(record)
         stored = await self._platform.read(CONFIGURATION)
         for value in stored.values_by_key.values():
-            self._configure(value.value.decode())
+            self._configure(value.value)
         self._last_read = self._now()
         return stored.revision
--- a/monsoonpier/balancer/process.py
+++ b/monsoonpier/balancer/process.py
@@ -16,7 +16,7 @@
 )
 from monsoonpier.balancer.platform_link import PlatformLink
 from monsoonpier.documents.settings import Settings
-from monsoonpier.documents.stored import unstore
+from monsoonpier.documents.stored import pack, unpack, unstore
 from monsoonpier.platform.etcd import EtcdPlatform
 from monsoonpier.process.control import ControlServer, NoAnswer, ask
 from monsoonpier.process.life import ProcessLife
@@ -81,7 +81,8 @@
         )
         self._internal: UdpSocket | None = None
         self._sockets_by_service: dict[str, UdpSocket] = {}
-        self._text = ""
+        self._value = b""
+        self._packed_by_service: dict[str, bytes] = {}
         self._control = ControlServer(
             address=settings.control, keys=settings.keys, handler=self._answer
         )
@@ -235,8 +236,8 @@
             _log.info("peer did not answer", reason=str(error))
             return
         match reply:
-            case ConfigurationReply(text=text) if text:
-                self._configure(text)
+            case ConfigurationReply(packed=packed) if packed:
+                self._configure_packed(packed)
             case TableReply(records=records, balancers=balancers):
                 for record in records:
                     self._balancer.table.learn(record, now=_now())
@@ -245,15 +246,33 @@
 
     # Configuration
 
-    def _configure(self, text: str) -> None:
+    def _packed(self, service: str) -> bytes:
+        """Return what a peer (no service named) or an agent is given."""
+        if service not in self._packed_by_service:
+            # Names that nobody declared must not fill the memory.
+            if service not in self._balancer.configuration.services_by_name:
+                return pack(self._value, service=service)
+            self._packed_by_service[service] = pack(self._value, service=service)
+        return self._packed_by_service[service]
+
+    def _configure_packed(self, packed: bytes) -> None:
+        try:
+            value = unpack(packed)
+        except ValueError as error:
+            _log.error("a peer's configuration not usable", reason=str(error))
+            return
+        self._configure(value)
+
+    def _configure(self, value: bytes) -> None:
         try:
-            configuration = unstore(text)
+            configuration = unstore(value)
         except ValueError as error:
             _log.error("stored configuration not usable", reason=str(error))
             return
         held = self._balancer.configuration.version
         if self._balancer.configure(configuration):
-            self._text = text
+            self._value = value
+            self._packed_by_service.clear()
             self._rebind.set()
             _log.info("configuration in force", version=configuration.version)
         elif configuration.version < held:
@@ -303,10 +322,10 @@
 
     async def _answer(self, message):
         match message:
-            case AskConfiguration(newer_than=version):
+            case AskConfiguration(newer_than=version, service=service):
                 held = self._balancer.configuration.version
-                text = self._text if held > version else ""
-                return ConfigurationReply(version=held, text=text)
+                packed = self._packed(service) if held > version else b""
+                return ConfigurationReply(version=held, packed=packed)
             case AskTable(digests=digests):
                 records = self._balancer.table.records_unlike(digests)
                 balancers = tuple(self._balancer.peers.records_by_name.values())
--- a/monsoonpier/wire/control.py
+++ b/monsoonpier/wire/control.py
@@ -31,16 +31,21 @@
 
 
 class AskConfiguration(_Control, tag=1, kw_only=True):
-    """Asks for the configuration if it is newer than ``newer_than``."""
+    """Asks for the configuration if it is newer than ``newer_than``.
+
+    An agent names its ``service`` and gets only that: with 4,800 agents the
+    whole set would be most of the control traffic.
+    """
 
     newer_than: int
+    service: Annotated[str, Meta(max_length=64)] = ""
 
 
 class ConfigurationReply(_Control, tag=2, kw_only=True):
-    """The stored text of a configuration; empty if none is newer."""
+    """The stored value of a configuration, packed; empty if none is newer."""
 
     version: int
-    text: str
+    packed: bytes
 
 
 class AskTable(_Control, tag=3, kw_only=True):
--- a/tests/operator/test_change.py
+++ b/tests/operator/test_change.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from monsoonpier.documents.stored import unstore
+from monsoonpier.documents.stored import decode_stored, pack, unpack, unstore
 from monsoonpier.operator.change import (
     Accepted,
     Change,
@@ -55,7 +55,7 @@
         self.assertEqual((entry.version, entry.who, entry.previous), (1, "ana", 0))
         self.assertTrue(entry.difference[0].startswith("+ maps"))
         value = (await self.platform.read(CONFIGURATION)).values_by_key[CONFIGURATION]
-        self.assertEqual(unstore(value.value.decode()).version, 1)
+        self.assertEqual(unstore(value.value).version, 1)
 
     async def test_two_operators(self):
         """The second of two sees a conflict that names the first's change."""
@@ -124,9 +124,27 @@
 
     async def test_stored_value_is_nonsense(self):
         """A stored value that isn't ours is an error that can be told."""
-        for text in ("", "{}", "[1]", '{"version": "x"}', "\x00"):
-            with self.subTest(text=text), self.assertRaises(ValueError):
-                unstore(text)
+        for value in (b"", b"{}", b"[1]", b'{"version": "x"}', b"\x00\xff"):
+            with self.subTest(value=value):
+                with self.assertRaises(ValueError):
+                    unstore(value)
+                with self.assertRaises(ValueError):
+                    unpack(value)
+
+    async def test_packed_for_peers_and_agents(self):
+        """A peer is given all, an agent its own service and no files."""
+        await self.apply(wanted("ana"))
+        value = (await self.platform.read(CONFIGURATION)).values_by_key[CONFIGURATION]
+        self.assertEqual(unpack(pack(value.value)), value.value)
+        mine = unstore(unpack(pack(value.value, service="maps")))
+        self.assertEqual(list(mine.services_by_name), ["maps"])
+        other = unstore(unpack(pack(value.value, service="logs")))
+        self.assertEqual((other.version, other.services_by_name), (1, {}))
+        self.assertEqual(
+            decode_stored(unpack(pack(value.value, service="x"))).files, {}
+        )
+        with self.assertRaises(ValueError):
+            unpack(pack(value.value)[:-3])
 
     async def test_platform_with_an_older_value(self):
         """After a restore the next version is above any that is in force."""
