Part replies and judgement from the agent's tables; one way to start a process

Cause: reading as a newcomer: requests.py held the making of messages beside the decisions, holder.py judged the target's life, and two subcommands stood twice. Ruled out: splitting the request desk itself, whose steps share its counts. Conclusion: behaviour as it was.

--- a/monsoonpier/agent/condition.py
+++ b/monsoonpier/agent/condition.py
@@ -2,6 +2,15 @@
 
 from dataclasses import dataclass, replace
 
+from monsoonpier.agent.actions import (
+    Aborted,
+    Answered,
+    Broke,
+    NeverSent,
+    RunResult,
+    Shed,
+    TimedOut,
+)
 from monsoonpier.charts import load_chart
 from monsoonpier.model.target import Condition
 
@@ -72,6 +81,27 @@
             return 0
         return int((now - self.serving_since) * 1000)
 
+    def after_run(
+        self, result: RunResult, *, is_fair: bool, now: float
+    ) -> "TargetLife":
+        """Return the life after a run ended this way.
+
+        ``is_fair`` tells whether the run was given time enough to answer.
+        """
+        match result:
+            case Answered():
+                return self.answered(now=now)
+            case Shed(retry_after=retry_after):
+                return self.shed(retry_after=retry_after, now=now)
+            case NeverSent():
+                return self.refused(now=now)
+            case TimedOut() if not is_fair and not self.one_at_a_time:
+                return self
+            case TimedOut() | Broke():
+                return self.ran_silent(now=now)
+            case Aborted():
+                return self
+
     def answered(self, *, now: float) -> "TargetLife":
         """Return the life after a run was answered, which is evidence."""
         after = self._after("answered", now=now)
--- a/monsoonpier/agent/holder.py
+++ b/monsoonpier/agent/holder.py
@@ -6,17 +6,11 @@
 from collections.abc import Iterable
 
 from monsoonpier.agent.actions import (
-    Aborted,
     Action,
-    Answered,
-    Broke,
-    NeverSent,
     Reply,
     RequestKey,
     Return,
     RunResult,
-    Shed,
-    TimedOut,
 )
 from monsoonpier.agent.condition import TargetLife
 from monsoonpier.agent.flows import Flow
@@ -269,7 +263,7 @@
     ) -> list[Action]:
         """Take the result of a request that was handed over."""
         is_fair = self._requests.had_fair_time(key)
-        self.life = _judge(self.life, result, is_fair=is_fair, now=now)
+        self.life = self.life.after_run(result, is_fair=is_fair, now=now)
         flow, replies = self._requests.ended(key, result, now=now, draw=draw)
         actions = self._replies(flow, replies) if flow else []
         return actions + self._fill_slots(now=now)
@@ -389,22 +383,3 @@
     def _drop(self, reason: str) -> list[Action]:
         self.dropped_by_reason[reason] += 1
         return []
-
-
-def _judge(
-    life: TargetLife, result: RunResult, *, is_fair: bool, now: float
-) -> TargetLife:
-    """Return the target's life after a run ended this way."""
-    match result:
-        case Answered():
-            return life.answered(now=now)
-        case Shed(retry_after=retry_after):
-            return life.shed(retry_after=retry_after, now=now)
-        case NeverSent():
-            return life.refused(now=now)
-        case TimedOut() if not is_fair and not life.one_at_a_time:
-            return life
-        case TimedOut() | Broke():
-            return life.ran_silent(now=now)
-        case Aborted():
-            return life
--- a/monsoonpier/agent/requests.py
+++ b/monsoonpier/agent/requests.py
@@ -32,10 +32,10 @@
     admit,
     smooth,
 )
+from monsoonpier.agent.replies import already_done, progress, verdict
 from monsoonpier.model.service import Service
 from monsoonpier.wire.datagrams import (
     DIGEST_BYTES,
-    MAX_MISSING,
     PART_BYTES,
     Progress,
     RequestPart,
@@ -120,7 +120,7 @@
     ) -> tuple[list[Action], list]:
         """Return the actions and the replies for one part of a request."""
         if part.request < flow.mark:
-            return [], [_already_done(flow, part.request)]
+            return [], [already_done(flow, part.request)]
         if part.request >= flow.mark + WINDOW:
             # A refusal would need a tombstone beyond the bound; a caller that
             # keeps to the window never gets here.
@@ -137,26 +137,26 @@
         if request.stage is Stage.FINISHED:
             return [], self.outcome(flow, request)
         if request.stage is not Stage.RECEIVING:
-            return [], [_progress(flow, request)]
+            return [], [progress(flow, request)]
         return self._add_part(flow, request, part, service=service, now=now, draw=draw)
 
     def fetch(self, flow: Flow, request_id: int, missing: tuple[int, ...]) -> list:
         """Return replies for a caller that asks how a request stands."""
         if request_id < flow.mark:
-            return [_already_done(flow, request_id)]
+            return [already_done(flow, request_id)]
         request = flow.requests_by_id.get(request_id)
         if request is None:
             return [Progress(flow=flow.id, request=request_id, have_below=0)]
         if request.stage is Stage.FINISHED:
             return self.outcome(flow, request, missing=missing)
-        return [_progress(flow, request)]
+        return [progress(flow, request)]
 
     def cancel(
         self, flow: Flow, request_id: int, *, now: float
     ) -> tuple[list[Action], list]:
         """Return the actions and replies for a request that is given up."""
         if request_id < flow.mark:
-            return [], [_already_done(flow, request_id)]
+            return [], [already_done(flow, request_id)]
         if request_id >= flow.mark + WINDOW:
             return [], []
         request = flow.requests_by_id.get(request_id)
@@ -171,7 +171,7 @@
                 self._finish(
                     flow,
                     request,
-                    _verdict(flow, request, VerdictKind.CANCELLED, "cancelled"),
+                    verdict(flow, request, VerdictKind.CANCELLED, "cancelled"),
                 )
                 key = RequestKey(flow.id, request_id)
                 return [Abort(key=key)], self.outcome(flow, request)
@@ -254,7 +254,7 @@
                 self._finish(
                     flow,
                     request,
-                    _verdict(flow, request, VerdictKind.LATE, "deadline passed"),
+                    verdict(flow, request, VerdictKind.LATE, "deadline passed"),
                 )
         return flow, self.outcome(flow, request)
 
@@ -280,7 +280,7 @@
         if request is None or request.stage is Stage.FINISHED or now < request.deadline:
             return [], []
         if request.stage is Stage.RUNNING:
-            late = _verdict(flow, request, VerdictKind.LATE, "deadline passed")
+            late = verdict(flow, request, VerdictKind.LATE, "deadline passed")
             self._finish(flow, request, late)
             abort = Abort(key=RequestKey(flow.id, request_id), late=True)
             return [abort], self.outcome(flow, request)
@@ -299,8 +299,8 @@
                     for number in wanted
                     if number < answer.parts
                 ]
-            case Verdict() as verdict:
-                return [verdict]
+            case Verdict() as final:
+                return [final]
         return []
 
     # Private steps
@@ -363,7 +363,7 @@
         # A report for each part beyond a gap would set off as many resends.
         is_new_gap = request.has_gap and not had_gap
         if is_new_gap or request.datagrams % PROGRESS_EVERY == 0:
-            return [], [_progress(flow, request)]
+            return [], [progress(flow, request)]
         return [], []
 
     def _admit(
@@ -392,13 +392,13 @@
         match decision:
             case Admitted():
                 run = self._start(flow, request, body, now=now)
-                return [run], [_progress(flow, request)]
+                return [run], [progress(flow, request)]
             case Queued():
                 request.stage = Stage.QUEUED
                 self._kept_bytes += len(body)
                 key = RequestKey(flow.id, request.id)
                 self._queue[key] = (flow, request, body)
-                return [], [_progress(flow, request)]
+                return [], [progress(flow, request)]
             case NotAdmitted(reason=reason, retry_after=retry_after):
                 self._count_refusal(now=now)
                 return [], self._not_run(
@@ -433,7 +433,7 @@
         retry_after: float,
         reopen: bool = False,
     ) -> list:
-        verdict = _verdict(
+        refusal = verdict(
             flow,
             request,
             VerdictKind.NOT_RUN,
@@ -441,15 +441,14 @@
             retry_after_ms=int(retry_after * 1000),
             reopen=reopen,
         )
-        self._finish(flow, request, verdict)
-        return [verdict]
+        self._finish(flow, request, refusal)
+        return [refusal]
 
     def _expired(self, flow: Flow, request: Request) -> list:
         return self._not_run(flow, request, "deadline passed in queue", retry_after=0.0)
 
     def _unknown(self, flow: Flow, request: Request, reason: str) -> None:
-        verdict = _verdict(flow, request, VerdictKind.UNKNOWN, reason)
-        self._finish(flow, request, verdict)
+        self._finish(flow, request, verdict(flow, request, VerdictKind.UNKNOWN, reason))
 
     def _count_refusal(self, *, now: float) -> None:
         self._refusals = self._pressure().refusals_now(now=now) + 1
@@ -470,44 +469,3 @@
             request.stage = Stage.FINISHED
             return [Abort(key=RequestKey(flow.id, request.id))]
         return []
-
-
-def _progress(flow: Flow, request: Request) -> Progress:
-    if request.stage is not Stage.RECEIVING:
-        return Progress(
-            flow=flow.id, request=request.id, have_below=request.parts, whole=True
-        )
-    return Progress(
-        flow=flow.id,
-        request=request.id,
-        have_below=request.have_below,
-        missing=request.missing(MAX_MISSING),
-    )
-
-
-def _already_done(flow: Flow, request_id: int) -> Verdict:
-    return Verdict(
-        flow=flow.id,
-        request=request_id,
-        kind=VerdictKind.ALREADY_DONE,
-        reason="already done",
-    )
-
-
-def _verdict(
-    flow: Flow,
-    request: Request,
-    kind: VerdictKind,
-    reason: str,
-    *,
-    retry_after_ms: int = 0,
-    reopen: bool = False,
-) -> Verdict:
-    return Verdict(
-        flow=flow.id,
-        request=request.id,
-        kind=kind,
-        reason=reason[:120],
-        retry_after_ms=min(retry_after_ms, 86_400_000),
-        reopen=reopen,
-    )
--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli.py
@@ -58,12 +58,12 @@
         print_settings: Print the settings in force, keys masked, and exit.
         log_level: The least level that is logged.
     """
-    loaded = _settings(settings, "balancer", print_settings=print_settings)
-    if loaded is None:
-        return Exit.OK
+    loaded = _settings(settings, "balancer")
+    if print_settings:
+        return _print_settings(loaded)
     from monsoonpier.balancer.process import BalancerProcess
 
-    return _run_process(BalancerProcess, loaded, log_level)
+    return _run_process(BalancerProcess, loaded.settings, log_level)
 
 
 @app.command
@@ -79,12 +79,12 @@
         print_settings: Print the settings in force, keys masked, and exit.
         log_level: The least level that is logged.
     """
-    loaded = _settings(settings, "agent", print_settings=print_settings)
-    if loaded is None:
-        return Exit.OK
+    loaded = _settings(settings, "agent")
+    if print_settings:
+        return _print_settings(loaded)
     from monsoonpier.agent.process import AgentProcess
 
-    return _run_process(AgentProcess, loaded, log_level)
+    return _run_process(AgentProcess, loaded.settings, log_level)
 
 
 @app.command
@@ -297,18 +297,20 @@
     )
 
 
-def _settings(file: Path, role: str, *, print_settings: bool = False):
-    """Return checked settings, or ``None`` if they were only to be printed."""
+def _settings(file: Path, role: str):
+    """Return loaded settings; end with all findings if there are any."""
     from monsoonpier.documents.settings import load_settings
     from monsoonpier.model.findings import report
 
     loaded = load_settings(file, role=role)
     if loaded.settings is None:
         raise Failure(report(loaded.findings), Exit.BAD_INPUT)
-    if print_settings:
-        print(json.dumps(loaded.masked, indent=2))
-        return None
-    return loaded.settings
+    return loaded
+
+
+def _print_settings(loaded) -> int:
+    print(json.dumps(loaded.masked, indent=2))
+    return Exit.OK
 
 
 def _run_process(process, settings, log_level: str) -> int:
@@ -332,7 +334,7 @@
     from monsoonpier.operator.session import OperatorSession
     from monsoonpier.process.logs import configure_logs
 
-    settings = _settings(settings_file, "operator")
+    settings = _settings(settings_file, "operator").settings
     configure_logs(level=log_level, process=settings.name, role="operator")
 
     async def run() -> int:
--- a/monsoonpier/wire/codec.py
+++ b/monsoonpier/wire/codec.py
@@ -14,7 +14,8 @@
     bytes, msgspec.Meta(min_length=FLOW_ID_BYTES, max_length=FLOW_ID_BYTES)
 ]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
-Short = Annotated[str, msgspec.Meta(max_length=120)]
+MAX_REASON = 120  # characters
+Short = Annotated[str, msgspec.Meta(max_length=MAX_REASON)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/monsoonpier/wire/datagrams.py
+++ b/monsoonpier/wire/datagrams.py
@@ -40,12 +40,13 @@
 PART_BYTES = 1_100
 MIN_OPEN_BYTES = 300  # no reply to OPEN is larger: no use as an amplifier
 MAX_PARTS = 65_536
+MAX_MILLIS = 86_400_000  # a day
 MAX_MISSING = 64  # parts asked for in one datagram
 DIGEST_BYTES = 16
 
 Token = Annotated[bytes, Meta(min_length=18, max_length=MAX_TOKEN_BYTES)]
 Count = Annotated[int, Meta(ge=0, le=2**53)]
-Millis = Annotated[int, Meta(ge=0, le=86_400_000)]
+Millis = Annotated[int, Meta(ge=0, le=MAX_MILLIS)]
 Part = Annotated[int, Meta(ge=0, lt=MAX_PARTS)]
 Parts = Annotated[int, Meta(ge=1, le=MAX_PARTS)]
 Digest = Annotated[bytes, Meta(min_length=DIGEST_BYTES, max_length=DIGEST_BYTES)]
