Part an agent's dealings with balancers from its process

Cause: agent/process.py did two jobs (454 lines): sockets and target on one side, heartbeats, finding balancers and fetching configuration on the other. Ruled out: moving the decisions; they were pure already. Conclusion: behaviour as it was.

--- /dev/null
+++ b/monsoonpier/agent/balancer_link.py
@@ -0,0 +1,180 @@
+"""An agent's dealings with balancers: heartbeats, finding them, configuration."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import structlog
+
+from monsoonpier.agent.witnesses import Witnesses
+from monsoonpier.documents.settings import Settings
+from monsoonpier.documents.stored import unpack, unstore
+from monsoonpier.model.service import Configuration
+from monsoonpier.model.target import Condition, LoadReport, TargetRecord
+from monsoonpier.platform.backoff import Backoff
+from monsoonpier.platform.etcd import EtcdPlatform
+from monsoonpier.platform.interface import PlatformError
+from monsoonpier.platform.keys import BALANCERS
+from monsoonpier.process.control import NoAnswer, ask
+from monsoonpier.wire.control import AskConfiguration, ConfigurationReply
+from monsoonpier.wire.frames import (
+    Announce,
+    BalancerRecord,
+    FrameCodec,
+    Heartbeat,
+    HeartbeatAck,
+)
+
+__all__ = ["BalancerLink"]
+
+HEARTBEAT_SECONDS = 1.0
+INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
+FIND_SECONDS = 1.0  # between looks at the platform while no balancer answers
+MAX_FIND_SECONDS = 30.0
+_log = structlog.get_logger("monsoonpier.agent.balancer_link")
+
+
+class BalancerLink:
+    """Keeps balancers informed of the target, and the agent of configuration.
+
+    Args:
+        record: The target as it is announced at first.
+        send: Sends a control frame's datagram to an internal address.
+        read_load: Returns the present load for a heartbeat.
+        configure: Takes each newer configuration.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        record: TargetRecord,
+        send: Callable[[bytes, tuple[str, int]], None],
+        read_load: Callable[[], LoadReport],
+        configure: Callable[[Configuration], None],
+        draw: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._send_datagram = send
+        self._read_load = read_load
+        self._take_configuration = configure
+        self._draw = draw
+        self._codec = FrameCodec(keys=settings.keys)
+        self._witnesses = Witnesses(target=settings.name)
+        self._platform = EtcdPlatform(addresses=settings.platform, draw=draw)
+        self._fetching: asyncio.Task | None = None
+        self.record = record
+        self.configuration = Configuration()
+
+    async def run(self) -> None:
+        """Heartbeat and look for balancers until cancelled."""
+        await asyncio.gather(self._heartbeat_forever(), self._find_forever())
+
+    async def close(self) -> None:
+        """Let go of connections."""
+        await self._platform.close()
+
+    def announce(self, condition: Condition) -> None:
+        """Tell the balancers of the target's condition at once."""
+        if condition is not self.record.condition:
+            self.record = self.record.with_condition(condition)
+        self._witnesses.announce_again()
+        for balancer in self._witnesses.chosen(now=_now()):
+            self._send(self._announcement(), balancer.endpoint)
+
+    def acknowledged(self, ack: HeartbeatAck) -> bool:
+        """Take a balancer's answer; tell whether the target is allowed."""
+        self._witnesses.acknowledged(ack, now=_now())
+        record = self._witnesses.record(ack.balancer)
+        if ack.version > self.configuration.version and record is not None:
+            self._fetch_from(record)
+        is_current = ack.version and ack.version >= self.configuration.version
+        return ack.allowed or not is_current
+
+    async def _heartbeat_forever(self) -> None:
+        beats = 0
+        while True:
+            beats += 1
+            if beats % INTRODUCE_EVERY == 0:
+                self._witnesses.announce_again()
+            for balancer in self._witnesses.chosen(now=_now()):
+                announce = self._witnesses.beat(balancer.name, now=_now())
+                frame = self._announcement() if announce else self._heartbeat()
+                self._send(frame, balancer.endpoint)
+            # Agents that started together must not beat in step for ever.
+            await asyncio.sleep(HEARTBEAT_SECONDS * self._draw.uniform(0.9, 1.1))
+
+    def _announcement(self) -> Announce:
+        return Announce(record=self.record)
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            name=self.record.name,
+            epoch=self.record.epoch,
+            change=self.record.change,
+            load=self._read_load(),
+        )
+
+    def _send(self, frame, endpoint: tuple[str, int]) -> None:
+        self._send_datagram(self._codec.encode(frame), endpoint)
+
+    async def _find_forever(self) -> None:
+        """Ask seeds and the platform while no balancer has answered.
+
+        When a whole fleet is cut off it must not take the platform's rates.
+        """
+        backoff = Backoff(first_seconds=FIND_SECONDS, most_seconds=MAX_FIND_SECONDS)
+        while True:
+            if not self._witnesses.is_cut_off:
+                backoff = backoff.after_success()
+            else:
+                for seed in self._settings.seeds:
+                    self._send(self._announcement(), seed.endpoint)
+                await self._read_platform()
+                backoff = backoff.after_failure()
+            await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+
+    async def _read_platform(self) -> None:
+        try:
+            found = await self._platform.read(BALANCERS, prefix=True)
+        except PlatformError as error:
+            _log.info("platform unreachable", reason=str(error))
+            return
+        for value in found.values_by_key.values():
+            record = self._codec.decode(value.value)
+            if isinstance(record, BalancerRecord):
+                self._witnesses.learn(record)
+
+    def _fetch_from(self, balancer: BalancerRecord) -> None:
+        if self._fetching is None or self._fetching.done():
+            self._fetching = asyncio.create_task(self._fetch(balancer))
+
+    async def _fetch(self, balancer: BalancerRecord) -> None:
+        question = AskConfiguration(
+            newer_than=self.configuration.version, service=self.record.service
+        )
+        try:
+            reply = await ask(balancer.control, question, keys=self._settings.keys)
+        except NoAnswer as error:
+            _log.info("configuration not fetched", reason=str(error))
+            return
+        if isinstance(reply, ConfigurationReply) and reply.packed:
+            self._configure(reply.packed)
+
+    def _configure(self, packed: bytes) -> None:
+        """Put a configuration in force unless it is older than the present one."""
+        try:
+            configuration = unstore(unpack(packed))
+        except ValueError as error:
+            _log.error("stored configuration not usable", reason=str(error))
+            return
+        if configuration.version <= self.configuration.version:
+            return
+        self.configuration = configuration
+        _log.info("configuration in force", version=configuration.version)
+        self._take_configuration(configuration)
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -17,52 +17,38 @@
     Run,
     StartStream,
 )
+from monsoonpier.agent.balancer_link import BalancerLink
 from monsoonpier.agent.holder import Holder
 from monsoonpier.agent.runner import Event, ItemRead, RunEnded, Runner, StreamClosed
 from monsoonpier.agent.target_client import HealthHint, TargetClient
-from monsoonpier.agent.witnesses import Witnesses
 from monsoonpier.documents.settings import Settings
-from monsoonpier.documents.stored import unpack, unstore
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.model.token import HolderToken
-from monsoonpier.platform.backoff import Backoff
-from monsoonpier.platform.etcd import EtcdPlatform
-from monsoonpier.platform.interface import PlatformError
-from monsoonpier.platform.keys import BALANCERS
-from monsoonpier.process.control import ControlServer, NoAnswer, ask
+from monsoonpier.process.control import ControlServer
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.process.web import WebServer, counter, gauge
 from monsoonpier.wire import frames
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import (
-    AskConfiguration,
     AskDrain,
     AskStatus,
-    ConfigurationReply,
     DrainReply,
     StatusReply,
 )
 from monsoonpier.wire.datagrams import Opened, reply_codec
 from monsoonpier.wire.frames import (
-    Announce,
-    BalancerRecord,
     Bounce,
     Forward,
     FrameCodec,
-    Heartbeat,
     HeartbeatAck,
 )
 
 __all__ = ["AgentProcess"]
 
 TICK_SECONDS = 0.05
-HEARTBEAT_SECONDS = 1.0
 HEALTH_SECONDS = 1.0
-INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
-FIND_SECONDS = 1.0  # between looks at the platform while no balancer answers
-MAX_FIND_SECONDS = 30.0
 INSTANCE_BYTES = 8
 FAREWELLS = 3  # the record of a gone target is sent this often: datagrams get lost
 FAREWELL_SECONDS = 0.1
@@ -80,7 +66,7 @@
         self._life = ProcessLife()
         self._started = time.monotonic()
         instance = os.urandom(INSTANCE_BYTES)
-        self._record = TargetRecord(
+        record = TargetRecord(
             name=settings.name,
             service=settings.target.service,
             data_centre=settings.data_centre,
@@ -104,10 +90,15 @@
             slots=settings.target.slots,
             connections=settings.target.connections,
         )
-        self._configuration = Configuration()
         self._codec = FrameCodec(keys=settings.keys)
-        self._witnesses = Witnesses(target=settings.name)
-        self._platform = EtcdPlatform(addresses=settings.platform, draw=self._draw)
+        self._link = BalancerLink(
+            settings=settings,
+            record=record,
+            send=self._send_control,
+            read_load=lambda: self._holder.load(now=_now()),
+            configure=self._configure,
+            draw=self._draw,
+        )
         self._client = TargetClient(url=settings.target.url)
         self._runner = Runner(client=self._client, post=self._take_event)
         self._socket: UdpSocket | None = None
@@ -121,7 +112,6 @@
         )
         self._dropped_frames: dict[str, int] = {}
         self._control_bytes = {"in": 0, "out": 0}
-        self._fetching: asyncio.Task | None = None
         self._wants_to_leave = False
 
     async def run(self) -> None:
@@ -141,9 +131,8 @@
             for job in (
                 self._control.run,
                 self._tick_forever,
-                self._heartbeat_forever,
                 self._probe_forever,
-                self._find_balancers_forever,
+                self._link.run,
             )
         ]
         waiting = asyncio.create_task(self._leave_and_finish())
@@ -160,18 +149,18 @@
         await self._life.wait_for_leaving()
         self._wants_to_leave = True
         self._do(self._holder.leave(now=_now()))
-        self._announce_condition()
+        self._link.announce(self._holder.life.code)
         while not self._holder.is_finished(now=_now()):
             await asyncio.sleep(TICK_SECONDS)
         for _ in range(FAREWELLS):
-            self._announce_condition(Condition.GONE)
+            self._link.announce(Condition.GONE)
             await asyncio.sleep(FAREWELL_SECONDS)
         self._life.step("finished")
 
     async def _stop(self) -> None:
         await self._runner.stop()
         await self._client.close()
-        await self._platform.close()
+        await self._link.close()
         await self._web.stop()
         self._control.stop()
         self._socket.close()
@@ -218,11 +207,11 @@
 
     def _send_reply(self, reply: Reply) -> None:
         frame = frames.Return(
-            service=self._record.service,
+            service=self._settings.target.service,
             ip=reply.ip,
             port=reply.port,
             payload=reply_codec.encode(reply.message),
-            agent=self._record.name,
+            agent=self._settings.name,
             load=self._holder.load(now=_now()),
             opened=isinstance(reply.message, Opened),
         )
@@ -230,14 +219,14 @@
 
     def _send_bounce(self, action: Return) -> None:
         frame = Bounce(
-            service=self._record.service,
+            service=self._settings.target.service,
             ip=action.ip,
             port=action.port,
             payload=action.payload,
             tried=action.tried,
             reason=action.reason,
             retry_after_ms=action.retry_after_ms,
-            agent=self._record.name,
+            agent=self._settings.name,
             load=self._holder.load(now=_now()),
         )
         self._socket.send(self._codec.encode(frame), action.via)
@@ -289,119 +278,25 @@
         after = self._holder.life.state
         if after != before:
             _log.info("target changed", before=before, after=after)
-            self._announce_condition()
-
-    def _announce_condition(self, condition: Condition | None = None) -> None:
-        condition = condition or self._holder.life.code
-        if condition is not self._record.condition:
-            self._record = self._record.with_condition(condition)
-        self._witnesses.announce_again()
-        for balancer in self._witnesses.chosen(now=_now()):
-            self._send_control(Announce(record=self._record), balancer.endpoint)
+            self._link.announce(self._holder.life.code)
 
     # Balancers
 
-    async def _heartbeat_forever(self) -> None:
-        beats = 0
-        while True:
-            beats += 1
-            if beats % INTRODUCE_EVERY == 0:
-                self._witnesses.announce_again()
-            for balancer in self._witnesses.chosen(now=_now()):
-                announce = self._witnesses.beat(balancer.name, now=_now())
-                frame = self._announcement() if announce else self._heartbeat()
-                self._send_control(frame, balancer.endpoint)
-            # Agents that started together must not beat in step for ever.
-            await asyncio.sleep(HEARTBEAT_SECONDS * self._draw.uniform(0.9, 1.1))
-
-    def _announcement(self) -> Announce:
-        return Announce(record=self._record)
-
-    def _heartbeat(self) -> Heartbeat:
-        return Heartbeat(
-            name=self._record.name,
-            epoch=self._record.epoch,
-            change=self._record.change,
-            load=self._holder.load(now=_now()),
-        )
-
-    def _send_control(self, frame, endpoint: tuple[str, int]) -> None:
-        data = self._codec.encode(frame)
+    def _send_control(self, data: bytes, endpoint: tuple[str, int]) -> None:
         self._control_bytes["out"] += len(data)
         self._socket.send(data, endpoint)
 
     def _acknowledged(self, ack: HeartbeatAck) -> None:
-        self._witnesses.acknowledged(ack, now=_now())
-        record = self._witnesses.record(ack.balancer)
-        if ack.version > self._configuration.version and record is not None:
-            self._fetch_from(record)
-        if ack.version and ack.version >= self._configuration.version:
-            self._allowed(ack.allowed)
-
-    def _allowed(self, allowed: bool) -> None:
         """Leave while the configuration doesn't allow this target."""
         before = self._holder.life.state
-        if not allowed:
+        if not self._link.acknowledged(ack):
             self._do(self._holder.leave(now=_now()))
         self._note_condition(before)
 
-    async def _find_balancers_forever(self) -> None:
-        """Ask seeds and the platform while no balancer has answered.
-
-        When a whole fleet is cut off it must not take the platform's rates.
-        """
-        backoff = Backoff(first_seconds=FIND_SECONDS, most_seconds=MAX_FIND_SECONDS)
-        while True:
-            if not self._witnesses.is_cut_off:
-                backoff = backoff.after_success()
-            else:
-                for seed in self._settings.seeds:
-                    self._send_control(self._announcement(), seed.endpoint)
-                await self._read_platform()
-                backoff = backoff.after_failure()
-            await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
-
-    async def _read_platform(self) -> None:
-        try:
-            found = await self._platform.read(BALANCERS, prefix=True)
-        except PlatformError as error:
-            _log.info("platform unreachable", reason=str(error))
-            return
-        for value in found.values_by_key.values():
-            record = self._codec.decode(value.value)
-            if isinstance(record, BalancerRecord):
-                self._witnesses.learn(record)
-
-    def _fetch_from(self, balancer: BalancerRecord) -> None:
-        if self._fetching is None or self._fetching.done():
-            self._fetching = asyncio.create_task(self._fetch(balancer))
-
-    async def _fetch(self, balancer: BalancerRecord) -> None:
-        question = AskConfiguration(
-            newer_than=self._configuration.version, service=self._record.service
-        )
-        try:
-            reply = await ask(balancer.control, question, keys=self._settings.keys)
-        except NoAnswer as error:
-            _log.info("configuration not fetched", reason=str(error))
-            return
-        if isinstance(reply, ConfigurationReply) and reply.packed:
-            self._configure(reply.packed)
-
-    def _configure(self, packed: bytes) -> None:
-        """Put a configuration in force unless it is older than the present one."""
-        try:
-            configuration = unstore(unpack(packed))
-        except ValueError as error:
-            _log.error("stored configuration not usable", reason=str(error))
-            return
-        if configuration.version <= self._configuration.version:
-            return
-        self._configuration = configuration
+    def _configure(self, configuration: Configuration) -> None:
         services = configuration.services_by_name
-        self._holder.service = services.get(self._record.service)
+        self._holder.service = services.get(self._settings.target.service)
         self._life.step("configured")
-        _log.info("configuration in force", version=configuration.version)
 
     # Control
 
@@ -409,15 +304,15 @@
         match message:
             case AskStatus():
                 return StatusReply(
-                    name=self._record.name,
+                    name=self._settings.name,
                     role="agent",
-                    data_centre=self._record.data_centre,
+                    data_centre=self._settings.data_centre,
                     state=self._holder.life.state,
-                    version=self._configuration.version,
+                    version=self._link.configuration.version,
                     uptime=_now() - self._started,
                 )
             case AskDrain(name=name):
-                if name != self._record.name:
+                if name != self._settings.name:
                     return DrainReply(accepted=False, reason="not this process")
                 if not self._wants_to_leave:
                     self._life.step("terminate")
@@ -437,7 +332,7 @@
         yield gauge(
             "configuration_version",
             "Configuration version in force.",
-            self._configuration.version,
+            self._link.configuration.version,
         )
         outcomes = requests.outcomes_by_name
         yield counter("requests", "Finished requests.", outcomes, "outcome")
