--- a/monsoonpier/agent/runner.py
+++ b/monsoonpier/agent/runner.py
@@ -8,12 +8,14 @@
 
 from monsoonpier.agent.actions import (
     Abort,
+    Broke,
     Credit,
     EndStream,
     RequestKey,
     Run,
     RunResult,
     StartStream,
+    TimedOut,
 )
 from monsoonpier.agent.streams import STREAM_WINDOW
 from monsoonpier.agent.target_client import (
@@ -120,6 +122,14 @@
             running = self._running_by_key[run.key]
             result = ABORTED_BY_DEADLINE if running.is_late else ABORTED_BY_CALLER
         self._running_by_key.pop(run.key, None)
+        if isinstance(result, TimedOut | Broke):
+            _log.warning(
+                "run without an answer",
+                flow=run.key.flow.hex(),
+                request=run.key.request,
+                kind=run.kind,
+                result=type(result).__name__,
+            )
         self._post(RunEnded(key=run.key, result=result))
 
     async def _stream(self, start: StartStream) -> None:
@@ -132,6 +142,11 @@
                 self._post(ItemRead(key=start.key, item=item))
             closed = StreamClosed(key=start.key, reason="ended", broke=False)
         except OSError as error:
-            _log.info("stream broke", reason=str(error))
+            _log.info(
+                "stream broke",
+                flow=start.key.flow.hex(),
+                request=start.key.request,
+                reason=str(error),
+            )
             closed = StreamClosed(key=start.key, reason=str(error), broke=True)
         self._post(closed)
