Flatten how a stream moves to another flow

Cause: reading as a newcomer: one method nested four deep for two questions, what comes next and whether the move is done. Ruled out: moving it into the pure session, which has no other flow to know of. Conclusion: behaviour as it was.

--- a/monsoonpier/caller/client.py
+++ b/monsoonpier/caller/client.py
@@ -226,39 +226,23 @@
 
         The other flow is opened while this one still brings items.
         """
+        moving: asyncio.Task | None = None
         while True:
-            event = await queue.get()
+            event = await _next_event(queue, moving)
             match event:
                 case MoveAsked():
-                    opened = asyncio.ensure_future(self._open_session())
-                    while not opened.done() or not queue.empty():
-                        if queue.empty():
-                            getting = asyncio.ensure_future(queue.get())
-                            await asyncio.wait(
-                                [getting, opened],
-                                return_when=asyncio.FIRST_COMPLETED,
-                            )
-                            if not getting.done():
-                                getting.cancel()
-                                continue
-                            event = getting.result()
-                        else:
-                            event = queue.get_nowait()
-                        if isinstance(event, StreamEnded | ItemsReady):
-                            yield event
-                        if isinstance(event, StreamEnded):
-                            return
-                    if isinstance(opened.result(), Refused):
-                        # Stay as long as the leaving target lets us.
-                        await asyncio.sleep(STREAM_RETRY_SECONDS)
-                        queue.put_nowait(MoveAsked())
-                        continue
-                    return
+                    moving = moving or asyncio.create_task(self._open_session())
+                case ItemsReady():
+                    yield event
                 case StreamEnded():
                     yield event
                     return
-                case ItemsReady():
-                    yield event
+                case None if isinstance(moving.result(), Refused):
+                    # Stay as long as the leaving target lets us.
+                    await asyncio.sleep(STREAM_RETRY_SECONDS)
+                    moving = asyncio.create_task(self._open_session())
+                case None:
+                    return
 
     # Flows
 
@@ -397,6 +381,20 @@
         self._wake.set()
 
 
+async def _next_event(queue: asyncio.Queue, moving: asyncio.Task | None):
+    """Return a stream's next event, or ``None`` once the move is done."""
+    if moving is None:
+        return await queue.get()
+    if not queue.empty():
+        return queue.get_nowait()
+    getting = asyncio.create_task(queue.get())
+    try:
+        await asyncio.wait([getting, moving], return_when=asyncio.FIRST_COMPLETED)
+        return getting.result() if getting.done() else None
+    finally:
+        getting.cancel()
+
+
 def _now() -> float:
     return time.monotonic()
 
