Take out names that nothing uses

Cause: reading as a newcomer: seven constants, one method, a status told twice. Ruled out: nothing. Conclusion: behaviour as it was.

--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -91,10 +91,6 @@
             peer.unanswered = 0
             peer.left_out_until = 0.0
 
-    def forget(self, name: str) -> None:
-        """Drop a peer whose lease has ended."""
-        self._peers_by_name.pop(name, None)
-
     def spread(self, item: TargetRecord | Silence) -> None:
         """Put a piece of news into the next rounds of gossip."""
         rounds = len(self._peers_by_name).bit_length() + EXTRA_SPREADS
--- a/monsoonpier/balancer/steering.py
+++ b/monsoonpier/balancer/steering.py
@@ -14,7 +14,6 @@
 MAX_SPEED_RATIO = 5.0
 FULL_SHARE = 1.0  # local targets busier than this overflow to other data centres
 RETRY_AFTER_SECONDS = 1.0
-DRAWS = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/monsoonpier/model/keys.py
+++ b/monsoonpier/model/keys.py
@@ -9,8 +9,6 @@
 
 MAC_BYTES = 16
 HEADER_BYTES = 1 + MAC_BYTES
-MIN_SECRET_BYTES = 16
-MAX_SECRET_BYTES = 64  # the limit of BLAKE2b's key
 
 # A MAC made for one purpose must not pass for the other.
 TOKEN = b"mp-token"
--- a/monsoonpier/platform/keys.py
+++ b/monsoonpier/platform/keys.py
@@ -1,13 +1,11 @@
 """The keys that the project uses in the platform's service."""
 
-__all__ = ["AUDIT", "BALANCERS", "CONFIGURATION", "ROSTER", "ROSTER_HOLDER"]
+__all__ = ["AUDIT", "BALANCERS", "CONFIGURATION", "audit_key"]
 
 PREFIX = "/monsoonpier/"
 CONFIGURATION = PREFIX + "configuration"
 AUDIT = PREFIX + "audit/"
 BALANCERS = PREFIX + "balancers/"
-ROSTER = PREFIX + "roster"
-ROSTER_HOLDER = PREFIX + "roster-holder"
 
 
 def audit_key(version: int) -> str:
--- a/monsoonpier/process/life.py
+++ b/monsoonpier/process/life.py
@@ -7,10 +7,10 @@
 import structlog
 
 from monsoonpier.charts import load_chart
+from monsoonpier.exits import Exit
 
 __all__ = ["ProcessLife"]
 
-SECOND_SIGNAL_STATUS = 130
 _log = structlog.get_logger("monsoonpier.process.life")
 
 
@@ -54,4 +54,4 @@
     def _signalled(self) -> None:
         self.step("terminate")
         if self._state == "stopped":
-            os._exit(SECOND_SIGNAL_STATUS)
+            os._exit(Exit.INTERRUPTED)
--- a/monsoonpier/process/logs.py
+++ b/monsoonpier/process/logs.py
@@ -7,9 +7,8 @@
 
 import structlog
 
-__all__ = ["LEVELS", "configure_logs"]
+__all__ = ["configure_logs"]
 
-LEVELS = ("debug", "info", "warning", "error")
 FLOOD_LIMIT = 20  # lines of one event that are written per period
 FLOOD_PERIOD_SECONDS = 10.0
 
