Print status as JSON with names

Cause: the wire's messages are arrays, and status --as-json printed them so. Ruled out: named fields on the wire, which would double a heartbeat. Conclusion: a test reads names out of it.

--- a/monsoonpier/operator/commands.py
+++ b/monsoonpier/operator/commands.py
@@ -8,6 +8,7 @@
 import uuid
 from collections.abc import Iterable
 from datetime import UTC, datetime
+from enum import Enum
 from pathlib import Path
 
 import msgspec
@@ -38,6 +39,7 @@
     "apply_files",
     "check_files",
     "drain_process",
+    "plain",
     "roll_back",
     "show_difference",
     "show_history",
@@ -131,8 +133,7 @@
     except PlatformError as error:
         return _unreachable(error)
     if as_json:
-        plain = {n: msgspec.to_builtins(s) if s else None for n, s in statuses.items()}
-        print(json.dumps({"accepted": stored.version, "balancers": plain}))
+        print(json.dumps({"accepted": stored.version, "balancers": plain(statuses)}))
         return Exit.OK
     print(f"accepted configuration: version {stored.version} by {stored.who or '-'}")
     for name, status in sorted(statuses.items()):
@@ -258,6 +259,22 @@
         await asyncio.sleep(ASK_AGAIN_SECONDS)
 
 
+def plain(value):
+    """Return wire messages as JSON's types, with names where the wire has none."""
+    match value:
+        case msgspec.Struct():
+            return {k: plain(v) for k, v in msgspec.structs.asdict(value).items()}
+        case dict():
+            return {key: plain(item) for key, item in value.items()}
+        case tuple():
+            return [plain(item) for item in value]
+        case bytes():
+            return value.hex()
+        case Enum():
+            return value.name.lower()
+    return value
+
+
 def _balancer_line(name: str, status: StatusReply | None) -> str:
     if status is None:
         return f"balancer {name}: no answer"
--- /dev/null
+++ b/tests/operator/test_commands.py
@@ -0,0 +1,35 @@
+"""What the operators' commands print."""
+
+import json
+import unittest
+
+from monsoonpier.model.target import LoadReport
+from monsoonpier.operator.commands import plain
+from monsoonpier.wire.control import StatusReply, TargetStatus
+from tests.rig import record
+
+
+class PlainTests(unittest.TestCase):
+    """Status as JSON."""
+
+    def test_names_stand_in_it(self):
+        """Fields have their names, conditions their words, bytes their digits."""
+        target = TargetStatus(
+            record=record("maps-1"), load=LoadReport(number=3), suspected=False
+        )
+        reply = StatusReply(
+            name="b1",
+            role="balancer",
+            data_centre="dc-1",
+            state="running",
+            version=7,
+            uptime=1.5,
+            targets=(target,),
+        )
+        content = json.loads(json.dumps(plain({"b1": reply, "b2": None})))
+        self.assertIsNone(content["b2"])
+        self.assertEqual(content["b1"]["version"], 7)
+        shown = content["b1"]["targets"][0]
+        self.assertEqual(shown["record"]["name"], "maps-1")
+        self.assertEqual(shown["record"]["instance"], "01010101" * 2)
+        self.assertEqual(shown["load"]["condition"], "starting")
