Keep a target that isn't allowed leaving though it is healthy

Cause: the configuration's word made a target leave, and the next healthy probe brought it back, once a second each: its callers were asked to move, then not. Ruled out: leaving by SIGTERM and by the target's own draining, which had their own conditions.

--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -113,6 +113,7 @@
         self._dropped_frames: dict[str, int] = {}
         self._control_bytes = {"in": 0, "out": 0}
         self._wants_to_leave = False
+        self._is_allowed = True
 
     async def run(self) -> None:
         """Serve until asked to leave and all work is done.
@@ -261,7 +262,8 @@
         if hint.draining:
             self._do(self._holder.leave(now=_now()))
         elif hint.healthy:
-            if self._holder.life.is_leaving and not self._wants_to_leave:
+            may_stay = self._is_allowed and not self._wants_to_leave
+            if self._holder.life.is_leaving and may_stay:
                 self._holder.stay(now=_now())
             self._holder.life = self._holder.life.healthy(now=_now())
         self._note_condition(before)
@@ -289,7 +291,8 @@
     def _acknowledged(self, ack: HeartbeatAck) -> None:
         """Leave while the configuration doesn't allow this target."""
         before = self._holder.life.state
-        if not self._link.acknowledged(ack):
+        self._is_allowed = self._link.acknowledged(ack)
+        if not self._is_allowed:
             self._do(self._holder.leave(now=_now()))
         self._note_condition(before)
 
