--- /dev/null
+++ b/monsoonpier/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: ``python -m monsoonpier``."""
+
+from monsoonpier.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/monsoonpier/agent/condition.py
@@ -0,0 +1,113 @@
+"""The target's condition as its agent judges it, on ``charts/target.yaml``."""
+
+from dataclasses import dataclass, replace
+
+from monsoonpier.charts import load_chart
+from monsoonpier.model.target import Condition
+
+__all__ = ["TargetLife"]
+
+SILENT_RUNS = 3  # runs in a row without an answer: the target is unresponsive
+TRY_AGAIN_SECONDS = 2.0
+_CODES_BY_STATE = {
+    "starting": Condition.STARTING,
+    "serving": Condition.SERVING,
+    "shedding": Condition.SHEDDING,
+    "unresponsive": Condition.UNRESPONSIVE,
+    "trying": Condition.UNRESPONSIVE,
+    "leaving": Condition.LEAVING,
+    "gone": Condition.GONE,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetLife:
+    """State, evidence and the time at which the state ends by itself."""
+
+    state: str = "starting"
+    silent_runs: int = 0
+    until: float = 0.0
+    serving_since: float | None = None
+
+    @property
+    def code(self) -> Condition:
+        """The condition as reports carry it."""
+        return _CODES_BY_STATE[self.state]
+
+    @property
+    def takes_flows(self) -> bool:
+        """Whether new flows are accepted."""
+        return load_chart("target").has(self.state, "takes_flows")
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether new requests on established flows are accepted."""
+        return load_chart("target").has(self.state, "takes_requests")
+
+    @property
+    def one_at_a_time(self) -> bool:
+        """Whether the target is only being tried out."""
+        return load_chart("target").has(self.state, "one_at_a_time")
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target has begun to leave."""
+        return self.code >= Condition.LEAVING
+
+    def age_ms(self, *, now: float) -> int:
+        """Return the time since the target began to serve."""
+        if self.serving_since is None:
+            return 0
+        return int((now - self.serving_since) * 1000)
+
+    def answered(self, *, now: float) -> "TargetLife":
+        """Return the life after a run was answered, which is evidence."""
+        return replace(self._after("answered", now=now), silent_runs=0)
+
+    def healthy(self, *, now: float) -> "TargetLife":
+        """Return the life after a health check passed, which is only a hint."""
+        return self._after("healthy", now=now)
+
+    def refused(self, *, now: float) -> "TargetLife":
+        """Return the life after a connection was refused."""
+        return self._after("refused", now=now)
+
+    def shed(self, *, retry_after: float, now: float) -> "TargetLife":
+        """Return the life after a 503 that asks to come back later."""
+        return replace(self._after("shed", now=now), until=now + retry_after)
+
+    def ran_silent(self, *, now: float) -> "TargetLife":
+        """Return the life after a run that got no answer."""
+        after = replace(self, silent_runs=self.silent_runs + 1)
+        if after.silent_runs < SILENT_RUNS and not self.one_at_a_time:
+            return after
+        return replace(after._after("silent", now=now), until=now + TRY_AGAIN_SECONDS)
+
+    def leave(self, *, now: float) -> "TargetLife":
+        """Return the life after the order to leave."""
+        return self._after("leave", now=now)
+
+    def stay(self, *, now: float) -> "TargetLife":
+        """Return the life after the order to leave was taken back."""
+        return self._after("stay", now=now)
+
+    def finished(self, *, now: float) -> "TargetLife":
+        """Return the life after the last work of a leaving target."""
+        return self._after("finished", now=now)
+
+    def at(self, *, now: float) -> "TargetLife":
+        """Return the life at this time: shedding and silence run out."""
+        if now < self.until:
+            return self
+        return self._after("shed_over", now=now)._after("try_again", now=now)
+
+    def _after(self, event: str, *, now: float) -> "TargetLife":
+        state = load_chart("target").step(self.state, event)
+        if state == self.state:
+            return self
+        since = self.serving_since
+        if state == "starting":
+            since = None
+        elif since is None and load_chart("target").has(state, "takes_flows"):
+            since = now
+        return replace(self, state=state, serving_since=since)
--- /dev/null
+++ b/monsoonpier/agent/process.py
@@ -0,0 +1,444 @@
+"""The agent's process: sockets, tasks and timers around the decisions."""
+
+import asyncio
+import os
+import random
+import time
+
+import structlog
+
+from monsoonpier.agent.actions import (
+    Abort,
+    Action,
+    Credit,
+    EndStream,
+    Reply,
+    Return,
+    Run,
+    StartStream,
+)
+from monsoonpier.agent.holder import Holder
+from monsoonpier.agent.runner import Event, ItemRead, RunEnded, Runner, StreamClosed
+from monsoonpier.agent.target_client import HealthHint, TargetClient
+from monsoonpier.agent.witnesses import Witnesses
+from monsoonpier.documents.configuration import unstore
+from monsoonpier.documents.settings import Settings
+from monsoonpier.model.service import Configuration
+from monsoonpier.model.target import Condition, TargetRecord
+from monsoonpier.model.token import HolderToken
+from monsoonpier.platform.etcd import EtcdPlatform
+from monsoonpier.platform.interface import PlatformError
+from monsoonpier.platform.keys import BALANCERS, CONFIGURATION
+from monsoonpier.process.control import ControlServer, NoAnswer, ask
+from monsoonpier.process.life import ProcessLife
+from monsoonpier.process.udp import UdpSocket, open_udp
+from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.wire import frames
+from monsoonpier.wire.codec import Dropped
+from monsoonpier.wire.control import (
+    AskConfiguration,
+    AskDrain,
+    AskStatus,
+    ConfigurationReply,
+    DrainReply,
+    StatusReply,
+)
+from monsoonpier.wire.datagrams import reply_codec
+from monsoonpier.wire.frames import (
+    Announce,
+    BalancerRecord,
+    Bounce,
+    Forward,
+    FrameCodec,
+    Heartbeat,
+    HeartbeatAck,
+)
+
+__all__ = ["AgentProcess"]
+
+TICK_SECONDS = 0.05
+HEARTBEAT_SECONDS = 1.0
+HEALTH_SECONDS = 1.0
+INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
+FIND_SECONDS = 2.0  # between looks at the platform while no balancer answers
+INSTANCE_BYTES = 8
+FAREWELLS = 3  # the record of a gone target is sent this often: datagrams get lost
+FAREWELL_SECONDS = 0.1
+_log = structlog.get_logger("monsoonpier.agent.process")
+
+
+class AgentProcess:
+    """Runs one agent until it has left."""
+
+    def __init__(self, *, settings: Settings) -> None:
+        assert settings.target and settings.internal and settings.control
+        assert settings.metrics
+        self._settings = settings
+        self._draw = random.Random()
+        self._life = ProcessLife()
+        self._started = time.monotonic()
+        instance = os.urandom(INSTANCE_BYTES)
+        self._record = TargetRecord(
+            name=settings.name,
+            service=settings.target.service,
+            data_centre=settings.data_centre,
+            ip=settings.internal.ip,
+            port=settings.internal.port,
+            control=str(settings.control),
+            instance=instance,
+            epoch=int(time.time() * 1000),
+            slots=settings.target.slots,
+            connections=settings.target.connections,
+        )
+        token = HolderToken(
+            service=settings.target.service,
+            ip=settings.internal.ip,
+            port=settings.internal.port,
+            instance=instance,
+        )
+        self._holder = Holder(
+            token=token,
+            keys=settings.keys,
+            slots=settings.target.slots,
+            connections=settings.target.connections,
+        )
+        self._configuration = Configuration()
+        self._codec = FrameCodec(keys=settings.keys)
+        self._witnesses = Witnesses(target=settings.name)
+        self._platform = EtcdPlatform(addresses=settings.platform, draw=self._draw)
+        self._client = TargetClient(url=settings.target.url)
+        self._runner = Runner(client=self._client, post=self._take_event)
+        self._socket: UdpSocket | None = None
+        self._control = ControlServer(
+            address=settings.control, keys=settings.keys, handler=self._answer
+        )
+        self._web = WebServer(
+            address=settings.metrics,
+            read_metrics=self._metrics,
+            is_ready=lambda: self._life.is_ready and self._holder.life.takes_flows,
+        )
+        self._dropped_frames: dict[str, int] = {}
+        self._control_bytes = {"in": 0, "out": 0}
+        self._fetching: asyncio.Task | None = None
+        self._wants_to_leave = False
+
+    async def run(self) -> None:
+        """Serve until asked to leave and all work is done.
+
+        Raises:
+            OSError: If a port is taken.
+        """
+        internal = self._settings.internal
+        self._socket = await open_udp(self._receive, ip=internal.ip, port=internal.port)
+        self._control.start()
+        await self._web.start()
+        self._life.install_signals()
+        _log.info("started", target=self._settings.target.url)
+        tasks = [
+            asyncio.create_task(job())
+            for job in (
+                self._control.run,
+                self._tick_forever,
+                self._heartbeat_forever,
+                self._probe_forever,
+                self._find_balancers_forever,
+            )
+        ]
+        waiting = asyncio.create_task(self._leave_and_finish())
+        done, _ = await asyncio.wait(
+            [waiting, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            task.cancel()
+        await self._stop()
+        for task in done:
+            task.result()
+
+    async def _leave_and_finish(self) -> None:
+        await self._life.wait_for_leaving()
+        self._wants_to_leave = True
+        self._do(self._holder.leave(now=_now()))
+        self._announce_condition()
+        while not self._holder.is_finished(now=_now()):
+            await asyncio.sleep(TICK_SECONDS)
+        for _ in range(FAREWELLS):
+            self._announce_condition(Condition.GONE)
+            await asyncio.sleep(FAREWELL_SECONDS)
+        self._life.step("finished")
+
+    async def _stop(self) -> None:
+        await self._runner.stop()
+        await self._client.close()
+        await self._platform.close()
+        await self._web.stop()
+        self._control.stop()
+        self._socket.close()
+        _log.info("stopped")
+
+    # Datagrams
+
+    def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        frame = self._codec.decode(data)
+        match frame:
+            case Forward():
+                actions = self._holder.forwarded(
+                    frame, via=sender, now=_now(), draw=self._draw
+                )
+                self._do(actions)
+            case HeartbeatAck():
+                self._control_bytes["in"] += len(data)
+                self._acknowledged(frame)
+            case Dropped(reason=reason):
+                self._count_drop(reason)
+            case _:
+                self._count_drop("unexpected")
+
+    def _count_drop(self, reason: str) -> None:
+        self._dropped_frames[reason] = self._dropped_frames.get(reason, 0) + 1
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Reply():
+                    self._send_reply(action)
+                case Run():
+                    self._runner.run(action)
+                case Abort():
+                    self._runner.abort(action)
+                case StartStream():
+                    self._runner.start_stream(action)
+                case Credit():
+                    self._runner.credit(action)
+                case EndStream():
+                    self._runner.end_stream(action)
+                case Return():
+                    self._send_bounce(action)
+
+    def _send_reply(self, reply: Reply) -> None:
+        frame = frames.Return(
+            service=self._record.service,
+            ip=reply.ip,
+            port=reply.port,
+            payload=reply_codec.encode(reply.message),
+            agent=self._record.name,
+            load=self._holder.load(now=_now()),
+        )
+        self._socket.send(self._codec.encode(frame), reply.via)
+
+    def _send_bounce(self, action: Return) -> None:
+        frame = Bounce(
+            service=self._record.service,
+            ip=action.ip,
+            port=action.port,
+            payload=action.payload,
+            tried=action.tried,
+            reason=action.reason,
+            retry_after_ms=action.retry_after_ms,
+            agent=self._record.name,
+            load=self._holder.load(now=_now()),
+        )
+        self._socket.send(self._codec.encode(frame), action.via)
+
+    # The target's events
+
+    def _take_event(self, event: Event) -> None:
+        before = self._holder.life.state
+        match event:
+            case RunEnded(key=key, result=result):
+                actions = self._holder.run_ended(
+                    key, result, now=_now(), draw=self._draw
+                )
+            case ItemRead(key=key, item=item):
+                actions = self._holder.stream_item(
+                    key, item.number, item.body, now=_now()
+                )
+            case StreamClosed(key=key, reason=reason, broke=broke):
+                actions = self._holder.stream_ended(
+                    key, reason, reopen=broke, now=_now()
+                )
+        self._do(actions)
+        self._note_condition(before)
+
+    async def _probe_forever(self) -> None:
+        while True:
+            self._take_hint(await self._client.health())
+            await asyncio.sleep(HEALTH_SECONDS)
+
+    def _take_hint(self, hint: HealthHint) -> None:
+        before = self._holder.life.state
+        if hint.draining:
+            self._do(self._holder.leave(now=_now()))
+        elif hint.healthy:
+            if self._holder.life.is_leaving and not self._wants_to_leave:
+                self._holder.stay(now=_now())
+            self._holder.life = self._holder.life.healthy(now=_now())
+        self._note_condition(before)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            before = self._holder.life.state
+            self._do(self._holder.tick(now=_now(), draw=self._draw))
+            self._note_condition(before)
+
+    def _note_condition(self, before: str) -> None:
+        """Announce at once what balancers should know within seconds."""
+        after = self._holder.life.state
+        if after != before:
+            _log.info("target changed", before=before, after=after)
+            self._announce_condition()
+
+    def _announce_condition(self, condition: Condition | None = None) -> None:
+        condition = condition or self._holder.life.code
+        self._record = self._record.with_condition(condition)
+        self._witnesses.announce_again()
+        for balancer in self._witnesses.chosen(now=_now()):
+            self._send_control(Announce(record=self._record), balancer.endpoint)
+
+    # Balancers
+
+    async def _heartbeat_forever(self) -> None:
+        beats = 0
+        while True:
+            beats += 1
+            if beats % INTRODUCE_EVERY == 0:
+                self._witnesses.announce_again()
+            for balancer in self._witnesses.chosen(now=_now()):
+                announce = self._witnesses.beat(balancer.name, now=_now())
+                frame = self._announcement() if announce else self._heartbeat()
+                self._send_control(frame, balancer.endpoint)
+            # Agents that started together must not beat in step for ever.
+            await asyncio.sleep(HEARTBEAT_SECONDS * self._draw.uniform(0.9, 1.1))
+
+    def _announcement(self) -> Announce:
+        return Announce(record=self._record)
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            name=self._record.name,
+            epoch=self._record.epoch,
+            change=self._record.change,
+            load=self._holder.load(now=_now()),
+        )
+
+    def _send_control(self, frame, endpoint: tuple[str, int]) -> None:
+        data = self._codec.encode(frame)
+        self._control_bytes["out"] += len(data)
+        self._socket.send(data, endpoint)
+
+    def _acknowledged(self, ack: HeartbeatAck) -> None:
+        self._witnesses.acknowledged(ack, now=_now())
+        record = self._witnesses.record(ack.balancer)
+        if ack.version > self._configuration.version and record is not None:
+            self._fetch_from(record)
+        if ack.version and ack.version >= self._configuration.version:
+            self._allowed(ack.allowed)
+
+    def _allowed(self, allowed: bool) -> None:
+        """Leave while the configuration doesn't allow this target."""
+        before = self._holder.life.state
+        if not allowed:
+            self._do(self._holder.leave(now=_now()))
+        self._note_condition(before)
+
+    async def _find_balancers_forever(self) -> None:
+        """Ask seeds and the platform while no balancer has answered."""
+        while True:
+            if self._witnesses.is_cut_off:
+                for seed in self._settings.seeds:
+                    self._send_control(self._announcement(), seed.endpoint)
+                await self._read_platform()
+            await asyncio.sleep(FIND_SECONDS * self._draw.uniform(0.5, 1.5))
+
+    async def _read_platform(self) -> None:
+        try:
+            found = await self._platform.read(BALANCERS, prefix=True)
+            stored = await self._platform.read(CONFIGURATION)
+        except PlatformError as error:
+            _log.info("platform unreachable", reason=str(error))
+            return
+        for value in found.values_by_key.values():
+            record = self._codec.decode(value.value)
+            if isinstance(record, BalancerRecord):
+                self._witnesses.learn(record)
+        for value in stored.values_by_key.values():
+            self._configure(value.value.decode())
+
+    def _fetch_from(self, balancer: BalancerRecord) -> None:
+        if self._fetching is None or self._fetching.done():
+            self._fetching = asyncio.create_task(self._fetch(balancer))
+
+    async def _fetch(self, balancer: BalancerRecord) -> None:
+        question = AskConfiguration(newer_than=self._configuration.version)
+        try:
+            reply = await ask(balancer.control, question, keys=self._settings.keys)
+        except NoAnswer as error:
+            _log.info("configuration not fetched", reason=str(error))
+            return
+        if isinstance(reply, ConfigurationReply) and reply.text:
+            self._configure(reply.text)
+
+    def _configure(self, text: str) -> None:
+        """Put a configuration in force unless it is older than the present one."""
+        try:
+            configuration = unstore(text)
+        except (ValueError, KeyError, TypeError) as error:
+            _log.error("stored configuration not usable", reason=str(error))
+            return
+        if configuration.version <= self._configuration.version:
+            return
+        self._configuration = configuration
+        services = configuration.services_by_name
+        self._holder.service = services.get(self._record.service)
+        self._life.step("configured")
+        _log.info("configuration in force", version=configuration.version)
+
+    # Control
+
+    async def _answer(self, message):
+        match message:
+            case AskStatus():
+                return StatusReply(
+                    name=self._record.name,
+                    role="agent",
+                    data_centre=self._record.data_centre,
+                    state=self._holder.life.state,
+                    version=self._configuration.version,
+                    uptime=_now() - self._started,
+                )
+            case AskDrain(name=name):
+                if name != self._record.name:
+                    return DrainReply(accepted=False, reason="not this process")
+                if not self._wants_to_leave:
+                    self._life.step("terminate")
+                return DrainReply(accepted=True)
+        return None
+
+    def _metrics(self):
+        holder = self._holder
+        requests = holder.requests
+        uptime = _now() - self._started
+        yield gauge("uptime_seconds", "Time since start.", uptime)
+        yield gauge("flows", "Flows held now.", holder.flows)
+        yield gauge("streams", "Streams open now.", holder.streams)
+        yield gauge("requests_in_flight", "Requests at the target.", requests.in_flight)
+        yield gauge("requests_queued", "Requests that wait.", requests.queued)
+        yield gauge("kept_bytes", "Outcomes and incoming bodies.", requests.kept_bytes)
+        yield gauge(
+            "configuration_version",
+            "Configuration version in force.",
+            self._configuration.version,
+        )
+        outcomes = requests.outcomes_by_name
+        yield counter("requests", "Finished requests.", outcomes, "outcome")
+        drops = dict(holder.dropped_by_reason)
+        for reason, count in self._dropped_frames.items():
+            drops[reason] = drops.get(reason, 0) + count
+        yield counter("dropped_datagrams", "Datagrams not used.", drops, "reason")
+        yield counter(
+            "control_bytes", "Control traffic.", self._control_bytes, "direction"
+        )
+
+
+def _now() -> float:
+    return time.monotonic()
--- /dev/null
+++ b/monsoonpier/agent/runner.py
@@ -0,0 +1,137 @@
+"""Carries out runs and streams as tasks, and reports how each ended."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from monsoonpier.agent.actions import (
+    Abort,
+    Credit,
+    EndStream,
+    RequestKey,
+    Run,
+    RunResult,
+    StartStream,
+)
+from monsoonpier.agent.streams import STREAM_WINDOW
+from monsoonpier.agent.target_client import (
+    ABORTED_BY_CALLER,
+    ABORTED_BY_DEADLINE,
+    StreamItem,
+    TargetClient,
+)
+
+__all__ = ["ItemRead", "RunEnded", "Runner", "StreamClosed"]
+
+_log = structlog.get_logger("monsoonpier.agent.runner")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RunEnded:
+    """A run came to its end at the target."""
+
+    key: RequestKey
+    result: RunResult
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ItemRead:
+    """A stream's next item was read from the target."""
+
+    key: RequestKey
+    item: StreamItem
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StreamClosed:
+    """A stream ended at the target; ``broke`` if it was cut."""
+
+    key: RequestKey
+    reason: str
+    broke: bool
+
+
+Event = RunEnded | ItemRead | StreamClosed
+
+
+@dataclass(slots=True, kw_only=True)
+class _Running:
+    task: asyncio.Task
+    is_late: bool = False
+
+
+class Runner:
+    """Owns the tasks at the target; posts an event for each end and item."""
+
+    def __init__(self, *, client: TargetClient, post: Callable[[Event], None]) -> None:
+        self._client = client
+        self._post = post
+        self._running_by_key: dict[RequestKey, _Running] = {}
+        self._streams_by_key: dict[RequestKey, asyncio.Task] = {}
+        self._credit_by_key: dict[RequestKey, asyncio.Semaphore] = {}
+
+    def run(self, run: Run) -> None:
+        """Begin a run."""
+        task = asyncio.create_task(self._run(run))
+        self._running_by_key[run.key] = _Running(task=task)
+
+    def abort(self, abort: Abort) -> None:
+        """Cut a run; its end is still reported."""
+        running = self._running_by_key.get(abort.key)
+        if running is not None:
+            running.is_late = abort.late
+            running.task.cancel()
+
+    def start_stream(self, start: StartStream) -> None:
+        """Begin to read a stream."""
+        self._credit_by_key[start.key] = asyncio.Semaphore(STREAM_WINDOW)
+        self._streams_by_key[start.key] = asyncio.create_task(self._stream(start))
+
+    def credit(self, credit: Credit) -> None:
+        """Let a stream's reader read on."""
+        semaphore = self._credit_by_key.get(credit.key)
+        if semaphore is not None:
+            for _ in range(credit.items):
+                semaphore.release()
+
+    def end_stream(self, end: EndStream) -> None:
+        """Stop reading a stream."""
+        self._credit_by_key.pop(end.key, None)
+        task = self._streams_by_key.pop(end.key, None)
+        if task is not None:
+            task.cancel()
+
+    async def stop(self) -> None:
+        """Cut everything that is left."""
+        tasks = [running.task for running in self._running_by_key.values()]
+        tasks += self._streams_by_key.values()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, run: Run) -> None:
+        result: RunResult
+        try:
+            request_id = f"{run.key.flow.hex()}-{run.key.request}"
+            result = await self._client.run(run, request_id=request_id)
+        except asyncio.CancelledError:
+            running = self._running_by_key[run.key]
+            result = ABORTED_BY_DEADLINE if running.is_late else ABORTED_BY_CALLER
+        self._running_by_key.pop(run.key, None)
+        self._post(RunEnded(key=run.key, result=result))
+
+    async def _stream(self, start: StartStream) -> None:
+        credit = self._credit_by_key[start.key]
+        try:
+            async for item in self._client.stream(start):
+                # Without credit nothing is read on: a slow caller slows the
+                # target down instead of filling this process.
+                await credit.acquire()
+                self._post(ItemRead(key=start.key, item=item))
+            closed = StreamClosed(key=start.key, reason="ended", broke=False)
+        except OSError as error:
+            _log.info("stream broke", reason=str(error))
+            closed = StreamClosed(key=start.key, reason=str(error), broke=True)
+        self._post(closed)
--- /dev/null
+++ b/monsoonpier/balancer/peers.py
@@ -0,0 +1,165 @@
+"""The balancers that a balancer knows, and what it tells them."""
+
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from monsoonpier.model.rendezvous import top
+from monsoonpier.model.target import TargetRecord
+from monsoonpier.wire.frames import (
+    MAX_RECORDS,
+    MAX_SILENCES,
+    BalancerRecord,
+    Gossip,
+    Silence,
+)
+
+__all__ = ["Peers"]
+
+FANOUT = 2  # peers told in each round
+UNANSWERED_LIMIT = 4  # rounds without an answer after which a peer is left out
+LEFT_OUT_SECONDS = 30.0
+SPREAD_ROUNDS = 12  # rounds that a piece of news is repeated: log2(460) + 3
+MAX_NEWS = 4_096
+INTRODUCED = 3  # other balancers named in each gossip datagram
+WATCHERS_PER_DATA_CENTRE = 2
+
+
+@dataclass(slots=True, kw_only=True)
+class _Peer:
+    record: BalancerRecord
+    unanswered: int = 0
+    left_out_until: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _News:
+    item: TargetRecord | Silence
+    rounds: int = SPREAD_ROUNDS
+
+
+class Peers:
+    """Known balancers by name and the news to spread. Does no I/O."""
+
+    def __init__(self, *, own: BalancerRecord) -> None:
+        self._own = own
+        self._peers_by_name: dict[str, _Peer] = {}
+        self._news: deque[_News] = deque(maxlen=MAX_NEWS)
+
+    @property
+    def own(self) -> BalancerRecord:
+        """This balancer's own record."""
+        return self._own
+
+    def leave(self) -> None:
+        """Mark the own record as leaving, for peers and agents to see."""
+        self._own = BalancerRecord(
+            name=self._own.name,
+            data_centre=self._own.data_centre,
+            ip=self._own.ip,
+            port=self._own.port,
+            control=self._own.control,
+            epoch=self._own.epoch + 1,
+            leaving=True,
+        )
+
+    @property
+    def records_by_name(self) -> dict[str, BalancerRecord]:
+        """The peers that are not leaving, and this balancer itself."""
+        records = {name: peer.record for name, peer in self._peers_by_name.items()}
+        records[self._own.name] = self._own
+        return {n: r for n, r in records.items() if not r.leaving}
+
+    def learn(self, record: BalancerRecord) -> None:
+        """Take a peer's record if it is newer than the one held."""
+        if record.name == self._own.name:
+            return
+        peer = self._peers_by_name.get(record.name)
+        if peer is None:
+            self._peers_by_name[record.name] = _Peer(record=record)
+        elif record.epoch > peer.record.epoch:
+            peer.record = record
+            peer.unanswered = 0
+            peer.left_out_until = 0.0
+
+    def heard_from(self, record: BalancerRecord) -> None:
+        """Note that a peer itself has spoken."""
+        self.learn(record)
+        peer = self._peers_by_name.get(record.name)
+        if peer is not None:
+            peer.unanswered = 0
+            peer.left_out_until = 0.0
+
+    def forget(self, name: str) -> None:
+        """Drop a peer whose lease has ended."""
+        self._peers_by_name.pop(name, None)
+
+    def spread(self, item: TargetRecord | Silence) -> None:
+        """Put a piece of news into the next rounds of gossip."""
+        self._news.append(_News(item=item))
+
+    def pick(self, *, now: float, draw: random.Random) -> list[BalancerRecord]:
+        """Return the peers to tell in this round, and count it as asked."""
+        ready = [
+            peer
+            for peer in self._peers_by_name.values()
+            if not peer.record.leaving and now >= peer.left_out_until
+        ]
+        picked = draw.sample(ready, min(FANOUT, len(ready)))
+        for peer in picked:
+            peer.unanswered += 1
+            if peer.unanswered > UNANSWERED_LIMIT:
+                peer.left_out_until = now + LEFT_OUT_SECONDS
+                peer.unanswered = UNANSWERED_LIMIT
+        return [peer.record for peer in picked]
+
+    def is_left_out(self, name: str, *, now: float) -> bool:
+        """Tell whether a peer has not answered for several rounds."""
+        peer = self._peers_by_name.get(name)
+        return peer is not None and now < peer.left_out_until
+
+    def gossip(
+        self, *, version: int, digest: bytes, is_answer: bool, draw: random.Random
+    ) -> Gossip:
+        """Return this round's message; an answer doesn't use the news up."""
+        records, silences = [], []
+        for news in list(self._news):
+            match news.item:
+                case TargetRecord() as item if len(records) < MAX_RECORDS:
+                    records.append(item)
+                case Silence() as item if len(silences) < MAX_SILENCES:
+                    silences.append(item)
+                case _:
+                    continue
+            if not is_answer:
+                news.rounds -= 1
+        while self._news and self._news[0].rounds <= 0:
+            self._news.popleft()
+        known = list(self._peers_by_name.values())
+        introduced = draw.sample(known, min(INTRODUCED, len(known)))
+        return Gossip(
+            sender=self._own,
+            version=version,
+            digest=digest,
+            records=tuple(records),
+            silences=tuple(silences),
+            balancers=tuple(peer.record for peer in introduced),
+            is_answer=is_answer,
+        )
+
+    def is_watcher(self, *, now: float) -> bool:
+        """Tell whether this balancer is one of the few that watch the platform."""
+        names = [
+            name
+            for name, record in self.records_by_name.items()
+            if record.data_centre == self._own.data_centre
+            and not self.is_left_out(name, now=now)
+        ]
+        chosen = top("platform watch", names, count=WATCHERS_PER_DATA_CENTRE)
+        return self._own.name in chosen
+
+    def near(self, subject: str, *, count: int, now: float) -> tuple:
+        """Return the balancers that a target's agent should turn to."""
+        records = self.records_by_name
+        names = [n for n in records if not self.is_left_out(n, now=now)]
+        return tuple(records[name] for name in top(subject, names, count=count))
--- /dev/null
+++ b/monsoonpier/balancer/platform_link.py
@@ -0,0 +1,162 @@
+"""A balancer's dealings with the platform: its lease, and the watch of few."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import structlog
+
+from monsoonpier.balancer.peers import Peers
+from monsoonpier.platform.backoff import Backoff
+from monsoonpier.platform.interface import (
+    CompactedError,
+    LeaseNotFoundError,
+    Platform,
+    PlatformError,
+    Put,
+)
+from monsoonpier.platform.keys import BALANCERS, CONFIGURATION
+from monsoonpier.platform.lease import Lease
+from monsoonpier.wire.frames import BalancerRecord, FrameCodec
+
+__all__ = ["PlatformLink"]
+
+LEASE_TTL_SECONDS = 30
+RENEW_SECONDS = 10.0
+WATCH_CHECK_SECONDS = 2.0  # how soon a watcher's place is taken when it dies
+POLL_SECONDS = 60.0  # those who don't watch look this seldom; peers tell them first
+LEAVE_CALL_SECONDS = 2.0
+_log = structlog.get_logger("monsoonpier.balancer.platform_link")
+
+
+class PlatformLink:
+    """Keeps the balancer registered and brings configuration from the platform.
+
+    The platform's silence never takes anything away: what is known stays.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        peers: Peers,
+        codec: FrameCodec,
+        configure: Callable[[str], None],
+        draw: random.Random,
+    ) -> None:
+        self._platform = platform
+        self._peers = peers
+        self._codec = codec
+        self._configure = configure
+        self._draw = draw
+        self._lease = Lease()
+        self._watching: asyncio.Task | None = None
+        self._last_read = -POLL_SECONDS
+
+    async def run(self) -> None:
+        """Register, renew, watch and poll until cancelled."""
+        await asyncio.gather(self._register_forever(), self._follow_forever())
+
+    async def leave(self) -> None:
+        """Give the registration back, so that nobody new turns here."""
+        lease, self._lease = self._lease, self._lease.released()
+        if not lease.id:
+            return
+        try:
+            async with asyncio.timeout(LEAVE_CALL_SECONDS):
+                await self._platform.revoke(lease.id)
+        except (PlatformError, TimeoutError) as error:
+            _log.info("lease not revoked", reason=str(error))
+
+    async def _register_forever(self) -> None:
+        backoff = Backoff()
+        while not self._peers.own.leaving:
+            try:
+                await self._keep_registered()
+                backoff = backoff.after_success()
+                await asyncio.sleep(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
+            except PlatformError as error:
+                _log.info("platform unreachable", reason=str(error))
+                self._lease = self._lease.renewal_failed()
+                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+                backoff = backoff.after_failure()
+
+    async def _keep_registered(self) -> None:
+        """Renew the lease, or take a new one if it has run out meanwhile."""
+        asked_at = _now()
+        if self._lease.may_act(now=asked_at):
+            try:
+                ttl = await self._platform.renew(self._lease.id)
+            except LeaseNotFoundError:
+                self._lease = self._lease.lost()
+            else:
+                self._lease = self._lease.renewed(
+                    ttl_seconds=ttl, asked_at=asked_at, now=_now()
+                )
+        if not self._lease.may_act(now=_now()):
+            await self._register()
+
+    async def _register(self) -> None:
+        asked_at = _now()
+        lease = await self._platform.grant(ttl_seconds=LEASE_TTL_SECONDS)
+        own = self._peers.own
+        put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
+        await self._platform.transact(compares=(), puts=(put,))
+        self._lease = self._lease.at(now=asked_at).granted(
+            lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
+        )
+        _log.info("registered", lease=lease)
+
+    async def _follow_forever(self) -> None:
+        try:
+            while True:
+                is_watcher = self._peers.is_watcher(now=_now())
+                running = self._watching is not None and not self._watching.done()
+                if is_watcher and not running:
+                    self._watching = asyncio.create_task(self._watch())
+                elif not is_watcher and running:
+                    self._watching.cancel()
+                if not is_watcher and _now() - self._last_read > POLL_SECONDS:
+                    await self._read_quietly()
+                await asyncio.sleep(WATCH_CHECK_SECONDS * self._draw.uniform(0.5, 1.0))
+        finally:
+            if self._watching is not None:
+                self._watching.cancel()
+
+    async def _watch(self) -> None:
+        """Read all, then follow every change of the configuration."""
+        while True:
+            try:
+                revision = await self._read()
+                async for event in self._platform.watch(
+                    CONFIGURATION, from_revision=revision + 1
+                ):
+                    if event.value is not None:
+                        self._configure(event.value.decode())
+            except (PlatformError, CompactedError) as error:
+                _log.info("watch begins anew", reason=str(error))
+                await asyncio.sleep(self._draw.uniform(0.5, 1.0))
+
+    async def _read_quietly(self) -> None:
+        try:
+            await self._read()
+        except PlatformError as error:
+            _log.info("platform unreachable", reason=str(error))
+
+    async def _read(self) -> int:
+        """Read balancers and configuration; return the revision."""
+        found = await self._platform.read(BALANCERS, prefix=True)
+        for value in found.values_by_key.values():
+            record = self._codec.decode(value.value)
+            if isinstance(record, BalancerRecord):
+                self._peers.learn(record)
+        stored = await self._platform.read(CONFIGURATION)
+        for value in stored.values_by_key.values():
+            self._configure(value.value.decode())
+        self._last_read = _now()
+        return stored.revision
+
+
+def _now() -> float:
+    return time.monotonic()
--- /dev/null
+++ b/monsoonpier/balancer/table.py
@@ -0,0 +1,223 @@
+"""What a balancer knows of targets: records, loads, and who is silent."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+import msgspec
+
+from monsoonpier.balancer.steering import Candidate
+from monsoonpier.model.service import Service
+from monsoonpier.model.target import Condition, LoadReport, TargetRecord
+from monsoonpier.wire.frames import Silence
+
+__all__ = ["TargetTable"]
+
+SUSPECT_SECONDS = 3.0  # three heartbeats: one lost or late datagram is not enough
+FORGET_SECONDS = 120.0  # a suspected target is forgotten after this
+GONE_SECONDS = 30.0  # a record of a gone target is kept to spread the news
+WITNESSES_NEEDED = 2  # a cut between one witness and one agent convinces nobody
+BUCKETS = 16
+DIGEST_BYTES = 8
+
+
+@dataclass(slots=True, kw_only=True)
+class _Entry:
+    record: TargetRecord
+    load: LoadReport
+    learned_at: float
+    heard_at: float | None = None  # directly, by this balancer
+    is_witnessed: bool = False  # its heartbeats come to this balancer
+    sent_since: int = 0
+    silent_witnesses: dict[str, float] = field(default_factory=dict)
+
+
+class TargetTable:
+    """The targets by name. Does no I/O; the time is always an argument."""
+
+    def __init__(self) -> None:
+        self._entries_by_name: dict[str, _Entry] = {}
+        self._names_by_service: dict[str, set[str]] = {}
+        self._bucket_sums = [0] * BUCKETS
+
+    def __len__(self) -> int:
+        return len(self._entries_by_name)
+
+    def record(self, name: str) -> TargetRecord | None:
+        """Return a target's record, if it is known."""
+        entry = self._entries_by_name.get(name)
+        return entry.record if entry else None
+
+    @property
+    def records(self) -> list[TargetRecord]:
+        """All records, in no order."""
+        return [entry.record for entry in self._entries_by_name.values()]
+
+    # Learning
+
+    def learn(self, record: TargetRecord, *, now: float) -> bool:
+        """Take a record if it is newer than the one held; tell if it was."""
+        entry = self._entries_by_name.get(record.name)
+        if entry is None:
+            self._entries_by_name[record.name] = _Entry(
+                record=record,
+                load=LoadReport(number=0, condition=record.condition),
+                learned_at=now,
+            )
+        elif record.rank <= entry.record.rank:
+            return False
+        else:
+            self._unlist(entry.record)
+            is_new_instance = record.epoch != entry.record.epoch
+            entry.record = record
+            entry.learned_at = now
+            entry.silent_witnesses.clear()
+            if is_new_instance:
+                entry.load = LoadReport(number=0, condition=record.condition)
+                entry.sent_since = 0
+        self._names_by_service.setdefault(record.service, set()).add(record.name)
+        self._toggle(record)
+        return True
+
+    def heard(
+        self, name: str, load: LoadReport, *, now: float, heartbeat: bool = False
+    ) -> None:
+        """Take a report that came straight from the target's agent."""
+        entry = self._entries_by_name.get(name)
+        if entry is None:
+            return
+        entry.heard_at = now
+        entry.is_witnessed = entry.is_witnessed or heartbeat
+        if load.number > entry.load.number:
+            entry.load = load
+            entry.sent_since = 0
+
+    def sent_flow(self, name: str) -> None:
+        """Count a flow sent to a target since its last report."""
+        entry = self._entries_by_name.get(name)
+        if entry is not None:
+            entry.sent_since += 1
+
+    def hear_silence(self, silence: Silence, *, now: float) -> bool:
+        """Take a witness's word on a target; tell whether it was news."""
+        entry = self._entries_by_name.get(silence.name)
+        if entry is None or entry.record.epoch != silence.epoch:
+            return False
+        known = silence.witness in entry.silent_witnesses
+        if silence.silent:
+            entry.silent_witnesses[silence.witness] = now
+        else:
+            entry.silent_witnesses.pop(silence.witness, None)
+        return known != silence.silent
+
+    def own_silences(self, *, witness: str, now: float) -> list[Silence]:
+        """Return what has changed in this balancer's own view of silence."""
+        changed = []
+        for name, entry in self._entries_by_name.items():
+            if not entry.is_witnessed or entry.heard_at is None:
+                continue
+            silent = now - entry.heard_at > SUSPECT_SECONDS
+            if silent == (witness in entry.silent_witnesses):
+                continue
+            silence = Silence(
+                name=name, epoch=entry.record.epoch, witness=witness, silent=silent
+            )
+            self.hear_silence(silence, now=now)
+            changed.append(silence)
+        return changed
+
+    def forget(self, *, now: float) -> None:
+        """Drop targets that are long gone or long silent."""
+        for name, entry in list(self._entries_by_name.items()):
+            age = now - entry.learned_at
+            if entry.record.condition is Condition.GONE and age > GONE_SECONDS:
+                self._drop(name)
+                continue
+            oldest = min(entry.silent_witnesses.values(), default=now)
+            if self._is_suspected(entry, now=now) and now - oldest > FORGET_SECONDS:
+                self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._unlist(self._entries_by_name.pop(name).record)
+
+    def _unlist(self, record: TargetRecord) -> None:
+        self._names_by_service.get(record.service, set()).discard(record.name)
+        self._toggle(record)
+
+    # Reading
+
+    def candidates(self, service: Service, *, now: float) -> list[Candidate]:
+        """Return the targets that the service allows, as they are known now."""
+        names = self._names_by_service.get(service.name, ())
+        return [
+            self._candidate(self._entries_by_name[name], now=now)
+            for name in names
+            if service.allows(name)
+        ]
+
+    def all_candidates(self, *, now: float) -> list[Candidate]:
+        """Return every target, allowed or not."""
+        return [self._candidate(e, now=now) for e in self._entries_by_name.values()]
+
+    def _candidate(self, entry: _Entry, *, now: float) -> Candidate:
+        load = entry.load
+        # A record that was relayed here may be newer than the last report.
+        told = entry.record.condition
+        if load.condition is not told and (
+            not load.number or told >= Condition.LEAVING
+        ):
+            load = msgspec.structs.replace(load, condition=told)
+        return Candidate(
+            record=entry.record,
+            load=load,
+            sent_since=entry.sent_since,
+            suspected=self._is_suspected(entry, now=now),
+        )
+
+    def _is_suspected(self, entry: _Entry, *, now: float) -> bool:
+        """Hearing it oneself outweighs any number of witnesses."""
+        if entry.heard_at is not None and now - entry.heard_at <= SUSPECT_SECONDS:
+            return False
+        return len(entry.silent_witnesses) >= WITNESSES_NEEDED
+
+    # Comparing with a peer
+
+    @property
+    def bucket_digests(self) -> tuple[bytes, ...]:
+        """One digest per bucket of names; equal tables have equal digests."""
+        return tuple(s.to_bytes(DIGEST_BYTES, "big") for s in self._bucket_sums)
+
+    @property
+    def digest(self) -> bytes:
+        """One digest of the whole table."""
+        return blake2b(b"".join(self.bucket_digests), digest_size=DIGEST_BYTES).digest()
+
+    def _toggle(self, record: TargetRecord) -> None:
+        # An exclusive or is undone by itself: a change costs the same at any size.
+        self._bucket_sums[_bucket(record.name)] ^= _record_sum(record)
+
+    def records_unlike(self, digests: Iterable[bytes]) -> tuple[TargetRecord, ...]:
+        """Return the records of the buckets whose digests differ from these."""
+        differing = {
+            number
+            for number, (own, other) in enumerate(
+                zip(self.bucket_digests, digests, strict=False)
+            )
+            if own != other
+        }
+        return tuple(
+            entry.record
+            for name, entry in self._entries_by_name.items()
+            if _bucket(name) in differing
+        )
+
+
+def _bucket(name: str) -> int:
+    return blake2b(name.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _record_sum(record: TargetRecord) -> int:
+    epoch, change = record.rank
+    text = f"{record.name} {epoch} {change}"
+    digest = blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/monsoonpier/caller/command.py
@@ -0,0 +1,67 @@
+"""``monsoonpier call``: a caller from the shell."""
+
+import sys
+from dataclasses import dataclass
+
+from monsoonpier.caller.client import Caller
+from monsoonpier.exits import Exit
+from monsoonpier.model.outcome import Done, NotRun, Outcome, Refused
+
+__all__ = ["Call", "run_call"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """What to call, and how."""
+
+    address: str
+    kind: str
+    body: bytes
+    stream: bool
+    after: int
+    items: int
+    idempotent: bool
+    deadline: float
+
+
+async def run_call(call: Call) -> int:
+    """Make the call; return the exit status."""
+    try:
+        caller = Caller(call.address)
+    except ValueError as error:
+        print(f"monsoonpier: {error}", file=sys.stderr)
+        return Exit.BAD_INPUT
+    async with caller:
+        if call.stream:
+            return await _stream(caller, call)
+        outcome = await caller.request(
+            call.kind, call.body, deadline=call.deadline, idempotent=call.idempotent
+        )
+    return _show(outcome)
+
+
+async def _stream(caller: Caller, call: Call) -> int:
+    count = 0
+    async for item in caller.stream(call.kind, after=call.after):
+        print(f"{item.number}\t{item.body.decode(errors='replace')}", flush=True)
+        count += 1
+        if count == call.items:
+            return Exit.OK
+    return Exit.OK
+
+
+def _show(outcome: Outcome) -> int:
+    match outcome:
+        case Done(status=status, body=body):
+            sys.stdout.buffer.write(body)
+            sys.stdout.flush()
+            return Exit.OK if status < 400 else Exit.BAD_INPUT
+        case (
+            NotRun(reason=reason, retry_after=wait)
+            | Refused(reason=reason, retry_after=wait)
+        ):
+            print(f"not run: {reason}; retry after {wait:.2f} s", file=sys.stderr)
+            return Exit.NOT_RUN
+        case _:
+            print(f"may have run: {outcome}", file=sys.stderr)
+            return Exit.MAY_HAVE_RUN
--- /dev/null
+++ b/monsoonpier/caller/transfer.py
@@ -0,0 +1,245 @@
+"""One request as its caller sees it: parts out, parts in, and its timers."""
+
+from hashlib import blake2b
+
+from monsoonpier.model.outcome import (
+    Cancelled,
+    Done,
+    FlowLost,
+    Late,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from monsoonpier.wire.datagrams import (
+    DIGEST_BYTES,
+    MAX_PARTS,
+    PART_BYTES,
+    AnswerPart,
+    Cancel,
+    Fetch,
+    Progress,
+    RequestPart,
+    Verdict,
+    VerdictKind,
+)
+
+__all__ = ["Transfer"]
+
+SEND_WINDOW = 48  # parts sent ahead of what the agent says it has
+FETCH_WINDOW = 32  # answer parts asked for at a time
+RESEND_PARTS = 8
+FIRST_RESEND_SECONDS = 0.1
+MAX_RESEND_SECONDS = 1.0
+FETCH_AGAIN_SECONDS = 0.05
+GRACE_SECONDS = 0.25  # for the agent's own word on a passed deadline
+SILENT_RESENDS = 6  # unanswered in a row: the holder is gone
+
+
+class Transfer:
+    """Pure but for its own state; the time is an argument everywhere."""
+
+    def __init__(
+        self,
+        *,
+        flow: bytes,
+        token: bytes,
+        request: int,
+        kind: str,
+        body: bytes,
+        deadline: float,
+        now: float,
+    ) -> None:
+        self._flow = flow
+        self._token = token
+        self._request = request
+        self._kind = kind
+        self._body = body
+        self._digest = blake2b(body, digest_size=DIGEST_BYTES).digest()
+        self._parts = max(1, -(-len(body) // PART_BYTES))
+        self._deadline = deadline
+        self._have_below = 0
+        self._sent_below = 0
+        self._is_whole = False
+        self._is_cancelled = False
+        self._status = 0
+        self._answer_parts = 0
+        self._answer_digest = b""
+        self._answer_by_part: dict[int, bytes] = {}
+        self._asked_below = 0
+        self._resend_after = FIRST_RESEND_SECONDS
+        self.due = now
+        self._unanswered = 0
+        self.outcome: Outcome | None = None
+        self.foreign_parts = 0
+
+    @staticmethod
+    def fits(body: bytes) -> bool:
+        """Tell whether a body can be sent at all."""
+        return len(body) <= MAX_PARTS * PART_BYTES
+
+    def start(self, *, acked: int, now: float) -> list:
+        """Return the first datagrams."""
+        self._set_due(now)
+        return self._next_parts(acked, now=now)
+
+    def cancel(self, *, acked: int, now: float) -> list:
+        """Give up; the agent's word on it is still waited for briefly."""
+        self._is_cancelled = True
+        self._deadline = min(self._deadline, now + MAX_RESEND_SECONDS)
+        return [self._cancel(acked)]
+
+    def poll(self, *, acked: int, now: float) -> list:
+        """Return what is due to be sent again by ``now``."""
+        if self.outcome is not None or now < self.due:
+            return []
+        if now >= self._deadline + GRACE_SECONDS:
+            self.outcome = Cancelled() if self._is_cancelled else Late()
+            return [self._cancel(acked)]
+        self._unanswered += 1
+        if self._unanswered > SILENT_RESENDS:
+            self.outcome = FlowLost(reason="the holder of the flow is silent")
+            return []
+        self._resend_after = min(self._resend_after * 2, MAX_RESEND_SECONDS)
+        self._set_due(now)
+        if self._is_cancelled:
+            return [self._cancel(acked)]
+        if self._answer_parts:
+            self._asked_below = 0
+            return self._fetch(acked, now=now)
+        if self._is_whole:
+            return [Fetch(**self._ids(acked))]
+        last = min(self._have_below + RESEND_PARTS, max(1, self._sent_below))
+        return [
+            self._part(number, acked, now=now)
+            for number in range(self._have_below, last)
+        ]
+
+    def progress(self, message: Progress, *, acked: int, now: float) -> list:
+        """Take the agent's word on which parts it has."""
+        self._answered(now)
+        if message.whole:
+            self._is_whole = True
+            self._have_below = self._parts
+            return []
+        if message.have_below < self._have_below or self._is_whole:
+            return []
+        self._have_below = message.have_below
+        resend = [
+            self._part(number, acked, now=now)
+            for number in message.missing[:RESEND_PARTS]
+            if number < self._sent_below
+        ]
+        return resend + self._next_parts(acked, now=now)
+
+    def answer(self, message: AnswerPart, *, acked: int, now: float) -> list:
+        """Take one part of the answer; may set the outcome."""
+        self._answered(now)
+        if not self._answer_parts:
+            self._answer_parts = message.parts
+            self._answer_digest = message.digest
+            self._status = message.status
+            self._asked_below = FETCH_WINDOW // 2
+        is_ours = (
+            message.parts == self._answer_parts
+            and message.digest == self._answer_digest
+            and message.part < message.parts
+        )
+        if not is_ours:
+            self.foreign_parts += 1
+            return []
+        self._answer_by_part[message.part] = message.body
+        if len(self._answer_by_part) == self._answer_parts:
+            self._finish_answer()
+            return []
+        if len(self._answer_by_part) + FETCH_WINDOW // 2 > self._asked_below:
+            return self._fetch(acked, now=now)
+        return []
+
+    def verdict(self, message: Verdict) -> None:
+        """Take the final word on a request that has no answer body."""
+        if self.outcome is not None:
+            return
+        match message.kind:
+            case VerdictKind.NOT_RUN if self._is_cancelled:
+                self.outcome = Cancelled()
+            case VerdictKind.NOT_RUN:
+                self.outcome = NotRun(
+                    reason=message.reason,
+                    retry_after=message.retry_after_ms / 1000,
+                    reopen=message.reopen,
+                )
+            case VerdictKind.LATE:
+                self.outcome = Late(reason=message.reason)
+            case VerdictKind.CANCELLED:
+                self.outcome = Cancelled()
+            case VerdictKind.UNKNOWN | VerdictKind.ALREADY_DONE:
+                self.outcome = Unknown(reason=message.reason)
+
+    def lost(self) -> None:
+        """Take the news that the flow's holder is gone."""
+        if self.outcome is None:
+            self.outcome = FlowLost()
+
+    def _finish_answer(self) -> None:
+        body = b"".join(self._answer_by_part[n] for n in range(self._answer_parts))
+        if blake2b(body, digest_size=DIGEST_BYTES).digest() != self._answer_digest:
+            self.outcome = Unknown(reason="the answer's digest does not match")
+            return
+        self.outcome = Done(status=self._status, body=body)
+
+    def _next_parts(self, acked: int, *, now: float) -> list:
+        end = min(self._parts, self._have_below + SEND_WINDOW)
+        parts = [
+            self._part(number, acked, now=now)
+            for number in range(self._sent_below, end)
+        ]
+        self._sent_below = max(self._sent_below, end)
+        return parts
+
+    def _fetch(self, acked: int, *, now: float) -> list:
+        missing = []
+        for number in range(self._answer_parts):
+            if number not in self._answer_by_part and number >= self._asked_below:
+                missing.append(number)
+                if len(missing) == FETCH_WINDOW:
+                    break
+        if not missing:
+            return []
+        self._asked_below = missing[-1] + 1
+        self.due = min(self.due, now + self._resend_after)
+        return [Fetch(**self._ids(acked), missing=tuple(missing))]
+
+    def _part(self, number: int, acked: int, *, now: float) -> RequestPart:
+        start = number * PART_BYTES
+        time_left = max(0.0, self._deadline - now)
+        return RequestPart(
+            **self._ids(acked),
+            kind=self._kind,
+            time_left_ms=int(time_left * 1000),
+            part=number,
+            parts=self._parts,
+            digest=self._digest,
+            body=self._body[start : start + PART_BYTES],
+        )
+
+    def _cancel(self, acked: int) -> Cancel:
+        return Cancel(**self._ids(acked))
+
+    def _ids(self, acked: int) -> dict:
+        return {
+            "flow": self._flow,
+            "token": self._token,
+            "request": self._request,
+            "acked": acked,
+        }
+
+    def _answered(self, now: float) -> None:
+        self._unanswered = 0
+        self._resend_after = FIRST_RESEND_SECONDS
+        if self._answer_parts:
+            self._resend_after = FETCH_AGAIN_SECONDS
+        self._set_due(now)
+
+    def _set_due(self, now: float) -> None:
+        self.due = min(now + self._resend_after, self._deadline + GRACE_SECONDS)
--- /dev/null
+++ b/monsoonpier/documents/__init__.py
@@ -0,0 +1,1 @@
+"""Files that people write: settings of a process, configuration of services."""
--- /dev/null
+++ b/monsoonpier/documents/configuration.py
@@ -0,0 +1,206 @@
+"""Operators' files: parsed and checked as a set, whole or not at all."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from monsoonpier.documents.marked import MarkedDocument, read_document
+from monsoonpier.model.address import Address
+from monsoonpier.model.findings import Finding, Place
+from monsoonpier.model.service import (
+    Configuration,
+    Kind,
+    Limits,
+    Preference,
+    Service,
+)
+
+__all__ = ["ParsedFiles", "difference", "parse_files", "read_files", "unstore"]
+
+MAX_FILES = 200
+MAX_SET_BYTES = 900_000  # the platform holds values up to a megabyte
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ParsedFiles:
+    """A set of files as services, or all that is wrong with it."""
+
+    services_by_name: dict[str, Service] = field(default_factory=dict)
+    findings: tuple[Finding, ...] = ()
+
+
+def read_files(paths: Iterable[Path]) -> tuple[dict[str, str], list[Finding]]:
+    """Return the texts by file name; a folder stands for its YAML files."""
+    texts_by_name: dict[str, str] = {}
+    findings: list[Finding] = []
+    for path in paths:
+        files = sorted(path.glob("*.y*ml")) if path.is_dir() else [path]
+        if not files:
+            place = Place(file=str(path))
+            findings.append(Finding(place=place, problem="no YAML files in it"))
+        for file in files:
+            place = Place(file=str(file))
+            if file.name in texts_by_name:
+                problem = f"a second file is named {file.name!r}"
+                findings.append(Finding(place=place, problem=problem))
+                continue
+            try:
+                texts_by_name[file.name] = file.read_text(encoding="utf-8")
+            except (OSError, UnicodeDecodeError) as error:
+                reason = getattr(error, "strerror", None) or "not UTF-8 text"
+                findings.append(Finding(place=place, problem=reason))
+    return texts_by_name, findings
+
+
+def parse_files(texts_by_name: dict[str, str]) -> ParsedFiles:
+    """Check a whole set of files and return its services."""
+    findings = _check_size(texts_by_name)
+    if findings:
+        return ParsedFiles(findings=tuple(findings))
+    documents = []
+    for name, text in sorted(texts_by_name.items()):
+        document, wrong = read_document(text, file=name)
+        wrong = wrong or document.check("configuration")
+        findings += wrong
+        if not wrong:
+            documents.append(document)
+    services_by_name, clashes = _merge(documents)
+    findings += clashes
+    if findings:
+        return ParsedFiles(findings=tuple(findings))
+    return ParsedFiles(services_by_name=services_by_name)
+
+
+def unstore(text: str) -> Configuration:
+    """Return the configuration in the platform's stored text.
+
+    Raises:
+        ValueError: If the text is not one that `operator` stored.
+    """
+    content = json.loads(text)
+    parsed = parse_files(content["files"])
+    if parsed.findings:
+        raise ValueError(str(parsed.findings[0]))
+    return Configuration(
+        version=int(content["version"]), services_by_name=parsed.services_by_name
+    )
+
+
+def difference(old: dict[str, Service], new: dict[str, Service]) -> list[str]:
+    """Return a line for each service added, removed or changed."""
+    lines = [f"+ {name}: {_describe(new[name])}" for name in sorted(new.keys() - old)]
+    lines += [f"- {name}: {_describe(old[name])}" for name in sorted(old.keys() - new)]
+    for name in sorted(old.keys() & new.keys()):
+        if old[name] == new[name]:
+            continue
+        for key in ("address", "targets", "prefer", "limits", "kinds_by_name"):
+            before, after = getattr(old[name], key), getattr(new[name], key)
+            if before != after:
+                lines.append(f"~ {name}.{key}: {_short(before)} -> {_short(after)}")
+    return lines
+
+
+def _check_size(texts_by_name: dict[str, str]) -> list[Finding]:
+    findings = []
+    if not texts_by_name:
+        findings.append(Finding(place=Place(file="(none)"), problem="no files"))
+    if len(texts_by_name) > MAX_FILES:
+        problem = f"more than {MAX_FILES} files"
+        findings.append(Finding(place=Place(file="(set)"), problem=problem))
+    size = len(json.dumps(texts_by_name).encode())
+    if size > MAX_SET_BYTES:
+        problem = f"the set takes {size} bytes"
+        hint = f"{MAX_SET_BYTES} at the most"
+        findings.append(Finding(place=Place(file="(set)"), problem=problem, hint=hint))
+    return findings
+
+
+def _merge(
+    documents: list[MarkedDocument],
+) -> tuple[dict[str, Service], list[Finding]]:
+    """Join the files' services; report what clashes between them."""
+    services_by_name: dict[str, Service] = {}
+    places_by_name: dict[str, Place] = {}
+    names_by_address: dict[Address, str] = {}
+    findings: list[Finding] = []
+    for document in documents:
+        for name, raw in document.content["services"].items():
+            place = document.place(("services", name))
+            if name in services_by_name:
+                problem = f"service {name!r} is declared twice"
+                hint = f"first at {places_by_name[name]}"
+                findings.append(Finding(place=place, problem=problem, hint=hint))
+                continue
+            address_place = document.place(("services", name, "address"))
+            try:
+                address = Address.parse(raw["address"])
+            except ValueError as error:
+                findings.append(Finding(place=address_place, problem=str(error)))
+                continue
+            if address in names_by_address:
+                problem = f"address {address} is used twice"
+                hint = f"also by service {names_by_address[address]!r}"
+                findings.append(
+                    Finding(place=address_place, problem=problem, hint=hint)
+                )
+            names_by_address.setdefault(address, name)
+            places_by_name[name] = place
+            services_by_name[name] = _service(name, raw, address)
+            findings += _overlaps(name, raw, document, services_by_name)
+    return services_by_name, findings
+
+
+def _overlaps(
+    name: str,
+    raw: dict,
+    document: MarkedDocument,
+    services_by_name: dict[str, Service],
+) -> list[Finding]:
+    """Report targets named outright that another service allows as well."""
+    findings = []
+    for other in services_by_name.values():
+        if other.name == name:
+            continue
+        for number, target in enumerate(raw["targets"]):
+            if target in other.targets or (
+                not set(target) & set("*?") and other.allows(target)
+            ):
+                place = document.place(("services", name, "targets", number))
+                problem = f"target {target!r} is allowed by two services"
+                hint = f"also by service {other.name!r}"
+                findings.append(Finding(place=place, problem=problem, hint=hint))
+    return findings
+
+
+def _service(name: str, raw: dict, address: Address) -> Service:
+    kinds_by_name = {
+        kind: Kind(name=kind, **options) for kind, options in raw["kinds"].items()
+    }
+    return Service(
+        name=name,
+        address=address,
+        targets=tuple(raw["targets"]),
+        kinds_by_name=kinds_by_name,
+        limits=Limits(**raw.get("limits", {})),
+        prefer=Preference(raw.get("prefer", "local")),
+    )
+
+
+def _describe(service: Service) -> str:
+    kinds = ", ".join(sorted(service.kinds_by_name))
+    return f"{service.address}, targets {', '.join(service.targets)}, kinds {kinds}"
+
+
+def _short(value) -> str:
+    match value:
+        case dict():
+            return "{" + ", ".join(_short(v) for v in value.values()) + "}"
+        case Kind(name=name, idempotent=idempotent, stream=stream):
+            traits = "idempotent" * idempotent + "stream" * stream
+            return f"{name} {traits} {value.deadline_seconds}s".replace("  ", " ")
+        case Preference():
+            return value.value
+        case tuple():
+            return ", ".join(map(str, value))
+    return str(value)
--- /dev/null
+++ b/monsoonpier/documents/settings.py
@@ -0,0 +1,188 @@
+"""Settings of a process: a YAML file, and environment variables over it."""
+
+import ipaddress
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from monsoonpier.documents.marked import MarkedDocument, read_document
+from monsoonpier.model.address import Address
+from monsoonpier.model.findings import Finding, Place
+from monsoonpier.model.keys import Key, KeyRing
+
+__all__ = ["LoadedSettings", "Settings", "TargetSettings", "load_settings"]
+
+ENVIRONMENT_PREFIX = "MONSOONPIER_"
+_ADDRESS_KEYS = ("internal", "control", "metrics")
+_NEEDED_BY_ROLE = {
+    "balancer": _ADDRESS_KEYS,
+    "agent": (*_ADDRESS_KEYS, "target"),
+    "operator": (),
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetSettings:
+    """The one target that an agent stands beside."""
+
+    service: str
+    url: str
+    slots: int = 3
+    connections: int = 2000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """What a process needs to know of itself; fully checked."""
+
+    role: str
+    name: str
+    data_centre: str
+    platform: tuple[str, ...]
+    keys: KeyRing
+    internal: Address | None = None
+    control: Address | None = None
+    metrics: Address | None = None
+    service_bind_ip: str | None = None
+    seeds: tuple[Address, ...] = ()
+    target: TargetSettings | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadedSettings:
+    """Settings, or all that is wrong with them."""
+
+    settings: Settings | None = None
+    findings: tuple[Finding, ...] = ()
+    masked: dict = field(default_factory=dict)
+
+
+def load_settings(
+    file: Path, *, role: str, environment: Mapping[str, str] = os.environ
+) -> LoadedSettings:
+    """Read and check a settings file for a process of that role."""
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "not UTF-8 text"
+        place = Place(file=str(file))
+        return LoadedSettings(findings=(Finding(place=place, problem=reason),))
+    document, findings = read_document(text, file=str(file))
+    if not isinstance(document.content, dict):
+        findings.append(Finding(place=document.place(()), problem="must be a mapping"))
+        return LoadedSettings(findings=tuple(findings))
+    if not findings:
+        document, findings = _with_environment(document, environment)
+    if not findings:
+        findings = document.check("settings") + _check_role(document, role)
+    if not findings:
+        findings = _check_values(document)
+    if findings:
+        return LoadedSettings(findings=tuple(findings))
+    return LoadedSettings(
+        settings=_build(document.content), masked=_mask(document.content)
+    )
+
+
+def _with_environment(
+    document: MarkedDocument, environment: Mapping[str, str]
+) -> tuple[MarkedDocument, list[Finding]]:
+    """Lay variables such as ``MONSOONPIER_NAME`` over the file's keys."""
+    content = dict(document.content)
+    places = dict(document.places_by_path)
+    findings: list[Finding] = []
+    for variable in sorted(environment):
+        if not variable.startswith(ENVIRONMENT_PREFIX):
+            continue
+        key = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
+        value, wrong = read_document(environment[variable], file=variable)
+        findings += wrong
+        content[key] = value.content
+        places[(key,)] = Place(file=variable)
+    merged = MarkedDocument(file=document.file, content=content, places_by_path=places)
+    return merged, findings
+
+
+def _check_role(document: MarkedDocument, role: str) -> list[Finding]:
+    content = document.content
+    findings = []
+    if content.get("role") not in (role, None):
+        findings.append(
+            Finding(
+                place=document.place(("role",)),
+                problem=f"these are settings of a process of role {content['role']!r}",
+                hint=f"this command needs role: {role}",
+            )
+        )
+        return findings
+    for key in _NEEDED_BY_ROLE[role]:
+        if key not in content:
+            findings.append(
+                Finding(
+                    place=document.place(()), problem=f"{key!r} is missing", hint=role
+                )
+            )
+    return findings
+
+
+def _check_values(document: MarkedDocument) -> list[Finding]:
+    """Find what a pattern can't: numbers out of range, and clashes."""
+    content = document.content
+    findings = []
+    for path, text in _addresses(content):
+        try:
+            Address.parse(text)
+        except ValueError as error:
+            findings.append(Finding(place=document.place(path), problem=str(error)))
+    ip = content.get("service_bind_ip")
+    if ip is not None:
+        try:
+            ipaddress.IPv4Address(ip)
+        except ValueError as error:
+            place = document.place(("service_bind_ip",))
+            findings.append(Finding(place=place, problem=str(error)))
+    tcp = [content.get("control"), content.get("metrics")]
+    if tcp[0] is not None and tcp[0] == tcp[1]:
+        place = document.place(("metrics",))
+        problem = "metrics and control have the same address"
+        findings.append(Finding(place=place, problem=problem))
+    ids = [key["id"] for key in content["keys"]]
+    if len(set(ids)) < len(ids):
+        place = document.place(("keys",))
+        findings.append(Finding(place=place, problem="two keys have the same id"))
+    return findings
+
+
+def _addresses(content: dict) -> list[tuple[tuple, str]]:
+    found = [((key,), content[key]) for key in _ADDRESS_KEYS if key in content]
+    seeds = content.get("seeds", [])
+    return found + [(("seeds", n), seed) for n, seed in enumerate(seeds)]
+
+
+def _build(content: dict) -> Settings:
+    addresses = {
+        key: Address.parse(content[key]) for key in _ADDRESS_KEYS if key in content
+    }
+    target = content.get("target")
+    keys = tuple(
+        Key(id=raw["id"], secret=bytes.fromhex(raw["secret"]))
+        for raw in content["keys"]
+    )
+    return Settings(
+        role=content["role"],
+        name=content["name"],
+        data_centre=content["data_centre"],
+        platform=tuple(content["platform"]),
+        keys=KeyRing(keys=keys),
+        service_bind_ip=content.get("service_bind_ip"),
+        seeds=tuple(Address.parse(seed) for seed in content.get("seeds", [])),
+        target=TargetSettings(**target) if target else None,
+        **addresses,
+    )
+
+
+def _mask(content: dict) -> dict:
+    masked = dict(content)
+    masked["keys"] = [{"id": key["id"], "secret": "****"} for key in content["keys"]]
+    return masked
--- /dev/null
+++ b/monsoonpier/model/__init__.py
@@ -0,0 +1,1 @@
+"""Values that every part shares. Nothing here does I/O."""
--- /dev/null
+++ b/monsoonpier/model/address.py
@@ -0,0 +1,36 @@
+"""Addresses of processes and services: an IP number and a port."""
+
+import ipaddress
+from dataclasses import dataclass
+
+__all__ = ["Address"]
+
+MAX_PORT = 65_535
+
+
+@dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class Address:
+    """An IPv4 address and a port, as UDP and TCP use them."""
+
+    ip: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Return the address that ``ip:port`` names.
+
+        Raises:
+            ValueError: If the IP number or the port is not valid.
+        """
+        ip, separator, port = text.rpartition(":")
+        if not separator or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"{text!r} is not an ip:port address")
+        return cls(ip=str(ipaddress.IPv4Address(ip)), port=int(port))
+
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """The address as the standard library's sockets take it."""
+        return (self.ip, self.port)
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
--- /dev/null
+++ b/monsoonpier/model/service.py
@@ -0,0 +1,66 @@
+"""What operators declare: services, their kinds of work, and their targets."""
+
+import fnmatch
+from dataclasses import dataclass, field
+from enum import Enum
+
+from monsoonpier.model.address import Address
+
+__all__ = ["Configuration", "Kind", "Limits", "Preference", "Service"]
+
+DEFAULT_DEADLINE_SECONDS = 10.0
+
+
+class Preference(Enum):
+    """Which data centre new flows go to."""
+
+    ANY = "any"
+    LOCAL = "local"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """A kind of work: whether it may be repeated and how long it may take."""
+
+    name: str
+    idempotent: bool = False
+    stream: bool = False
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """What one target of a service accepts at most."""
+
+    queue_per_slot: int = 4
+    cold_start_seconds: float = 10.0
+    max_request_bytes: int = 16_777_216
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """One service: its address, the work it does, the targets it allows."""
+
+    name: str
+    address: Address
+    targets: tuple[str, ...]
+    kinds_by_name: dict[str, Kind] = field(default_factory=dict)
+    limits: Limits = Limits()
+    prefer: Preference = Preference.LOCAL
+
+    def allows(self, target: str) -> bool:
+        """Tell whether a target of this name may serve the service."""
+        return any(fnmatch.fnmatchcase(target, pattern) for pattern in self.targets)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """One accepted version of the whole set of operators' files."""
+
+    version: int = 0
+    services_by_name: dict[str, Service] = field(default_factory=dict)
+
+    def allows(self, *, service: str, target: str) -> bool:
+        """Tell whether the target may serve the service in this version."""
+        declared = self.services_by_name.get(service)
+        return declared is not None and declared.allows(target)
--- /dev/null
+++ b/monsoonpier/model/target.py
@@ -0,0 +1,75 @@
+"""Targets as agents report them: who they are and how loaded."""
+
+from enum import IntEnum
+
+import msgspec
+
+from monsoonpier.model.address import Address
+
+__all__ = ["Condition", "LoadReport", "TargetRecord"]
+
+
+class Condition(IntEnum):
+    """What a target will take; the states of ``charts/target.yaml``."""
+
+    STARTING = 0
+    SERVING = 1
+    SHEDDING = 2
+    UNRESPONSIVE = 3
+    LEAVING = 4
+    GONE = 5
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An agent's own count of its work; rides on replies and heartbeats.
+
+    ``number`` grows with each report, so that a late one is known as such.
+    ``service_ms`` is the smoothed time of one run, ``age_ms`` the time since
+    the target began to serve.
+    """
+
+    number: int
+    in_flight: int = 0
+    queued: int = 0
+    flows: int = 0
+    service_ms: int = 0
+    age_ms: int = 0
+    condition: Condition = Condition.STARTING
+
+
+class TargetRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a target's agent announces; only that agent changes it.
+
+    Of two records with one name the one with the larger ``rank`` holds:
+    ``epoch`` is the agent's start (ms of its wall clock), ``change`` counts
+    its changes since then.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    ip: str
+    port: int
+    control: str
+    instance: bytes
+    epoch: int
+    change: int = 0
+    slots: int = 1
+    connections: int = 1
+    condition: Condition = Condition.STARTING
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """The record's age: the larger one replaces the smaller."""
+        return (self.epoch, self.change)
+
+    @property
+    def address(self) -> Address:
+        """The agent's UDP address."""
+        return Address(ip=self.ip, port=self.port)
+
+    def with_condition(self, condition: Condition) -> "TargetRecord":
+        """Return a copy in that condition, one change newer."""
+        return msgspec.structs.replace(
+            self, condition=condition, change=self.change + 1
+        )
--- /dev/null
+++ b/monsoonpier/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' commands: check, apply, diff, status, history, rollback, drain."""
--- /dev/null
+++ b/monsoonpier/operator/commands.py
@@ -0,0 +1,290 @@
+"""The operators' commands: what they print and their exit statuses."""
+
+import asyncio
+import getpass
+import json
+import sys
+import time
+import uuid
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from pathlib import Path
+
+import msgspec
+
+from monsoonpier.documents.configuration import (
+    ParsedFiles,
+    difference,
+    parse_files,
+    read_files,
+)
+from monsoonpier.exits import Exit
+from monsoonpier.model.findings import report
+from monsoonpier.operator.change import (
+    Accepted,
+    Change,
+    Conflict,
+    Unknown,
+    change,
+    read_audit,
+    read_stored,
+)
+from monsoonpier.operator.session import OperatorSession
+from monsoonpier.platform.interface import PlatformError
+from monsoonpier.process.control import NoAnswer
+from monsoonpier.wire.control import StatusReply
+
+__all__ = [
+    "apply_files",
+    "check_files",
+    "drain_process",
+    "roll_back",
+    "show_difference",
+    "show_history",
+    "show_status",
+]
+
+ASK_AGAIN_SECONDS = 0.1
+
+
+def check_files(paths: Iterable[Path]) -> int:
+    """Report all findings; print the services if there are none."""
+    _, parsed = _read(paths)
+    if parsed is None:
+        return Exit.BAD_INPUT
+    for line in difference({}, parsed.services_by_name):
+        print(line.removeprefix("+ "))
+    return Exit.OK
+
+
+async def apply_files(
+    session: OperatorSession, paths: Iterable[Path], *, who: str, wait_seconds: float
+) -> int:
+    """Apply a set of files; print the difference it made."""
+    texts_by_name, parsed = _read(paths)
+    if parsed is None:
+        return Exit.BAD_INPUT
+    return await _change(
+        session, texts_by_name, who=who, note="apply", wait_seconds=wait_seconds
+    )
+
+
+async def roll_back(
+    session: OperatorSession, version: int, *, who: str, wait_seconds: float
+) -> int:
+    """Apply the files of an earlier version as a new version."""
+    try:
+        entries = await read_audit(session.platform, version=version)
+    except PlatformError as error:
+        return _unreachable(error)
+    if not entries:
+        print(f"there is no version {version} in the audit trail", file=sys.stderr)
+        return Exit.BAD_INPUT
+    texts_by_name = entries[0].texts_by_name
+    return await _change(
+        session,
+        texts_by_name,
+        who=who,
+        note=f"rollback to {version}",
+        wait_seconds=wait_seconds,
+    )
+
+
+async def show_difference(session: OperatorSession, paths: Iterable[Path]) -> int:
+    """Print what applying the files would change."""
+    _, parsed = _read(paths)
+    if parsed is None:
+        return Exit.BAD_INPUT
+    try:
+        stored = await read_stored(session.platform)
+    except PlatformError as error:
+        return _unreachable(error)
+    lines = difference(stored.services_by_name, parsed.services_by_name)
+    print(f"against version {stored.version}:")
+    print("\n".join(lines) or "no difference")
+    return Exit.OK
+
+
+async def show_history(session: OperatorSession, *, count: int) -> int:
+    """Print the audit trail, the newest change first."""
+    try:
+        entries = await read_audit(session.platform)
+    except PlatformError as error:
+        return _unreachable(error)
+    for entry in entries[::-1][:count]:
+        print(
+            f"version {entry.version} (from {entry.previous}) {entry.at} "
+            f"by {entry.who}: {entry.note}, accepted, id {entry.apply_id}"
+        )
+        for line in entry.difference:
+            print(f"    {line}")
+    if not entries:
+        print("no changes yet")
+    return Exit.OK
+
+
+async def show_status(session: OperatorSession, *, as_json: bool) -> int:
+    """Print balancers, targets and the versions in force."""
+    try:
+        stored = await read_stored(session.platform)
+        statuses = await session.statuses(await session.balancers())
+    except PlatformError as error:
+        return _unreachable(error)
+    if as_json:
+        plain = {n: msgspec.to_builtins(s) if s else None for n, s in statuses.items()}
+        print(json.dumps({"accepted": stored.version, "balancers": plain}))
+        return Exit.OK
+    print(f"accepted configuration: version {stored.version} by {stored.who or '-'}")
+    for name, status in sorted(statuses.items()):
+        print(_balancer_line(name, status))
+    for line in _target_lines(statuses.values()):
+        print(line)
+    return Exit.OK
+
+
+async def drain_process(session: OperatorSession, name: str) -> int:
+    """Ask a balancer or a target's agent, by name, to leave gracefully."""
+    try:
+        balancers = await session.balancers()
+        statuses = await session.statuses(balancers)
+    except PlatformError as error:
+        return _unreachable(error)
+    controls_by_name = {n: record.control for n, record in balancers.items()}
+    for status in statuses.values():
+        for target in status.targets if status else ():
+            controls_by_name.setdefault(target.record.name, target.record.control)
+    if name not in controls_by_name:
+        known = ", ".join(sorted(controls_by_name)) or "none"
+        print(f"no process is named {name!r}; known: {known}", file=sys.stderr)
+        return Exit.BAD_INPUT
+    try:
+        reply = await session.drain(controls_by_name[name], name)
+    except NoAnswer as error:
+        print(f"{name}: {error}", file=sys.stderr)
+        return Exit.UNAVAILABLE
+    if not reply.accepted:
+        print(f"{name}: {reply.reason}", file=sys.stderr)
+        return Exit.UNAVAILABLE
+    print(f"{name} is leaving")
+    return Exit.OK
+
+
+def _read(paths: Iterable[Path]) -> tuple[dict[str, str], ParsedFiles | None]:
+    """Read and check files; print all findings if there are any."""
+    texts_by_name, findings = read_files(paths)
+    parsed = parse_files(texts_by_name) if texts_by_name else ParsedFiles()
+    findings = (*findings, *parsed.findings)
+    if findings:
+        print(report(findings), file=sys.stderr)
+        return texts_by_name, None
+    return texts_by_name, parsed
+
+
+async def _change(
+    session: OperatorSession,
+    texts_by_name: dict[str, str],
+    *,
+    who: str,
+    note: str,
+    wait_seconds: float,
+) -> int:
+    wanted = Change(
+        apply_id=uuid.uuid4().hex,
+        who=who or getpass.getuser(),
+        at=datetime.now(UTC).isoformat(timespec="seconds"),
+        texts_by_name=texts_by_name,
+        note=note,
+    )
+    try:
+        base = await read_stored(session.platform)
+    except PlatformError as error:
+        return _unreachable(error)
+    outcome = await change(
+        session.platform,
+        wanted,
+        base=base,
+        newest_in_force=await session.newest_in_force(),
+        draw=session.draw,
+    )
+    match outcome:
+        case Accepted(version=version, difference=lines):
+            print(f"accepted as version {version}")
+            print("\n".join(lines) or "no difference")
+            if wait_seconds:
+                return await _wait_in_force(session, version, wait_seconds)
+            return Exit.OK
+        case Conflict(by=by):
+            print(
+                f"conflict: {by.who} applied version {by.version} at {by.at}; nothing "
+                "of yours was applied. Look at `diff`, then apply again.",
+                file=sys.stderr,
+            )
+            return Exit.CONFLICT
+        case Unknown(reason=reason, apply_id=apply_id):
+            print(
+                f"unknown: the platform can't tell whether it was accepted ({reason}). "
+                f"Look for id {apply_id} in `history` when it is back.",
+                file=sys.stderr,
+            )
+            return Exit.UNKNOWN
+
+
+async def _wait_in_force(
+    session: OperatorSession, version: int, wait_seconds: float
+) -> int:
+    """Wait until every balancer has the version; name those that lag."""
+    began = time.monotonic()
+    while True:
+        try:
+            statuses = await session.statuses(await session.balancers())
+        except PlatformError as error:
+            return _unreachable(error)
+        lagging = sorted(
+            name for name, s in statuses.items() if s is None or s.version < version
+        )
+        elapsed = time.monotonic() - began
+        if not lagging:
+            print(f"in force on {len(statuses)} balancers after {elapsed:.2f} s")
+            return Exit.OK
+        if elapsed >= wait_seconds:
+            in_force = len(statuses) - len(lagging)
+            print(
+                f"in force on {in_force} of {len(statuses)} balancers; "
+                f"lagging: {', '.join(lagging)}",
+                file=sys.stderr,
+            )
+            return Exit.LAGGING
+        await asyncio.sleep(ASK_AGAIN_SECONDS)
+
+
+def _balancer_line(name: str, status: StatusReply | None) -> str:
+    if status is None:
+        return f"balancer {name}: no answer"
+    return (
+        f"balancer {name} ({status.data_centre}): {status.state}, "
+        f"version {status.version}, {len(status.targets)} targets, "
+        f"up {status.uptime:.0f} s"
+    )
+
+
+def _target_lines(statuses: Iterable[StatusReply | None]) -> list[str]:
+    """Describe each target by the newest report that any balancer has."""
+    newest_by_name: dict = {}
+    for status in statuses:
+        for target in status.targets if status else ():
+            held = newest_by_name.get(target.record.name)
+            if held is None or target.load.number > held.load.number:
+                newest_by_name[target.record.name] = target
+    return [
+        f"target {name} ({target.record.service}, {target.record.data_centre}): "
+        f"{target.load.condition.name.lower()}"
+        f"{', suspected' if target.suspected else ''}, "
+        f"{target.load.in_flight} of {target.record.slots} slots, "
+        f"{target.load.queued} queued, {target.load.flows} flows"
+        for name, target in sorted(newest_by_name.items())
+    ]
+
+
+def _unreachable(error: PlatformError) -> int:
+    print(f"the platform can't be reached: {error}", file=sys.stderr)
+    return Exit.UNAVAILABLE
--- /dev/null
+++ b/monsoonpier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service: its interface, a client, and leases."""
--- /dev/null
+++ b/monsoonpier/platform/interface.py
@@ -0,0 +1,122 @@
+"""What we ask of the platform, in the terms of the etcd v3 API."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Protocol
+
+__all__ = [
+    "CompactedError",
+    "Compare",
+    "KeyValue",
+    "LeaseNotFoundError",
+    "Platform",
+    "PlatformError",
+    "Put",
+    "TransactionResult",
+    "WatchEvent",
+    "Snapshot",
+    "prefix_end",
+]
+
+
+class PlatformError(Exception):
+    """The platform can't be reached, or its answer was lost.
+
+    A write that raised this may have taken effect.
+    """
+
+
+class LeaseNotFoundError(PlatformError):
+    """The platform answered that the lease has ended."""
+
+
+class CompactedError(PlatformError):
+    """The platform no longer has the changes a watch asked for."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyValue:
+    """A key, its value, and the revision of its last change."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Compare:
+    """A condition: the key was last changed at that revision; 0 if absent."""
+
+    key: str
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Put:
+    """A write, bound to a lease unless that is 0."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TransactionResult:
+    """Whether the conditions held and the writes took effect."""
+
+    succeeded: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Snapshot:
+    """The present value of the keys read, at one revision."""
+
+    revision: int
+    values_by_key: dict[str, KeyValue]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WatchEvent:
+    """A change of a key; ``value`` is ``None`` when it was deleted."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class Platform(Protocol):
+    """The operations that the project uses; each may raise `PlatformError`."""
+
+    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
+        """Return the key, or all keys that begin with it."""
+
+    async def transact(
+        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+    ) -> TransactionResult:
+        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+
+    async def grant(self, *, ttl_seconds: int) -> int:
+        """Return the id of a new lease."""
+
+    async def renew(self, lease: int) -> int:
+        """Renew a lease and return its seconds to live."""
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease; its keys are deleted."""
+
+    def watch(
+        self, key: str, *, prefix: bool = False, from_revision: int
+    ) -> AsyncIterator[WatchEvent]:
+        """Yield every change from that revision on, across cuts."""
+
+    async def close(self) -> None:
+        """Let go of connections."""
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the first key after all keys that begin with ``prefix``."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
--- /dev/null
+++ b/monsoonpier/platform/keys.py
@@ -0,0 +1,15 @@
+"""The keys that the project uses in the platform's service."""
+
+__all__ = ["AUDIT", "BALANCERS", "CONFIGURATION", "ROSTER", "ROSTER_HOLDER"]
+
+PREFIX = "/monsoonpier/"
+CONFIGURATION = PREFIX + "configuration"
+AUDIT = PREFIX + "audit/"
+BALANCERS = PREFIX + "balancers/"
+ROSTER = PREFIX + "roster"
+ROSTER_HOLDER = PREFIX + "roster-holder"
+
+
+def audit_key(version: int) -> str:
+    """Return the key of a version's audit entry; keys sort by version."""
+    return f"{AUDIT}{version:012d}"
--- /dev/null
+++ b/monsoonpier/process/__init__.py
@@ -0,0 +1,1 @@
+"""What every long-running process shares: logs, metrics, control, life."""
--- /dev/null
+++ b/monsoonpier/process/life.py
@@ -0,0 +1,57 @@
+"""The life of a process on ``charts/process.yaml``, and its signals."""
+
+import asyncio
+import os
+import signal
+
+import structlog
+
+from monsoonpier.charts import load_chart
+
+__all__ = ["ProcessLife"]
+
+SECOND_SIGNAL_STATUS = 130
+_log = structlog.get_logger("monsoonpier.process.life")
+
+
+class ProcessLife:
+    """Steps the process's chart and lets tasks wait for its leaving."""
+
+    def __init__(self) -> None:
+        self._chart = load_chart("process")
+        self._state = self._chart.initial
+        self._leaving = asyncio.Event()
+
+    @property
+    def state(self) -> str:
+        """The chart's present state."""
+        return self._state
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new work should be sent here."""
+        return self._chart.has(self._state, "ready")
+
+    def step(self, event: str) -> None:
+        """Apply an event of the chart."""
+        before = self._state
+        self._state = self._chart.step(before, event)
+        if self._state != before:
+            _log.info("state changed", before=before, after=self._state)
+        if self._state in ("leaving", "stopped"):
+            self._leaving.set()
+
+    async def wait_for_leaving(self) -> None:
+        """Return when the process has been asked to leave."""
+        await self._leaving.wait()
+
+    def install_signals(self) -> None:
+        """Leave gracefully on the first SIGTERM or SIGINT; end on the second."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._signalled)
+
+    def _signalled(self) -> None:
+        self.step("terminate")
+        if self._state == "stopped":
+            os._exit(SECOND_SIGNAL_STATUS)
--- /dev/null
+++ b/monsoonpier/process/udp.py
@@ -0,0 +1,78 @@
+"""A UDP socket that hands each datagram to one owner."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from monsoonpier.model.address import Address
+
+__all__ = ["UdpSocket", "open_udp"]
+
+BUFFER_BYTES = 4 * 1_048_576  # bursts of uploads must not overrun the default
+
+Receiver = Callable[[bytes, tuple[str, int]], None]
+
+
+class UdpSocket(asyncio.DatagramProtocol):
+    """Counts bytes both ways; a failing datagram never ends the socket."""
+
+    def __init__(self, receive: Receiver) -> None:
+        self._receive = receive
+        self._transport: asyncio.DatagramTransport | None = None
+        self.bytes_in = 0
+        self.bytes_out = 0
+
+    def connection_made(self, transport) -> None:
+        """Keep the transport; called by asyncio."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand one datagram to the owner; called by asyncio."""
+        self.bytes_in += len(data)
+        self._receive(data, addr)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore ICMP errors: the peer's absence is judged by silence."""
+
+    def send(self, data: bytes, endpoint: tuple[str, int]) -> None:
+        """Send one datagram; what can't be sent is lost, as on the network."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self.bytes_out += len(data)
+        try:
+            self._transport.sendto(data, endpoint)
+        except (OSError, ValueError):
+            return
+
+    @property
+    def address(self) -> Address:
+        """The address that the socket is bound to."""
+        assert self._transport is not None
+        ip, port = self._transport.get_extra_info("sockname")[:2]
+        return Address(ip=ip, port=port)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+async def open_udp(receive: Receiver, *, ip: str, port: int) -> UdpSocket:
+    """Bind a UDP socket and hand its datagrams to ``receive``.
+
+    Raises:
+        OSError: If the port is taken or the address is not of this machine.
+    """
+    loop = asyncio.get_running_loop()
+    raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    raw.setblocking(False)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    try:
+        raw.bind((ip, port))
+    except OSError as error:
+        raw.close()
+        raise OSError(error.errno, f"{error.strerror} ({ip}:{port})") from error
+    _, protocol = await loop.create_datagram_endpoint(
+        lambda: UdpSocket(receive), sock=raw
+    )
+    return protocol
--- /dev/null
+++ b/monsoonpier/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and their codecs, one module per conversation."""
--- /dev/null
+++ b/monsoonpier/wire/frames.py
@@ -0,0 +1,174 @@
+"""Sealed datagrams between balancers and agents, and among balancers."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from monsoonpier.model.keys import FRAME, KeyRing
+from monsoonpier.model.target import LoadReport, TargetRecord
+from monsoonpier.wire.codec import Codec, Dropped, Name, Short
+
+__all__ = [
+    "Announce",
+    "BalancerRecord",
+    "Bounce",
+    "Forward",
+    "FrameCodec",
+    "Gossip",
+    "Heartbeat",
+    "HeartbeatAck",
+    "Return",
+    "Silence",
+]
+
+MAX_FRAME_BYTES = 2_048
+MAX_TRIED = 4
+MAX_RECORDS = 8  # per gossip datagram
+MAX_SILENCES = 16
+MAX_BALANCERS = 16
+
+Ip = Annotated[str, Meta(max_length=15)]
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Payload = Annotated[bytes, Meta(max_length=1_400)]
+Tried = Annotated[tuple[Name, ...], Meta(max_length=MAX_TRIED)]
+
+
+class _Frame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Base of all frames: an array whose first element is the tag."""
+
+
+class Forward(_Frame, tag=1):
+    """A caller's packet on its way to an agent; ``tried`` only with OPEN."""
+
+    service: Name
+    ip: Ip
+    port: Port
+    payload: Payload
+    tried: Tried = ()
+
+
+class Return(_Frame, tag=2):
+    """An agent's packet on its way to a caller."""
+
+    service: Name
+    ip: Ip
+    port: Port
+    payload: Payload
+    agent: Name
+    load: LoadReport
+
+
+class Bounce(_Frame, tag=3):
+    """An OPEN that an agent did not take, for another candidate."""
+
+    service: Name
+    ip: Ip
+    port: Port
+    payload: Payload
+    tried: Tried
+    reason: Short
+    retry_after_ms: int
+    agent: Name
+    load: LoadReport
+
+
+class Heartbeat(_Frame, tag=4):
+    """An agent is alive; sent to its bounded set of balancers."""
+
+    name: Name
+    epoch: int
+    change: int
+    load: LoadReport
+
+
+class BalancerRecord(_Frame, tag=5):
+    """A balancer as its peers and the agents know it."""
+
+    name: Name
+    data_centre: Name
+    ip: Ip
+    port: Port
+    control: Name
+    epoch: int
+    leaving: bool = False
+
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """The balancer's internal UDP address as sockets take it."""
+        return (self.ip, self.port)
+
+
+class HeartbeatAck(_Frame, tag=6):
+    """Answers `Heartbeat`: what the balancer knows and holds."""
+
+    balancer: Name
+    version: int
+    known: bool
+    allowed: bool
+    leaving: bool = False
+    balancers: Annotated[
+        tuple[BalancerRecord, ...], Meta(max_length=MAX_BALANCERS)
+    ] = ()
+
+
+class Announce(_Frame, tag=7):
+    """An agent's whole record, at its start and at each change."""
+
+    record: TargetRecord
+
+
+class Silence(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A witness has not heard a target's agent for a while."""
+
+    name: Name
+    epoch: int
+    witness: Name
+    silent: bool
+
+
+class Gossip(_Frame, tag=8):
+    """What a balancer tells a peer: news, and digests to find what is missing."""
+
+    sender: BalancerRecord
+    version: int
+    digest: Annotated[bytes, Meta(max_length=16)]
+    records: Annotated[tuple[TargetRecord, ...], Meta(max_length=MAX_RECORDS)] = ()
+    silences: Annotated[tuple[Silence, ...], Meta(max_length=MAX_SILENCES)] = ()
+    balancers: Annotated[
+        tuple[BalancerRecord, ...], Meta(max_length=MAX_BALANCERS)
+    ] = ()
+    is_answer: bool = False
+
+
+Frame = (
+    Forward
+    | Return
+    | Bounce
+    | Heartbeat
+    | HeartbeatAck
+    | BalancerRecord
+    | Announce
+    | Gossip
+)
+
+
+class FrameCodec:
+    """Seals and opens frames with the keys in force."""
+
+    def __init__(self, *, keys: KeyRing) -> None:
+        self._keys = keys
+        self._codec = Codec(messages=Frame, max_bytes=MAX_FRAME_BYTES)
+
+    def encode(self, frame: _Frame) -> bytes:
+        """Return the frame's sealed datagram."""
+        return self._keys.seal(self._codec.encode(frame), purpose=FRAME)
+
+    def decode(self, data: bytes):
+        """Return the frame in ``data``, or a `Dropped` that says why not."""
+        if len(data) > MAX_FRAME_BYTES:
+            return Dropped(reason="oversized")
+        body = self._keys.unseal(data, purpose=FRAME)
+        if body is None:
+            return Dropped(reason="forged")
+        return self._codec.decode(body)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around us: platform, target and fabric."""
--- /dev/null
+++ b/standins/fabric.py
@@ -0,0 +1,158 @@
+"""The fabric as a process: hands any packet of a flow to any balancer."""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+from functools import partial
+
+import aiohttp
+from aiohttp import web
+
+from monsoonpier.model.address import Address
+from monsoonpier.process.udp import UdpSocket, open_udp
+
+__all__ = ["FabricStandIn"]
+
+CHECK_SECONDS = 0.2
+FAILED_CHECKS = 2
+MAX_CALLERS = 4_000
+
+
+@dataclass(slots=True, kw_only=True)
+class Faults:
+    """What goes wrong with packets, as shares of them and seconds."""
+
+    duplicate: float = 0.0
+    drop: float = 0.0
+    reorder: float = 0.0
+    delay_seconds: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Balancer:
+    ip: str
+    ready_url: str
+    failed: int = 0
+
+    @property
+    def is_used(self) -> bool:
+        return self.failed < FAILED_CHECKS
+
+
+class FabricStandIn:
+    """Translates addresses as it must on one machine; keeps no flows."""
+
+    def __init__(self, *, vips: tuple[Address, ...], draw: random.Random) -> None:
+        self._vips = vips
+        self._draw = draw
+        self._sockets: dict[Address, UdpSocket] = {}
+        self._callers: dict[tuple[Address, tuple[str, int]], UdpSocket] = {}
+        self._opening: dict[tuple[Address, tuple[str, int]], list[bytes]] = {}
+        self._balancers_by_ip: dict[str, _Balancer] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self.faults = Faults()
+        self.packets = 0
+
+    async def start(self) -> None:
+        """Take packets on every virtual address."""
+        for vip in self._vips:
+            receive = partial(self._from_caller, vip)
+            self._sockets[vip] = await open_udp(receive, ip=vip.ip, port=vip.port)
+        self._spawn(self._check_forever())
+
+    def application(self) -> web.Application:
+        """Return the web application that controls the stand-in."""
+        app = web.Application()
+        app.router.add_post("/standin/balancers", self._set_balancers)
+        app.router.add_post("/standin/faults", self._set_faults)
+        app.router.add_get("/standin/state", self._state)
+        return app
+
+    def set_balancers(self, ready_urls_by_ip: dict[str, str]) -> None:
+        """Use these balancers from now on."""
+        self._balancers_by_ip = {
+            ip: self._balancers_by_ip.get(ip) or _Balancer(ip=ip, ready_url=url)
+            for ip, url in ready_urls_by_ip.items()
+        }
+
+    def _from_caller(self, vip: Address, data: bytes, caller: tuple[str, int]) -> None:
+        self.packets += 1
+        key = (vip, caller)
+        upstream = self._callers.get(key)
+        if upstream is not None:
+            self._disturb(partial(self._spray, upstream, vip, data))
+        elif key in self._opening:
+            self._opening[key].append(data)
+        elif len(self._callers) < MAX_CALLERS:
+            self._opening[key] = [data]
+            self._spawn(self._open_upstream(key))
+
+    async def _open_upstream(self, key) -> None:
+        vip, caller = key
+        upstream = await open_udp(
+            partial(self._to_caller, vip, caller), ip="127.0.0.1", port=0
+        )
+        self._callers[key] = upstream
+        for data in self._opening.pop(key):
+            self._disturb(partial(self._spray, upstream, vip, data))
+
+    def _spray(self, upstream: UdpSocket, vip: Address, data: bytes) -> None:
+        used = [b for b in self._balancers_by_ip.values() if b.is_used]
+        if used:
+            upstream.send(data, (self._draw.choice(used).ip, vip.port))
+
+    def _to_caller(self, vip, caller, data: bytes, sender: tuple[str, int]) -> None:
+        self._disturb(partial(self._sockets[vip].send, data, caller))
+
+    def _disturb(self, send) -> None:
+        faults, draw = self.faults, self._draw
+        if faults.drop and draw.random() < faults.drop:
+            return
+        copies = 2 if faults.duplicate and draw.random() < faults.duplicate else 1
+        for _ in range(copies):
+            delay = faults.delay_seconds
+            if faults.reorder and draw.random() < faults.reorder:
+                delay += draw.uniform(0, 0.02)
+            if delay:
+                asyncio.get_running_loop().call_later(delay, send)
+            else:
+                send()
+
+    async def _check_forever(self) -> None:
+        """Leave out balancers that say they aren't ready, as routers would."""
+        timeout = aiohttp.ClientTimeout(total=0.5)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.gather(
+                    *(self._check(session, b) for b in self._balancers_by_ip.values())
+                )
+                await asyncio.sleep(CHECK_SECONDS)
+
+    async def _check(self, session: aiohttp.ClientSession, balancer) -> None:
+        try:
+            async with session.get(balancer.ready_url) as response:
+                ok = response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            ok = False
+        balancer.failed = 0 if ok else balancer.failed + 1
+
+    async def _set_balancers(self, request: web.Request) -> web.Response:
+        self.set_balancers(await request.json())
+        return web.json_response({"balancers": len(self._balancers_by_ip)})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            setattr(self.faults, name, value)
+        return web.json_response({"ok": True})
+
+    async def _state(self, request: web.Request) -> web.Response:
+        used = [b.ip for b in self._balancers_by_ip.values() if b.is_used]
+        return web.json_response(
+            {"used": used, "packets": self.packets, "at": time.time()}
+        )
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/standins/fake_platform.py
@@ -0,0 +1,98 @@
+"""The platform in memory, for tests: the client's interface on a `Store`."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+
+from monsoonpier.platform.interface import (
+    Compare,
+    LeaseNotFoundError,
+    PlatformError,
+    Put,
+    Snapshot,
+    TransactionResult,
+    WatchEvent,
+)
+from standins.store import Store, end_of
+
+__all__ = ["FakePlatform"]
+
+POLL_SECONDS = 0.01
+
+
+class FakePlatform:
+    """Keeps to the platform's interface; fails as it is told to."""
+
+    def __init__(
+        self,
+        *,
+        store: Store | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.store = store or Store()
+        self._clock = clock
+        self.is_down = False
+        self.lost_answers = 0
+
+    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
+        """Return the key, or all keys that begin with it."""
+        self._check()
+        return self.store.read(key, end=end_of(key, prefix=prefix), now=self._clock())
+
+    async def transact(
+        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+    ) -> TransactionResult:
+        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+        self._check()
+        try:
+            result = self.store.transact(
+                compares=compares, puts=puts, now=self._clock()
+            )
+        except KeyError as error:
+            raise LeaseNotFoundError(str(error)) from error
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise PlatformError("the answer was lost")
+        return result
+
+    async def grant(self, *, ttl_seconds: int) -> int:
+        """Return the id of a new lease."""
+        self._check()
+        return self.store.grant(ttl_seconds=ttl_seconds, now=self._clock())
+
+    async def renew(self, lease: int) -> int:
+        """Renew a lease and return its seconds to live."""
+        self._check()
+        ttl = self.store.renew(lease, now=self._clock())
+        if not ttl:
+            raise LeaseNotFoundError("the lease has ended")
+        return ttl
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease; its keys are deleted."""
+        self._check()
+        try:
+            self.store.revoke(lease)
+        except KeyError as error:
+            raise LeaseNotFoundError(str(error)) from error
+
+    async def watch(
+        self, key: str, *, prefix: bool = False, from_revision: int
+    ) -> AsyncIterator[WatchEvent]:
+        """Yield every change from that revision on, across cuts."""
+        since = from_revision
+        end = end_of(key, prefix=prefix)
+        while True:
+            if not self.is_down:
+                self.store.expire(now=self._clock())
+                for event in self.store.events(key, end=end, since=since):
+                    since = event.mod_revision + 1
+                    yield event
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def close(self) -> None:
+        """Nothing to let go of."""
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise PlatformError("the platform is down")
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,134 @@
+"""The key-value store behind the platform stand-in and the in-memory fake."""
+
+from dataclasses import dataclass, field
+
+from monsoonpier.platform.interface import (
+    Compare,
+    KeyValue,
+    Put,
+    Snapshot,
+    TransactionResult,
+    WatchEvent,
+    prefix_end,
+)
+
+__all__ = ["Store"]
+
+
+@dataclass(slots=True, kw_only=True)
+class _StoredLease:
+    ttl_seconds: int
+    ends: float
+    keys: set[str] = field(default_factory=set)
+
+
+class Store:
+    """Keys with revisions, leases and a history for watches. No I/O."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self._values_by_key: dict[str, KeyValue] = {}
+        self._leases_by_id: dict[int, _StoredLease] = {}
+        self._last_lease = 7_000
+        self.history: list[WatchEvent] = []
+
+    def read(self, key: str, *, end: bytes | None = None, now: float) -> Snapshot:
+        """Return the key, or the keys from it up to ``end``."""
+        self.expire(now=now)
+        if end is None:
+            found = (
+                {key: self._values_by_key[key]} if key in self._values_by_key else {}
+            )
+        else:
+            found = {
+                k: v
+                for k, v in sorted(self._values_by_key.items())
+                if key.encode() <= k.encode() < end
+            }
+        return Snapshot(revision=self.revision, values_by_key=found)
+
+    def transact(
+        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...], now: float
+    ) -> TransactionResult:
+        """Write all of ``puts`` if all of ``compares`` hold."""
+        self.expire(now=now)
+        for compare in compares:
+            current = self._values_by_key.get(compare.key)
+            if (current.mod_revision if current else 0) != compare.mod_revision:
+                return TransactionResult(succeeded=False, revision=self.revision)
+        for put in puts:
+            if put.lease and put.lease not in self._leases_by_id:
+                raise KeyError("requested lease not found")
+        if puts:
+            self.revision += 1
+        for put in puts:
+            self._put(put)
+        return TransactionResult(succeeded=True, revision=self.revision)
+
+    def grant(self, *, ttl_seconds: int, now: float) -> int:
+        """Return a new lease's id."""
+        self._last_lease += 1
+        self._leases_by_id[self._last_lease] = _StoredLease(
+            ttl_seconds=ttl_seconds, ends=now + ttl_seconds
+        )
+        return self._last_lease
+
+    def renew(self, lease: int, *, now: float) -> int:
+        """Renew a lease; return its seconds to live, 0 if it has ended."""
+        self.expire(now=now)
+        held = self._leases_by_id.get(lease)
+        if held is None:
+            return 0
+        held.ends = now + held.ttl_seconds
+        return held.ttl_seconds
+
+    def revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        held = self._leases_by_id.pop(lease, None)
+        if held is None:
+            raise KeyError("requested lease not found")
+        for key in sorted(held.keys):
+            self._delete(key)
+
+    def expire(self, *, now: float) -> None:
+        """End the leases that have run out."""
+        for lease, held in list(self._leases_by_id.items()):
+            if now >= held.ends:
+                self.revoke(lease)
+
+    def events(self, key: str, *, end: bytes | None, since: int) -> list[WatchEvent]:
+        """Return the changes of the keys from that revision on."""
+        return [
+            event
+            for event in self.history
+            if event.mod_revision >= since and _matches(event.key, key, end)
+        ]
+
+    def _put(self, put: Put) -> None:
+        old = self._values_by_key.get(put.key)
+        if old is not None and old.lease in self._leases_by_id:
+            self._leases_by_id[old.lease].keys.discard(put.key)
+        self._values_by_key[put.key] = KeyValue(
+            key=put.key, value=put.value, mod_revision=self.revision, lease=put.lease
+        )
+        if put.lease:
+            self._leases_by_id[put.lease].keys.add(put.key)
+        self.history.append(
+            WatchEvent(key=put.key, value=put.value, mod_revision=self.revision)
+        )
+
+    def _delete(self, key: str) -> None:
+        self.revision += 1
+        del self._values_by_key[key]
+        self.history.append(WatchEvent(key=key, value=None, mod_revision=self.revision))
+
+
+def _matches(key: str, start: str, end: bytes | None) -> bool:
+    if end is None:
+        return key == start
+    return start.encode() <= key.encode() < end
+
+
+def end_of(key: str, *, prefix: bool) -> bytes | None:
+    """Return the end of a range for a prefix, ``None`` for a single key."""
+    return prefix_end(key) if prefix else None
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,150 @@
+"""A target as a process: does work, streams items, keeps a record of each run."""
+
+import asyncio
+import json
+import math
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from aiohttp import web
+
+__all__ = ["TargetStandIn"]
+
+COLD_EXTRA = 3.0  # a cold target takes up to this many times longer on top
+COLD_SECONDS = 5.0
+
+
+@dataclass(slots=True, kw_only=True)
+class Behaviour:
+    """How the target behaves; ``POST /standin/faults`` changes it."""
+
+    slow_factor: float = 1.0
+    drain: bool = False
+    shed_seconds: float = 0.0
+    mute: bool = False
+    lie_healthy: bool = True
+    lie_load: int | None = None
+    cut_answers: int = 0
+
+
+class TargetStandIn:
+    """Runs at most ``slots`` requests at a time, as a small host would."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        slots: int = 3,
+        work_seconds: float = 0.02,
+        item_seconds: float = 0.2,
+        cold: bool = False,
+        records: Path | None = None,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._slots = asyncio.Semaphore(slots)
+        self._work_seconds = work_seconds
+        self._item_seconds = item_seconds
+        self._started = time.monotonic()
+        self._cold = cold
+        self._records = records.open("a", buffering=1) if records else None
+        self._running = 0
+        self._streams = 0
+        self.behaviour = Behaviour()
+        self.runs: list[dict] = []
+
+    def application(self) -> web.Application:
+        """Return the web application that serves the stand-in."""
+        app = web.Application(client_max_size=128 * 1_048_576)
+        app.router.add_post("/work/{kind}", self._work)
+        app.router.add_get("/streams/{kind}", self._stream)
+        app.router.add_get("/health", self._health)
+        app.router.add_get("/load", self._load)
+        app.router.add_post("/standin/faults", self._set_faults)
+        app.router.add_get("/standin/runs", self._get_runs)
+        return app
+
+    async def _work(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        behaviour = self.behaviour
+        if behaviour.shed_seconds:
+            retry = str(behaviour.shed_seconds)
+            return web.Response(status=503, headers={"Retry-After": retry})
+        if behaviour.mute:
+            await asyncio.sleep(3600)
+        tag = body.split(b"\n", 1)[0].decode(errors="replace")
+        self._record(request.match_info["kind"], tag)
+        self._running += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(self._seconds(request))
+        finally:
+            self._running -= 1
+        if behaviour.cut_answers:
+            behaviour.cut_answers -= 1
+            request.transport.abort()
+        return web.Response(body=_answer(self._service, tag, request))
+
+    def _seconds(self, request: web.Request) -> float:
+        seconds = self._work_seconds * self.behaviour.slow_factor
+        seconds = float(request.headers.get("X-Work-Seconds", seconds))
+        if self._cold:
+            age = time.monotonic() - self._started
+            seconds *= 1 + COLD_EXTRA * math.exp(-age / COLD_SECONDS)
+        return seconds
+
+    def _record(self, kind: str, tag: str) -> None:
+        run = {"target": self._name, "service": self._service, "kind": kind}
+        run |= {"tag": tag, "at": time.time()}
+        self.runs.append(run)
+        if self._records is not None:
+            self._records.write(json.dumps(run) + "\n")
+
+    async def _stream(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        number = int(request.query.get("after", 0))
+        self._streams += 1
+        try:
+            while True:
+                number += 1
+                item = {"n": number, "data": f"{self._service} item {number}"}
+                await response.write(json.dumps(item).encode() + b"\n")
+                await asyncio.sleep(self._item_seconds)
+        finally:
+            self._streams -= 1
+
+    async def _health(self, request: web.Request) -> web.Response:
+        if self.behaviour.drain:
+            return web.Response(text="draining")
+        if not self.behaviour.lie_healthy:
+            return web.Response(status=500, text="ill")
+        return web.Response(text="healthy")
+
+    async def _load(self, request: web.Request) -> web.Response:
+        running = self.behaviour.lie_load
+        if running is None:
+            running = self._running
+        return web.json_response({"running": running, "streams": self._streams})
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            if not hasattr(self.behaviour, name):
+                return web.json_response({"unknown": name}, status=400)
+            setattr(self.behaviour, name, value)
+        return web.json_response({"ok": True})
+
+    async def _get_runs(self, request: web.Request) -> web.Response:
+        return web.json_response(self.runs)
+
+
+def _answer(service: str, tag: str, request: web.Request) -> bytes:
+    """Return a body whose wholeness the caller can check for itself."""
+    size = 0
+    for word in tag.split():
+        if word.startswith("answer="):
+            size = int(word.removeprefix("answer="))
+    head = f"{service}\n{tag}\n".encode()
+    return head + b"x" * max(0, size - len(head))
