--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -12,11 +12,11 @@
 from monsoonpier.documents.stored import unpack, unstore
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
-from monsoonpier.platform.backoff import Backoff
-from monsoonpier.platform.etcd import EtcdPlatform
-from monsoonpier.platform.interface import PlatformError
-from monsoonpier.platform.keys import BALANCERS
 from monsoonpier.process.control import NoAnswer, ask
+from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.etcd import EtcdStore
+from monsoonpier.store.interface import StoreError
+from monsoonpier.store.keys import BALANCERS
 from monsoonpier.wire.control import AskConfiguration, ConfigurationReply
 from monsoonpier.wire.frames import (
     Announce,
@@ -62,7 +62,7 @@
         self._draw = draw
         self._codec = FrameCodec(keys=settings.keys)
         self._witnesses = Witnesses(target=settings.name)
-        self._platform = EtcdPlatform(addresses=settings.platform, draw=draw)
+        self._platform = EtcdStore(addresses=settings.platform, draw=draw)
         self._fetching: asyncio.Task | None = None
         self.record = record
         self.configuration = Configuration()
@@ -138,7 +138,7 @@
     async def _read_platform(self) -> None:
         try:
             found = await self._platform.read(BALANCERS, prefix=True)
-        except PlatformError as error:
+        except StoreError as error:
             _log.info("platform unreachable", reason=str(error))
             return
         for value in found.values_by_key.values():
--- a/monsoonpier/balancer/process.py
+++ b/monsoonpier/balancer/process.py
@@ -14,14 +14,14 @@
     ToAgent,
     ToCaller,
 )
-from monsoonpier.balancer.platform_link import PlatformLink
+from monsoonpier.balancer.store_link import StoreLink
 from monsoonpier.documents.settings import Settings
 from monsoonpier.documents.stored import pack, unpack, unstore
-from monsoonpier.platform.etcd import EtcdPlatform
 from monsoonpier.process.control import ControlServer, NoAnswer, ask
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import (
     AskConfiguration,
@@ -71,8 +71,8 @@
         )
         self._balancer = Balancer(own=own, keys=settings.keys)
         self._codec = FrameCodec(keys=settings.keys)
-        self._platform = EtcdPlatform(addresses=settings.platform, draw=self._draw)
-        self._link = PlatformLink(
+        self._platform = EtcdStore(addresses=settings.platform, draw=self._draw)
+        self._link = StoreLink(
             platform=self._platform,
             peers=self._balancer.peers,
             codec=self._codec,
--- a/monsoonpier/balancer/platform_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -8,29 +8,29 @@
 import structlog
 
 from monsoonpier.balancer.peers import Peers
-from monsoonpier.platform.backoff import Backoff
-from monsoonpier.platform.interface import (
+from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.interface import (
     CompactedError,
     LeaseNotFoundError,
-    Platform,
-    PlatformError,
     Put,
+    Store,
+    StoreError,
 )
-from monsoonpier.platform.keys import BALANCERS, CONFIGURATION
-from monsoonpier.platform.lease import Lease
+from monsoonpier.store.keys import BALANCERS, CONFIGURATION
+from monsoonpier.store.lease import Lease
 from monsoonpier.wire.frames import BalancerRecord, FrameCodec
 
-__all__ = ["PlatformLink"]
+__all__ = ["StoreLink"]
 
 LEASE_TTL_SECONDS = 30
 RENEW_SECONDS = 10.0
 WATCH_CHECK_SECONDS = 2.0  # how soon a watcher's place is taken when it dies
 POLL_SECONDS = 60.0  # those who don't watch look this seldom; peers tell them first
 LEAVE_CALL_SECONDS = 2.0
-_log = structlog.get_logger("monsoonpier.balancer.platform_link")
+_log = structlog.get_logger("monsoonpier.balancer.store_link")
 
 
-class PlatformLink:
+class StoreLink:
     """Keeps the balancer registered and brings configuration from the platform.
 
     The platform's silence never takes anything away: what is known stays.
@@ -39,7 +39,7 @@
     def __init__(
         self,
         *,
-        platform: Platform,
+        platform: Store,
         peers: Peers,
         codec: FrameCodec,
         configure: Callable[[bytes], None],
@@ -68,7 +68,7 @@
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
                 await self._platform.revoke(lease.id)
-        except (PlatformError, TimeoutError) as error:
+        except (StoreError, TimeoutError) as error:
             _log.info("lease not revoked", reason=str(error))
 
     async def _register_forever(self) -> None:
@@ -78,7 +78,7 @@
                 await self._keep_registered()
                 backoff = backoff.after_success()
                 await asyncio.sleep(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
-            except PlatformError as error:
+            except StoreError as error:
                 _log.info("platform unreachable", reason=str(error))
                 self._lease = self._lease.renewal_failed()
                 await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
@@ -136,14 +136,14 @@
                 ):
                     if event.value is not None:
                         self._configure(event.value)
-            except (PlatformError, CompactedError) as error:
+            except (StoreError, CompactedError) as error:
                 _log.info("watch begins anew", reason=str(error))
                 await asyncio.sleep(self._draw.uniform(0.5, 1.0))
 
     async def _read_quietly(self) -> None:
         try:
             await self._read()
-        except PlatformError as error:
+        except StoreError as error:
             _log.info("platform unreachable", reason=str(error))
 
     async def _read(self) -> int:
--- a/monsoonpier/operator/change.py
+++ b/monsoonpier/operator/change.py
@@ -14,9 +14,9 @@
 from monsoonpier.documents.configuration import difference, parse_files
 from monsoonpier.documents.stored import Stored, decode_stored, encode_stored
 from monsoonpier.model.service import Service
-from monsoonpier.platform.backoff import Backoff
-from monsoonpier.platform.interface import Compare, Platform, PlatformError, Put
-from monsoonpier.platform.keys import AUDIT, CONFIGURATION, audit_key
+from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.interface import Compare, Put, Store, StoreError
+from monsoonpier.store.keys import AUDIT, CONFIGURATION, audit_key
 
 __all__ = [
     "Accepted",
@@ -95,7 +95,7 @@
 
 
 async def change(
-    platform: Platform,
+    platform: Store,
     wanted: Change,
     *,
     base: Base,
@@ -109,7 +109,7 @@
     restored from a backup must not bring a number into use a second time.
 
     Raises:
-        PlatformError: If the platform was unreachable before anything was sent.
+        StoreError: If the platform was unreachable before anything was sent.
     """
     version = max(base.version, newest_in_force) + 1
     services = parse_files(wanted.texts_by_name).services_by_name
@@ -138,7 +138,7 @@
             if result.succeeded:
                 return accepted
             return await _resolve(platform, wanted, accepted)
-        except PlatformError as error:
+        except StoreError as error:
             # The same compares make a second try harmless: if the first took
             # effect they fail, and reading back finds this apply's id.
             if asyncio.get_running_loop().time() >= deadline:
@@ -148,7 +148,7 @@
 
 
 async def _resolve(
-    platform: Platform, wanted: Change, accepted: Accepted
+    platform: Store, wanted: Change, accepted: Accepted
 ) -> Accepted | Conflict:
     """Tell a write whose answer was lost from one that came second."""
     found = await platform.read(audit_key(accepted.version))
@@ -158,7 +158,7 @@
     return Conflict(by=await read_stored(platform))
 
 
-async def read_stored(platform: Platform) -> Base:
+async def read_stored(platform: Store) -> Base:
     """Return the configuration that the platform holds."""
     found = await platform.read(CONFIGURATION)
     value = found.values_by_key.get(CONFIGURATION)
@@ -168,7 +168,7 @@
     return Base(stored=decode_stored(value.value), mod_revision=value.mod_revision)
 
 
-async def read_audit(platform: Platform, *, version: int = 0) -> list[AuditEntry]:
+async def read_audit(platform: Store, *, version: int = 0) -> list[AuditEntry]:
     """Return the audit trail, the oldest first, or one version's entry."""
     if version:
         found = await platform.read(audit_key(version))
--- a/monsoonpier/operator/commands.py
+++ b/monsoonpier/operator/commands.py
@@ -31,8 +31,8 @@
     read_stored,
 )
 from monsoonpier.operator.session import OperatorSession
-from monsoonpier.platform.interface import PlatformError
 from monsoonpier.process.control import NoAnswer
+from monsoonpier.store.interface import StoreError
 from monsoonpier.wire.control import StatusReply
 
 __all__ = [
@@ -77,7 +77,7 @@
     """Apply the files of an earlier version as a new version."""
     try:
         entries = await read_audit(session.platform, version=version)
-    except PlatformError as error:
+    except StoreError as error:
         return _unreachable(error)
     if not entries:
         print(f"there is no version {version} in the audit trail", file=sys.stderr)
@@ -99,7 +99,7 @@
         return Exit.BAD_INPUT
     try:
         base = await read_stored(session.platform)
-    except PlatformError as error:
+    except StoreError as error:
         return _unreachable(error)
     lines = difference(base.stored.services, parsed.services_by_name)
     print(f"against version {base.version}:")
@@ -111,7 +111,7 @@
     """Print the audit trail, the newest change first."""
     try:
         entries = await read_audit(session.platform)
-    except PlatformError as error:
+    except StoreError as error:
         return _unreachable(error)
     for entry in entries[::-1][:count]:
         print(
@@ -130,7 +130,7 @@
     try:
         stored = (await read_stored(session.platform)).stored
         statuses = await session.statuses(await session.balancers())
-    except PlatformError as error:
+    except StoreError as error:
         return _unreachable(error)
     if as_json:
         print(json.dumps({"accepted": stored.version, "balancers": plain(statuses)}))
@@ -148,7 +148,7 @@
     try:
         balancers = await session.balancers()
         statuses = await session.statuses(balancers)
-    except PlatformError as error:
+    except StoreError as error:
         return _unreachable(error)
     controls_by_name = {n: record.control for n, record in balancers.items()}
     for status in statuses.values():
@@ -198,7 +198,7 @@
     )
     try:
         base = await read_stored(session.platform)
-    except PlatformError as error:
+    except StoreError as error:
         return _unreachable(error)
     outcome = await change(
         session.platform,
@@ -239,7 +239,7 @@
     while True:
         try:
             statuses = await session.statuses(await session.balancers())
-        except PlatformError as error:
+        except StoreError as error:
             return _unreachable(error)
         lagging = sorted(
             name for name, s in statuses.items() if s is None or s.version < version
@@ -303,6 +303,6 @@
     ]
 
 
-def _unreachable(error: PlatformError) -> int:
+def _unreachable(error: StoreError) -> int:
     print(f"the platform can't be reached: {error}", file=sys.stderr)
     return Exit.UNAVAILABLE
--- a/monsoonpier/operator/session.py
+++ b/monsoonpier/operator/session.py
@@ -4,10 +4,10 @@
 import random
 
 from monsoonpier.documents.settings import Settings
-from monsoonpier.platform.etcd import EtcdPlatform
-from monsoonpier.platform.interface import PlatformError
-from monsoonpier.platform.keys import BALANCERS
 from monsoonpier.process.control import NoAnswer, ask
+from monsoonpier.store.etcd import EtcdStore
+from monsoonpier.store.interface import StoreError
+from monsoonpier.store.keys import BALANCERS
 from monsoonpier.wire.control import AskDrain, AskStatus, DrainReply, StatusReply
 from monsoonpier.wire.frames import BalancerRecord, FrameCodec
 
@@ -22,7 +22,7 @@
     def __init__(self, *, settings: Settings) -> None:
         self._settings = settings
         self.draw = random.Random()
-        self.platform = EtcdPlatform(addresses=settings.platform, draw=self.draw)
+        self.platform = EtcdStore(addresses=settings.platform, draw=self.draw)
         self._codec = FrameCodec(keys=settings.keys)
 
     async def __aenter__(self) -> "OperatorSession":
@@ -35,7 +35,7 @@
         """Return the balancers that hold a lease in the platform, by name.
 
         Raises:
-            PlatformError: If the platform can't be reached.
+            StoreError: If the platform can't be reached.
         """
         found = await self.platform.read(BALANCERS, prefix=True)
         records = [self._codec.decode(v.value) for v in found.values_by_key.values()]
@@ -78,6 +78,6 @@
         """Return the newest version that any balancer has in force; 0 if none."""
         try:
             statuses = await self.statuses(await self.balancers())
-        except PlatformError:
+        except StoreError:
             return 0
         return max((s.version for s in statuses.values() if s), default=0)
--- a/monsoonpier/platform/etcd.py
+++ b/monsoonpier/store/etcd.py
@@ -9,29 +9,29 @@
 import aiohttp
 import structlog
 
-from monsoonpier.platform.backoff import Backoff
-from monsoonpier.platform.interface import (
+from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.interface import (
     CompactedError,
     Compare,
     KeyValue,
     LeaseNotFoundError,
-    PlatformError,
     Put,
     Snapshot,
+    StoreError,
     TransactionResult,
     WatchEvent,
     prefix_end,
 )
 
-__all__ = ["EtcdPlatform"]
+__all__ = ["EtcdStore"]
 
 CALL_SECONDS = 2.0  # the platform answers in milliseconds when it is well
 WATCH_SILENCE_SECONDS = 60.0  # a watch that says nothing this long is made anew
 MAX_LINE_BYTES = 4 * 1_048_576
-_log = structlog.get_logger("monsoonpier.platform.etcd")
+_log = structlog.get_logger("monsoonpier.store.etcd")
 
 
-class EtcdPlatform:
+class EtcdStore:
     """Speaks to the first address that answers; turns to the next on failure."""
 
     def __init__(
@@ -125,7 +125,7 @@
             except CompactedError:
                 raise
             except (
-                PlatformError,
+                StoreError,
                 aiohttp.ClientError,
                 TimeoutError,
                 OSError,
@@ -153,7 +153,7 @@
             self._url("/v3/watch"), json={"create_request": request}, timeout=timeout
         ) as response:
             if response.status != 200:
-                raise PlatformError(f"watch answered {response.status}")
+                raise StoreError(f"watch answered {response.status}")
             async for line in response.content:
                 if not line.strip():
                     continue
@@ -176,8 +176,8 @@
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
                 # A write may have taken effect: only its caller can find out.
                 self._turn()
-                raise PlatformError(f"{path}: {error!r}") from error
-        raise PlatformError(f"the platform is unreachable: {failure}")
+                raise StoreError(f"{path}: {error!r}") from error
+        raise StoreError(f"the platform is unreachable: {failure}")
 
     async def _call_once(self, path: str, body: dict) -> dict:
         timeout = aiohttp.ClientTimeout(total=self._call_seconds)
@@ -190,7 +190,7 @@
             message = _parse(text).get("message", "") if text else ""
             if "lease not found" in message:
                 raise LeaseNotFoundError(message)
-            raise PlatformError(f"{path} answered {response.status} {message}")
+            raise StoreError(f"{path} answered {response.status} {message}")
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -208,9 +208,9 @@
     try:
         content = json.loads(text)
     except ValueError as error:
-        raise PlatformError("the platform's answer is not JSON") from error
+        raise StoreError("the platform's answer is not JSON") from error
     if not isinstance(content, dict):
-        raise PlatformError("the platform's answer is not a JSON object")
+        raise StoreError("the platform's answer is not a JSON object")
     return content
 
 
--- a/monsoonpier/platform/interface.py
+++ b/monsoonpier/store/interface.py
@@ -9,8 +9,8 @@
     "Compare",
     "KeyValue",
     "LeaseNotFoundError",
-    "Platform",
-    "PlatformError",
+    "Store",
+    "StoreError",
     "Put",
     "TransactionResult",
     "WatchEvent",
@@ -19,18 +19,18 @@
 ]
 
 
-class PlatformError(Exception):
+class StoreError(Exception):
     """The platform can't be reached, or its answer was lost.
 
     A write that raised this may have taken effect.
     """
 
 
-class LeaseNotFoundError(PlatformError):
+class LeaseNotFoundError(StoreError):
     """The platform answered that the lease has ended."""
 
 
-class CompactedError(PlatformError):
+class CompactedError(StoreError):
     """The platform no longer has the changes a watch asked for."""
 
 
@@ -86,8 +86,8 @@
     mod_revision: int
 
 
-class Platform(Protocol):
-    """The operations that the project uses; each may raise `PlatformError`."""
+class Store(Protocol):
+    """The operations that the project uses; each may raise `StoreError`."""
 
     async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
         """Return the key, or all keys that begin with it."""
--- a/standins/fake_platform.py
+++ b/standins/fake_store.py
@@ -4,23 +4,23 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
-from monsoonpier.platform.interface import (
+from monsoonpier.store.interface import (
     Compare,
     LeaseNotFoundError,
-    PlatformError,
     Put,
     Snapshot,
+    StoreError,
     TransactionResult,
     WatchEvent,
 )
 from standins.store import Store, end_of
 
-__all__ = ["FakePlatform"]
+__all__ = ["FakeStore"]
 
 POLL_SECONDS = 0.01
 
 
-class FakePlatform:
+class FakeStore:
     """Keeps to the platform's interface; fails as it is told to."""
 
     def __init__(
@@ -52,7 +52,7 @@
             raise LeaseNotFoundError(str(error)) from error
         if self.lost_answers:
             self.lost_answers -= 1
-            raise PlatformError("the answer was lost")
+            raise StoreError("the answer was lost")
         return result
 
     async def grant(self, *, ttl_seconds: int) -> int:
@@ -95,4 +95,4 @@
 
     def _check(self) -> None:
         if self.is_down:
-            raise PlatformError("the platform is down")
+            raise StoreError("the platform is down")
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from monsoonpier.platform.interface import Compare, KeyValue, Put, WatchEvent
+from monsoonpier.store.interface import Compare, KeyValue, Put, WatchEvent
 from standins.store import Store
 
 __all__ = ["PlatformStandIn"]
--- a/standins/store.py
+++ b/standins/store.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from monsoonpier.platform.interface import (
+from monsoonpier.store.interface import (
     Compare,
     KeyValue,
     Put,
--- a/tests/balancer/test_platform_link.py
+++ b/tests/balancer/test_store_link.py
@@ -4,11 +4,11 @@
 import unittest
 
 from monsoonpier.balancer.peers import Peers
-from monsoonpier.balancer.platform_link import LEASE_TTL_SECONDS, PlatformLink
-from monsoonpier.platform.interface import LeaseNotFoundError, PlatformError, Put
-from monsoonpier.platform.keys import BALANCERS
+from monsoonpier.balancer.store_link import LEASE_TTL_SECONDS, StoreLink
+from monsoonpier.store.interface import LeaseNotFoundError, Put, StoreError
+from monsoonpier.store.keys import BALANCERS
 from monsoonpier.wire.frames import FrameCodec
-from standins.fake_platform import FakePlatform
+from standins.fake_store import FakeStore
 from tests.rig import KEYS, balancer
 
 
@@ -17,10 +17,10 @@
 
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
-        self.platform = FakePlatform(clock=lambda: self.now)
+        self.platform = FakeStore(clock=lambda: self.now)
         self.configured: list[str] = []
         self.peers = Peers(own=balancer("b1").peers.own)
-        self.link = PlatformLink(
+        self.link = StoreLink(
             platform=self.platform,
             peers=self.peers,
             codec=FrameCodec(keys=KEYS),
@@ -67,7 +67,7 @@
         await self.link._keep_registered()
         self.peers.learn(balancer("b2", host=2).peers.own)
         self.platform.is_down = True
-        with self.assertRaises(PlatformError):
+        with self.assertRaises(StoreError):
             await self.link._keep_registered()
         self.assertIn("b2", self.peers.records_by_name)
         self.now += LEASE_TTL_SECONDS * 2
@@ -84,7 +84,7 @@
     async def test_lost_answer_of_registration(self):
         """A registration whose answer was lost is made again, not believed."""
         self.platform.lost_answers = 1
-        with self.assertRaises(PlatformError):
+        with self.assertRaises(StoreError):
             await self.link._keep_registered()
         self.assertFalse(self.link._lease.may_act(now=self.now))
         await self.link._keep_registered()
--- a/tests/operator/test_change.py
+++ b/tests/operator/test_change.py
@@ -14,9 +14,9 @@
     read_audit,
     read_stored,
 )
-from monsoonpier.platform.interface import PlatformError
-from monsoonpier.platform.keys import CONFIGURATION
-from standins.fake_platform import FakePlatform
+from monsoonpier.store.interface import StoreError
+from monsoonpier.store.keys import CONFIGURATION
+from standins.fake_store import FakeStore
 
 FILE = """\
 services:
@@ -39,7 +39,7 @@
     """Compare-and-swap with an apply id."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = FakePlatform()
+        self.platform = FakeStore()
         self.draw = random.Random(1)
 
     async def apply(self, what: Change, *, base=None, **options):
@@ -97,7 +97,7 @@
             self.platform.transact = real
             await real(**arguments)
             await later(wanted("ben", 7002))
-            raise PlatformError("the answer was lost")
+            raise StoreError("the answer was lost")
 
         self.platform.transact = lose_and_overtake
         outcome = await self.apply(wanted("ana"), base=base)
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -9,7 +9,7 @@
 from monsoonpier.caller import Caller, Done, FlowLost, Late, Unknown
 from monsoonpier.exits import Exit
 from monsoonpier.operator.change import Change, change, read_audit, read_stored
-from monsoonpier.platform.etcd import EtcdPlatform
+from monsoonpier.store.etcd import EtcdStore
 from standins.deployment import Deployment
 from standins.load import Load, judge
 
@@ -214,7 +214,7 @@
         await self._finish(load, deployment)
 
     async def _registered(self, deployment: Deployment) -> list[str]:
-        platform = EtcdPlatform(
+        platform = EtcdStore(
             addresses=(deployment.platform_url,), draw=random.Random(1)
         )
         try:
@@ -238,7 +238,7 @@
         )
         self.assertLessEqual({r[0] for r in results}, {Exit.OK, Exit.CONFLICT})
         operators = [
-            EtcdPlatform(addresses=(deployment.platform_url,), draw=random.Random(n))
+            EtcdStore(addresses=(deployment.platform_url,), draw=random.Random(n))
             for n in (1, 2)
         ]
         before = len(await read_audit(operators[0]))
--- a/tests/platform/test_contract.py
+++ b/tests/store/test_contract.py
@@ -7,15 +7,15 @@
 
 from aiohttp import web
 
-from monsoonpier.platform.etcd import EtcdPlatform
-from monsoonpier.platform.interface import (
+from monsoonpier.store.etcd import EtcdStore
+from monsoonpier.store.interface import (
     Compare,
     LeaseNotFoundError,
-    Platform,
-    PlatformError,
     Put,
+    Store,
+    StoreError,
 )
-from standins.fake_platform import FakePlatform
+from standins.fake_store import FakeStore
 from standins.platform import PlatformStandIn
 
 KEY = "/test/key"
@@ -24,7 +24,7 @@
 class _Contract:
     """What any platform must do; subclasses say which one."""
 
-    platform: Platform
+    platform: Store
 
     async def put(self, key: str, value: bytes, lease: int = 0):
         """Write without a condition."""
@@ -71,7 +71,7 @@
         self.assertEqual((await self.platform.read(KEY)).values_by_key, {})
         with self.assertRaises(LeaseNotFoundError):
             await self.platform.renew(lease)
-        with self.assertRaises(PlatformError):
+        with self.assertRaises(StoreError):
             await self.put(KEY, b"mine", lease)
 
     async def test_watch_misses_nothing(self):
@@ -97,7 +97,7 @@
     async def test_lost_answer(self):
         """A lost answer raises, and the write has taken effect."""
         await self.lose_answers(1)
-        with self.assertRaises(PlatformError):
+        with self.assertRaises(StoreError):
             await self.put(KEY, b"taken")
         found = await self.platform.read(KEY)
         self.assertEqual(found.values_by_key[KEY].value, b"taken")
@@ -106,9 +106,9 @@
         """While it is down every call raises, soon; then it works again."""
         await self.set_down(True)
         began = time.monotonic()
-        with self.assertRaises(PlatformError):
+        with self.assertRaises(StoreError):
             await self.platform.read(KEY)
-        with self.assertRaises(PlatformError):
+        with self.assertRaises(StoreError):
             await self.platform.grant(ttl_seconds=5)
         self.assertLess(time.monotonic() - began, 10)
         await self.set_down(False)
@@ -119,7 +119,7 @@
     """The in-memory fake."""
 
     async def asyncSetUp(self) -> None:
-        self.platform = FakePlatform()
+        self.platform = FakeStore()
 
     async def cut(self) -> None:
         """Nothing to cut."""
@@ -143,7 +143,7 @@
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await site.start()
         port = site._server.sockets[0].getsockname()[1]
-        self.platform = EtcdPlatform(
+        self.platform = EtcdStore(
             addresses=("http://127.0.0.1:1", f"http://127.0.0.1:{port}"),
             draw=random.Random(1),
         )
--- a/tests/platform/test_lease.py
+++ b/tests/store/test_lease.py
@@ -3,7 +3,7 @@
 import unittest
 
 from monsoonpier.charts import load_chart
-from monsoonpier.platform.lease import Lease
+from monsoonpier.store.lease import Lease
 
 
 class LeaseTests(unittest.TestCase):
