--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 import structlog
 
 from monsoonpier.agent.witnesses import Witnesses
@@ -14,8 +15,7 @@
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.process.control import NoAnswer, ask
 from monsoonpier.store.backoff import Backoff
-from monsoonpier.store.etcd import EtcdStore
-from monsoonpier.store.interface import StoreError
+from monsoonpier.store.interface import Store, StoreError
 from monsoonpier.store.keys import BALANCERS
 from monsoonpier.wire.control import AskConfiguration, ConfigurationReply
 from monsoonpier.wire.frames import (
@@ -42,17 +42,18 @@
         record: The target as it is announced at first.
         send: Sends a control frame's datagram to an internal address.
         read_load: Returns the present load for a heartbeat.
-        configure: Takes each newer configuration.
+        configure: Takes each newer configuration; ``None`` if none is wanted.
     """
 
     def __init__(
         self,
         *,
         settings: Settings,
+        store: Store,
         record: TargetRecord,
         send: Callable[[bytes, tuple[str, int]], None],
         read_load: Callable[[], LoadReport],
-        configure: Callable[[Configuration], None],
+        configure: Callable[[Configuration], None] | None,
         draw: random.Random,
     ) -> None:
         self._settings = settings
@@ -62,7 +63,7 @@
         self._draw = draw
         self._codec = FrameCodec(keys=settings.keys)
         self._witnesses = Witnesses(target=settings.name)
-        self._platform = EtcdStore(addresses=settings.platform, draw=draw)
+        self._store = store
         self._fetching: asyncio.Task | None = None
         self.record = record
         self.configuration = Configuration()
@@ -73,7 +74,7 @@
 
     async def close(self) -> None:
         """Let go of connections."""
-        await self._platform.close()
+        await self._store.close()
 
     def announce(self, condition: Condition) -> None:
         """Tell the balancers of the target's condition at once."""
@@ -83,6 +84,12 @@
         for balancer in self._witnesses.chosen(now=_now()):
             self._send(self._announcement(), balancer.endpoint)
 
+    def identify(self, instance: bytes, *, slots: int) -> None:
+        """Take the target's run and size into its record."""
+        self.record = msgspec.structs.replace(
+            self.record, instance=instance, slots=slots, change=self.record.change + 1
+        )
+
     def acknowledged(self, ack: HeartbeatAck) -> bool:
         """Take a balancer's answer; tell whether the target is allowed."""
         self._witnesses.acknowledged(ack, now=_now())
@@ -137,7 +144,7 @@
 
     async def _read_platform(self) -> None:
         try:
-            found = await self._platform.read(BALANCERS, prefix=True)
+            found = await self._store.read(BALANCERS, prefix=True)
         except StoreError as error:
             _log.info("platform unreachable", reason=str(error))
             return
@@ -147,6 +154,8 @@
                 self._witnesses.learn(record)
 
     def _fetch_from(self, balancer: BalancerRecord) -> None:
+        if self._take_configuration is None:
+            return
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.create_task(self._fetch(balancer))
 
--- /dev/null
+++ b/monsoonpier/agent/liveness.py
@@ -0,0 +1,73 @@
+"""Whether a target still runs, told by one idle connection to it."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from monsoonpier.model.address import Address
+
+__all__ = ["TargetLiveness"]
+
+CONNECT_SECONDS = 1.0
+RETRY_SECONDS = 0.3
+_log = structlog.get_logger("monsoonpier.agent.liveness")
+
+
+class TargetLiveness:
+    """Keeps a connection open and calls ``on_gone`` when it is refused anew.
+
+    A target that ends closes its connections at once, long before its
+    heartbeats are missed. Closing alone proves nothing, since targets close
+    idle connections too; only a refused connection means that nobody listens.
+    """
+
+    def __init__(self, *, address: Address, on_gone: Callable[[], None]) -> None:
+        self._address = address
+        self._on_gone = on_gone
+        self._was_up = False
+        self._check = asyncio.Event()
+
+    def check_now(self) -> None:
+        """Look at once, without waiting for the connection's end."""
+        self._check.set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await self._watch_once()
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _watch_once(self) -> None:
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(*self._address.endpoint), CONNECT_SECONDS
+            )
+        except ConnectionRefusedError:
+            self._refused()
+            return
+        except (TimeoutError, OSError) as error:
+            _log.info("target not reached", reason=repr(error))
+            return
+        self._was_up = True
+        try:
+            await self._wait_for_end(reader)
+        finally:
+            writer.close()
+
+    async def _wait_for_end(self, reader: asyncio.StreamReader) -> None:
+        ended = asyncio.ensure_future(reader.read(1))
+        checked = asyncio.ensure_future(self._check.wait())
+        try:
+            await asyncio.wait((ended, checked), return_when=asyncio.FIRST_COMPLETED)
+            if ended.done() and not ended.cancelled():
+                ended.exception()
+        finally:
+            ended.cancel()
+            checked.cancel()
+            self._check.clear()
+
+    def _refused(self) -> None:
+        if self._was_up:
+            self._was_up = False
+            self._on_gone()
--- /dev/null
+++ b/monsoonpier/agent/packet_holder.py
@@ -0,0 +1,439 @@
+"""An agent's decisions on flows without a token: the truth about its target.
+
+All packets of the target pass here, both ways, so the agent knows which flows
+the target holds and how many requests it works on. It delivers packets of those
+flows and SYNs that it accepts, and nothing else: whatever a balancer believes, a
+packet never reaches a target that doesn't hold its flow. After a restart beside
+a target that lived on the agent can't know; then a packet of an unknown flow is
+delivered once and the target's own answer tells.
+"""
+
+from collections import Counter
+
+import msgspec
+
+from monsoonpier.agent.packet_flows import PacketFlow, Phase
+from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
+from monsoonpier.wire.packet import Packet, sequence_distance
+
+__all__ = [
+    "PacketHolder",
+    "ResetFlow",
+    "ToBalancer",
+    "ToCallerPacket",
+    "ToTarget",
+]
+
+FORCED_TRIES = 3  # a SYN turned away so often is taken even if it must wait
+EXPECT_SECONDS = 0.5  # a first request that is later than that takes no slot
+ENDED_SECONDS = 5.0  # an ended flow's last packets still go to the target
+HALF_OPEN_SECONDS = 3.0  # twice the time after which callers give a SYN up
+MAX_IDLE_SECONDS = 60.0  # flows older than that may be discarded
+RUNNING_SECONDS = 10.0  # a request without an answer no longer counts as running
+MAX_STREAM_BYTES = 1 << 26  # acknowledgements farther off are another target's
+SMOOTHING = 0.1
+MIN_RUN_MS = 1
+INTERESTED_SECONDS = 10.0  # balancers that sent SYNs so lately are told of load
+
+
+class ToTarget(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Deliver a packet to the target."""
+
+    raw: bytes
+
+
+class ToCallerPacket(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Send a target's packet to its caller."""
+
+    ip: str
+    raw: bytes
+
+
+class ToBalancer(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Send a frame to a balancer's internal address."""
+
+    endpoint: tuple[str, int]
+    frame: object
+
+
+class ResetFlow(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Send a flow's caller a reset: the target that held it has ended."""
+
+    ip: str
+    flow: bytes
+    acknowledged: int
+
+
+class PacketHolder:
+    """The flows of one target. Does no I/O.
+
+    Args:
+        name: The target's name, as balancers know it.
+        service: The only service whose packets are delivered.
+        slots: How many requests the target works on at once, if known.
+    """
+
+    def __init__(self, *, name: str, service: str, slots: int, connections: int):
+        self._name = name
+        self._service = service
+        self._connections = connections
+        self._flows_by_address: dict[bytes, PacketFlow] = {}
+        self._busy = 0
+        self._open = 0
+        self._number = 0
+        self._run_ms = 0.0
+        self._cold_until = 0.0
+        self._instance = b""
+        self._knows_all = False
+        self._seen_by_balancer: dict[tuple[str, int], float] = {}
+        self._reported: tuple | None = None
+        self.slots = slots
+        self.condition = Condition.STARTING
+        self.counts_by_result: Counter[str] = Counter()
+
+    # What is known of the target
+
+    @property
+    def instance(self) -> bytes:
+        """The target's present run."""
+        return self._instance
+
+    @property
+    def busy(self) -> int:
+        """Requests that the target works on, or that are on their way."""
+        return self._busy
+
+    @property
+    def flows(self) -> int:
+        """Flows that the target holds."""
+        return len(self._flows_by_address)
+
+    def started(self, instance: bytes, *, is_first: bool) -> list:
+        """Take the target's run; flows of an earlier one have ended with it.
+
+        Args:
+            instance: Names the run.
+            is_first: This agent has seen the run from its start.
+        """
+        if instance == self._instance:
+            return []
+        is_replaced = bool(self._instance)
+        self._instance = instance
+        if not is_replaced:
+            self._knows_all = is_first
+            return []
+        self._knows_all = True
+        self._run_ms = 0.0
+        return self.ended()
+
+    def ended(self) -> list:
+        """Reset all flows: the target that held them is gone."""
+        resets = [
+            ResetFlow(ip=flow.caller_ip, flow=address, acknowledged=flow.acknowledged)
+            for address, flow in self._flows_by_address.items()
+            if not flow.is_ended
+        ]
+        self._flows_by_address.clear()
+        self._busy = 0
+        self._open = 0
+        self._knows_all = True
+        self.counts_by_result["ended_with_target"] += len(resets)
+        return resets
+
+    def is_cold_until(self, until: float) -> None:
+        """Note until when the target runs slower than later."""
+        self._cold_until = until
+
+    def load(self, *, now: float) -> LoadReport:
+        """Return the present load, newer than all reports before."""
+        self._number += 1
+        return LoadReport(
+            number=self._number,
+            in_flight=self._busy,
+            flows=self._open,
+            service_ms=round(self._run_ms),
+            cold_ms=max(0, round((self._cold_until - now) * 1000)),
+            condition=self.condition,
+        )
+
+    def load_news(self, *, now: float) -> list[ToBalancer]:
+        """Return reports for the balancers that place flows here, if it changed."""
+        state = (self._busy, self._open, self.condition)
+        if state == self._reported:
+            return []
+        self._reported = state
+        frame = Load(agent=self._name, load=self.load(now=now))
+        return [
+            ToBalancer(endpoint=endpoint, frame=frame)
+            for endpoint, seen_at in self._seen_by_balancer.items()
+            if now - seen_at < INTERESTED_SECONDS
+        ]
+
+    # Packets of callers
+
+    def from_balancer(
+        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> list:
+        """Decide on a caller's packet that a balancer brings."""
+        flow = self._flows_by_address.get(packet.flow)
+        if packet.is_syn:
+            self._seen_by_balancer[sender] = now
+            return self._syn(frame, packet, flow, sender=sender, now=now)
+        if flow is None:
+            return self._unknown(frame, packet, sender=sender, now=now)
+        flow.seen_at = now
+        if flow.is_open:
+            return self._deliver(packet, flow, now=now)
+        if flow.is_guessed:
+            flow.balancer = sender
+            return [ToTarget(raw=packet.raw)]
+        return self._first_packet(packet, flow, sender=sender, now=now)
+
+    def _syn(
+        self,
+        frame: Carry,
+        packet: Packet,
+        flow: PacketFlow | None,
+        *,
+        sender: tuple[str, int],
+        now: float,
+    ) -> list:
+        if flow is not None and not flow.is_ended:
+            flow.balancer = sender
+            return [ToTarget(raw=packet.raw)]
+        reason = self._refusal(frame)
+        if reason is not None:
+            return [self._turn(packet, frame.tried, reason, sender=sender, now=now)]
+        if flow is not None:
+            self._drop(packet.flow)
+        flow = PacketFlow(
+            caller_ip=packet.caller_ip,
+            balancer=sender,
+            seen_at=now,
+            changed_at=now,
+            tried=frame.tried,
+        )
+        self._flows_by_address[packet.flow] = flow
+        self._enter(flow, Phase.EXPECTED, now=now)
+        return [ToTarget(raw=packet.raw)]
+
+    def _refusal(self, frame: Carry) -> str | None:
+        if frame.service != self._service:
+            return "another service's"
+        if self.condition is not Condition.SERVING:
+            return self.condition.name.lower()
+        if len(self._flows_by_address) >= self._connections:
+            return "no connection is free"
+        is_forced = len(frame.tried) >= FORCED_TRIES
+        if self._busy >= self.slots and not is_forced:
+            return "no slot is free"
+        return None
+
+    def _first_packet(
+        self,
+        packet: Packet,
+        flow: PacketFlow,
+        *,
+        sender: tuple[str, int],
+        now: float,
+    ) -> list:
+        """Tell by the acknowledgement whether the caller took this target."""
+        first = flow.target_sequence
+        if first is None or not packet.is_ack:
+            return self._deny(packet, sender=sender)
+        if sequence_distance(first, packet.acknowledged) > MAX_STREAM_BYTES:
+            # The SYN's copy opened the flow at another target.
+            self._drop(packet.flow)
+            return self._deny(packet, sender=sender)
+        self._opened(flow, now=now)
+        held = self._claim(packet.flow, sender=sender, is_open=True, now=now)
+        return [held, *self._deliver(packet, flow, now=now)]
+
+    def _opened(self, flow: PacketFlow, *, now: float) -> None:
+        flow.is_open = True
+        flow.is_guessed = False
+        self._open += 1
+        self._enter(flow, Phase.EXPECTED, now=now)
+
+    def _deliver(self, packet: Packet, flow: PacketFlow, *, now: float) -> list:
+        flow.acknowledged = packet.acknowledged
+        if packet.size and _is_new_data(packet, flow):
+            flow.caller_end = packet.sequence + packet.size
+            if flow.phase is not Phase.RUNNING:
+                self._enter(flow, Phase.RUNNING, now=now)
+        if packet.is_fin:
+            flow.has_caller_fin = True
+            self._enter(flow, Phase.IDLE, now=now)
+        if packet.is_reset:
+            self._drop(packet.flow)
+        return [ToTarget(raw=packet.raw)]
+
+    def _unknown(
+        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> list:
+        if self._knows_all or frame.service != self._service:
+            return self._deny(packet, sender=sender)
+        if self.condition is Condition.GONE:
+            return self._deny(packet, sender=sender)
+        self._flows_by_address[packet.flow] = PacketFlow(
+            caller_ip=packet.caller_ip,
+            balancer=sender,
+            seen_at=now,
+            changed_at=now,
+            acknowledged=packet.acknowledged,
+            is_guessed=True,
+        )
+        self.counts_by_result["guessed"] += 1
+        return [ToTarget(raw=packet.raw)]
+
+    # Packets of the target
+
+    def from_target(self, packet: Packet, *, now: float) -> list:
+        """Decide on a packet that the target sent."""
+        flow = self._flows_by_address.get(packet.flow)
+        if packet.is_returned:
+            return self._returned(packet, flow, now=now)
+        actions: list = [ToCallerPacket(ip=packet.caller_ip, raw=packet.raw)]
+        if packet.is_reset:
+            self._drop(packet.flow)
+            return actions
+        if flow is None:
+            if packet.is_syn:
+                return actions
+            flow = self._adopt(packet, now=now)
+        flow.seen_at = now
+        if packet.is_syn:
+            if flow.target_sequence is None:
+                flow.target_sequence = packet.sequence
+                self._enter(flow, Phase.EXPECTED, now=now)
+                actions.append(
+                    self._claim(
+                        packet.flow, sender=flow.balancer, is_open=False, now=now
+                    )
+                )
+            return actions
+        if flow.is_guessed:
+            self._opened(flow, now=now)
+            self._enter(flow, Phase.IDLE, now=now)
+            actions.append(
+                self._claim(packet.flow, sender=flow.balancer, is_open=True, now=now)
+            )
+        if packet.size:
+            self._answered(flow, now=now)
+        if packet.is_fin:
+            flow.has_target_fin = True
+        return actions
+
+    def _adopt(self, packet: Packet, *, now: float) -> PacketFlow:
+        """Take a flow that the target holds since before this agent's start."""
+        flow = PacketFlow(
+            caller_ip=packet.caller_ip,
+            balancer=("", 0),
+            seen_at=now,
+            changed_at=now,
+            acknowledged=packet.sequence,
+        )
+        self._flows_by_address[packet.flow] = flow
+        flow.is_open = True
+        self._open += 1
+        return flow
+
+    def _answered(self, flow: PacketFlow, *, now: float) -> None:
+        if flow.phase is Phase.RUNNING:
+            run_ms = max(MIN_RUN_MS, (now - flow.changed_at) * 1000)
+            if self._run_ms:
+                self._run_ms += SMOOTHING * (run_ms - self._run_ms)
+            else:
+                self._run_ms = run_ms
+        self._enter(flow, Phase.IDLE, now=now)
+
+    def _returned(self, packet: Packet, flow: PacketFlow | None, *, now: float) -> list:
+        if flow is None:
+            self.counts_by_result["returned_unknown"] += 1
+            return []
+        balancer = flow.balancer
+        tried = flow.tried
+        if packet.is_syn:
+            if flow.is_open or flow.target_sequence is not None:
+                return []  # Only a copy was refused.
+            self._drop(packet.flow)
+            reason = "the target refused it"
+            return [self._turn(packet, tried, reason, sender=balancer, now=now)]
+        self._drop(packet.flow)
+        return self._deny(packet, sender=balancer)
+
+    # Time
+
+    def tick(self, *, now: float) -> None:
+        """Let go of flows and expectations that have come to nothing."""
+        for address, flow in list(self._flows_by_address.items()):
+            if flow.phase is Phase.EXPECTED and now - flow.changed_at > EXPECT_SECONDS:
+                self._enter(flow, Phase.IDLE, now=now)
+            if flow.phase is Phase.RUNNING and now - flow.changed_at > RUNNING_SECONDS:
+                self._enter(flow, Phase.IDLE, now=now)
+            if now - flow.seen_at > _keep_seconds(flow):
+                self._drop(address)
+
+    # Helpers
+
+    def _enter(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
+        self._busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
+        flow.phase = phase
+        flow.changed_at = now
+
+    def _drop(self, address: bytes) -> None:
+        flow = self._flows_by_address.pop(address, None)
+        if flow is None:
+            return
+        self._busy -= int(flow.phase is not Phase.IDLE)
+        self._open -= int(flow.is_open)
+
+    def _claim(
+        self, flow: bytes, *, sender: tuple[str, int], is_open: bool, now: float
+    ) -> ToBalancer:
+        load = self.load(now=now)
+        frame = Held(flow=flow, agent=self._name, load=load, is_open=is_open)
+        return ToBalancer(endpoint=sender, frame=frame)
+
+    def _deny(self, packet: Packet, *, sender: tuple[str, int]) -> list:
+        self.counts_by_result["denied"] += 1
+        if not sender[1]:
+            return []  # Nobody asked: the target's own packet made it known.
+        frame = NotHeld(agent=self._name, instance=self._instance, payload=packet.raw)
+        return [ToBalancer(endpoint=sender, frame=frame)]
+
+    def _turn(
+        self,
+        packet: Packet,
+        tried: tuple[str, ...],
+        reason: str,
+        *,
+        sender: tuple[str, int],
+        now: float,
+    ) -> ToBalancer:
+        self.counts_by_result["turned"] += 1
+        frame = Turned(
+            agent=self._name,
+            payload=packet.raw,
+            tried=tried[-MAX_TRIED:],
+            reason=reason,
+            load=self.load(now=now),
+        )
+        return ToBalancer(endpoint=sender, frame=frame)
+
+
+def _is_new_data(packet: Packet, flow: PacketFlow) -> bool:
+    """Tell data from its retransmission, which may follow the answer."""
+    if flow.caller_end is None:
+        return True
+    distance = sequence_distance(flow.caller_end, packet.sequence + packet.size)
+    return 0 < distance < MAX_STREAM_BYTES
+
+
+def _keep_seconds(flow: PacketFlow) -> float:
+    if flow.is_ended:
+        return ENDED_SECONDS
+    if not flow.is_open:
+        return HALF_OPEN_SECONDS
+    return MAX_IDLE_SECONDS
--- /dev/null
+++ b/monsoonpier/agent/packet_process.py
@@ -0,0 +1,318 @@
+"""An agent of flows without a token: sockets and tasks around the decisions."""
+
+import asyncio
+import random
+import time
+
+import structlog
+
+from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft
+from monsoonpier.agent.balancer_link import BalancerLink
+from monsoonpier.agent.liveness import TargetLiveness
+from monsoonpier.agent.packet_holder import (
+    PacketHolder,
+    ResetFlow,
+    ToBalancer,
+    ToCallerPacket,
+    ToTarget,
+)
+from monsoonpier.documents.settings import Settings
+from monsoonpier.model.address import Address
+from monsoonpier.model.target import Condition, TargetRecord
+from monsoonpier.process.control import ControlServer
+from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.udp import UdpSocket, open_udp
+from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.store.interface import Store
+from monsoonpier.wire.codec import Dropped
+from monsoonpier.wire.control import AskDrain, AskStatus, DrainReply, StatusReply
+from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck
+from monsoonpier.wire.packet import PacketCodec
+
+__all__ = ["PacketAgentProcess"]
+
+TICK_SECONDS = 0.1
+REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
+MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
+_log = structlog.get_logger("monsoonpier.agent.packet_process")
+
+
+class PacketAgentProcess:
+    """Runs one agent until it has left.
+
+    Args:
+        callers_port: Where callers take their packets.
+        from_target: Where the target sends its packets.
+        target: Where the target takes packets.
+        codec: The packets' header.
+        store: Where balancers are found.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        callers_port: int,
+        from_target: Address,
+        target: Address,
+        codec: PacketCodec,
+        store: Store,
+    ) -> None:
+        assert settings.target and settings.internal and settings.control
+        assert settings.metrics
+        self._settings = settings
+        self._callers_port = callers_port
+        self._from_target = from_target
+        self._target = target
+        self._packets = codec
+        self._store = store
+        self._draw = random.Random()
+        self._life = ProcessLife()
+        self._started = time.monotonic()
+        self._frames = FrameCodec(keys=settings.keys)
+        self._holder = PacketHolder(
+            name=settings.name,
+            service=settings.target.service,
+            slots=settings.target.slots,
+            connections=settings.target.connections,
+        )
+        record = TargetRecord(
+            name=settings.name,
+            service=settings.target.service,
+            data_centre=settings.data_centre,
+            ip=settings.internal.ip,
+            port=settings.internal.port,
+            control=str(settings.control),
+            instance=b"",
+            epoch=int(time.time() * 1000),
+            slots=settings.target.slots,
+            connections=settings.target.connections,
+        )
+        self._link = BalancerLink(
+            settings=settings,
+            store=store,
+            record=record,
+            send=self._send_frame_bytes,
+            read_load=lambda: self._holder.load(now=_now()),
+            configure=None,
+            draw=self._draw,
+        )
+        self._liveness = TargetLiveness(address=target, on_gone=self._target_gone)
+        self._control = ControlServer(
+            address=settings.control, keys=settings.keys, handler=self._answer
+        )
+        self._web = WebServer(
+            address=settings.metrics,
+            read_metrics=self._metrics,
+            is_ready=lambda: self.is_ready,
+        )
+        self._internal: UdpSocket | None = None
+        self._outbound: UdpSocket | None = None
+        self._reporting: asyncio.TimerHandle | None = None
+        self._sequence = -1
+        self._has_left = False
+        self._dropped_by_reason: dict[str, int] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the agent serves its target."""
+        return self._life.is_ready
+
+    async def run(self) -> None:
+        """Serve until asked to leave and the work under way is done.
+
+        Raises:
+            OSError: If a port is taken.
+        """
+        internal = self._settings.internal
+        self._internal = await open_udp(
+            self._receive_frame, ip=internal.ip, port=internal.port
+        )
+        self._outbound = await open_udp(
+            self._receive_packet, ip=self._from_target.ip, port=self._from_target.port
+        )
+        self._control.start()
+        await self._web.start()
+        self._life.install_signals()
+        _log.info("started", target=str(self._target))
+        jobs = (
+            self._control.run,
+            self._tick_forever,
+            self._link.run,
+            self._liveness.run,
+        )
+        await run_until_left(self._leave_and_finish, jobs)
+        await self._store.close()
+        await self._web.stop()
+        self._control.stop()
+        self._internal.close()
+        self._outbound.close()
+        _log.info("stopped")
+
+    async def _leave_and_finish(self) -> None:
+        await self._life.wait_for_leaving()
+        began = _now()
+        if self._holder.condition is not Condition.GONE:
+            # The target may live on and an agent may start beside it again.
+            self._enter(Condition.SHEDDING)
+        while self._holder.busy and _now() - began < MAX_LEAVE_SECONDS:
+            await asyncio.sleep(0.02)
+        self._life.step("finished")
+
+    # The target's own word
+
+    def take(self, message: TargetAnnouncement | TargetLeft) -> bool:
+        """Take what the target says of itself; tell if it is acknowledged."""
+        match message:
+            case TargetAnnouncement():
+                return self._announced(message)
+            case TargetLeft(instance=instance):
+                return self._left(instance.encode())
+        return False
+
+    def _announced(self, heard: TargetAnnouncement) -> bool:
+        instance = heard.instance.encode()
+        holder = self._holder
+        if instance == holder.instance and heard.sequence <= self._sequence:
+            return True  # late: something newer was taken already
+        self._sequence = heard.sequence
+        is_new = instance != holder.instance
+        if is_new:
+            _log.info("target started", instance=heard.instance, slots=heard.slots)
+            self._has_left = False
+            self._link.identify(instance, slots=heard.slots)
+            self._do(holder.started(instance, is_first=heard.sequence <= 1))
+        holder.slots = heard.slots
+        holder.is_cold_until(_now() + heard.cold_seconds)
+        self._life.step("configured")
+        condition = Condition.LEAVING if heard.is_draining else Condition.SERVING
+        if self._life.state == "leaving" and not heard.is_draining:
+            condition = Condition.SHEDDING
+        self._enter(condition, announce=is_new)
+        return True
+
+    def _left(self, instance: bytes) -> bool:
+        if instance == self._holder.instance:
+            _log.info("target left", instance=instance.decode())
+            self._has_left = True
+            self._enter(Condition.GONE)
+            self._liveness.check_now()
+        return True
+
+    def _target_gone(self) -> None:
+        """The target's address refuses connections: its flows have ended."""
+        resets = self._holder.ended()
+        _log.warning("target does not listen", flows=len(resets))
+        if not self._has_left:
+            self._enter(Condition.UNRESPONSIVE)
+        self._do(resets)
+
+    def _enter(self, condition: Condition, *, announce: bool = False) -> None:
+        if condition is self._holder.condition and not announce:
+            return
+        before = self._holder.condition
+        self._holder.condition = condition
+        self._link.announce(condition)
+        self._report_soon()
+        _log.info("target's condition", before=before.name, after=condition.name)
+
+    # Packets and frames
+
+    def _receive_frame(self, data: bytes, sender: tuple[str, int]) -> None:
+        frame = self._frames.decode(data)
+        match frame:
+            case Carry(payload=payload):
+                packet = self._packets.decode(payload, from_target=False)
+                if isinstance(packet, Dropped):
+                    self._drop(packet.reason)
+                    return
+                actions = self._holder.from_balancer(
+                    frame, packet, sender=sender, now=_now()
+                )
+                self._do(actions)
+            case HeartbeatAck():
+                self._link.acknowledged(frame)
+            case Dropped(reason=reason):
+                self._drop(reason)
+            case _:
+                self._drop("unexpected")
+
+    def _receive_packet(self, data: bytes, sender: tuple[str, int]) -> None:
+        packet = self._packets.decode(data, from_target=True)
+        if isinstance(packet, Dropped):
+            self._drop(packet.reason)
+            return
+        self._do(self._holder.from_target(packet, now=_now()))
+
+    def _do(self, actions: list) -> None:
+        for action in actions:
+            match action:
+                case ToTarget(raw=raw):
+                    self._outbound.send(raw, self._target.endpoint)
+                case ToCallerPacket(ip=ip, raw=raw):
+                    self._internal.send(raw, (ip, self._callers_port))
+                case ToBalancer(endpoint=endpoint, frame=frame):
+                    self._internal.send(self._frames.encode(frame), endpoint)
+                case ResetFlow(ip=ip, flow=flow, acknowledged=acknowledged):
+                    reset = self._packets.reset(flow, acknowledged=acknowledged)
+                    self._internal.send(reset, (ip, self._callers_port))
+                    _log.info("flow reset", flow=flow.hex(), reason="target ended")
+        self._report_soon()
+
+    def _report_soon(self) -> None:
+        if self._reporting is None:
+            loop = asyncio.get_running_loop()
+            self._reporting = loop.call_later(REPORT_SECONDS, self._report)
+
+    def _report(self) -> None:
+        self._reporting = None
+        for action in self._holder.load_news(now=_now()):
+            self._internal.send(self._frames.encode(action.frame), action.endpoint)
+
+    def _send_frame_bytes(self, data: bytes, endpoint: tuple[str, int]) -> None:
+        if self._internal is not None:
+            self._internal.send(data, endpoint)
+
+    def _drop(self, reason: str) -> None:
+        count = self._dropped_by_reason.get(reason, 0)
+        self._dropped_by_reason[reason] = count + 1
+        _log.warning("datagram dropped", reason=reason)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self._holder.tick(now=_now())
+
+    # Control
+
+    async def _answer(self, message):
+        match message:
+            case AskStatus():
+                return StatusReply(
+                    name=self._settings.name,
+                    role="agent",
+                    data_centre=self._settings.data_centre,
+                    state=self._life.state,
+                    version=0,
+                    uptime=_now() - self._started,
+                )
+            case AskDrain(name=name):
+                if name != self._settings.name:
+                    return DrainReply(accepted=False, reason="not this process")
+                if self._life.state != "leaving":
+                    self._life.step("terminate")
+                return DrainReply(accepted=True)
+        return None
+
+    def _metrics(self):
+        yield gauge("uptime_seconds", "Time since start.", _now() - self._started)
+        yield gauge("flows", "Flows that the target holds.", self._holder.flows)
+        yield gauge("busy", "Requests that the target works on.", self._holder.busy)
+        results = self._holder.counts_by_result
+        yield counter("flow_decisions", "Decisions on flows.", results, "result")
+        drops = self._dropped_by_reason
+        yield counter("dropped_datagrams", "Datagrams not used.", drops, "reason")
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -26,9 +26,10 @@
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.model.token import HolderToken
 from monsoonpier.process.control import ControlServer
-from monsoonpier.process.life import ProcessLife
+from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.wire import frames
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import (
@@ -93,6 +94,7 @@
         self._codec = FrameCodec(keys=settings.keys)
         self._link = BalancerLink(
             settings=settings,
+            store=EtcdStore(addresses=settings.platform, draw=self._draw),
             record=record,
             send=self._send_control,
             read_load=lambda: self._holder.load(now=_now()),
@@ -127,24 +129,14 @@
         await self._web.start()
         self._life.install_signals()
         _log.info("started", target=self._settings.target.url)
-        tasks = [
-            asyncio.create_task(job())
-            for job in (
-                self._control.run,
-                self._tick_forever,
-                self._probe_forever,
-                self._link.run,
-            )
-        ]
-        waiting = asyncio.create_task(self._leave_and_finish())
-        done, _ = await asyncio.wait(
-            [waiting, *tasks], return_when=asyncio.FIRST_COMPLETED
+        jobs = (
+            self._control.run,
+            self._tick_forever,
+            self._probe_forever,
+            self._link.run,
         )
-        for task in tasks:
-            task.cancel()
+        await run_until_left(self._leave_and_finish, jobs)
         await self._stop()
-        for task in done:
-            task.result()
 
     async def _leave_and_finish(self) -> None:
         await self._life.wait_for_leaving()
--- /dev/null
+++ b/monsoonpier/balancer/member.py
@@ -0,0 +1,335 @@
+"""A balancer's dealings with its peers: sockets and tasks around `Membership`."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
+from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.store_link import StoreLink
+from monsoonpier.documents.settings import Settings
+from monsoonpier.documents.stored import pack, unpack, unstore
+from monsoonpier.model.service import Configuration
+from monsoonpier.process.control import ControlServer, NoAnswer, ask
+from monsoonpier.process.life import ProcessLife
+from monsoonpier.process.udp import UdpSocket, open_udp
+from monsoonpier.store.interface import Store
+from monsoonpier.wire.codec import Dropped
+from monsoonpier.wire.control import (
+    AskConfiguration,
+    AskDrain,
+    AskStatus,
+    AskTable,
+    ConfigurationReply,
+    DrainReply,
+    StatusReply,
+    TableReply,
+    TargetStatus,
+)
+from monsoonpier.wire.frames import BalancerRecord, FrameCodec
+
+__all__ = ["STORED_FORMAT", "ConfigurationFormat", "Member", "balancer_record"]
+
+GOSSIP_SECONDS = 1.0
+NEWS_CHECK_SECONDS = 0.1
+GREETING_CHECK_SECONDS = 0.2  # a starting process serves nothing until it is answered
+_log = structlog.get_logger("monsoonpier.balancer.member")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigurationFormat:
+    """How the store's value is read, and how it is packed for others.
+
+    Attributes:
+        decode: Returns the configuration; raises ``ValueError`` if it is none.
+        pack: Returns the value compressed, cut down to a service if one is named.
+    """
+
+    decode: Callable[[bytes], Configuration]
+    pack: Callable[[bytes, str], bytes]
+
+
+STORED_FORMAT = ConfigurationFormat(
+    decode=unstore, pack=lambda value, service: pack(value, service=service)
+)
+
+
+def balancer_record(settings: Settings) -> BalancerRecord:
+    """Return what a balancer that starts now tells others of itself."""
+    assert settings.internal and settings.control
+    return BalancerRecord(
+        name=settings.name,
+        data_centre=settings.data_centre,
+        ip=settings.internal.ip,
+        port=settings.internal.port,
+        control=str(settings.control),
+        epoch=int(time.time() * 1000),
+    )
+
+
+class Member:
+    """Owns the internal socket, the control server, gossip and the store's link.
+
+    Args:
+        membership: The decisions that it serves.
+        life: The process's life.
+        store: Where configuration and balancers are found.
+        take_frame: Takes a frame that came to the internal address.
+        on_configured: Called after a newer configuration is in force.
+        configuration_format: How the store's value is read.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        membership: Membership,
+        life: ProcessLife,
+        store: Store,
+        take_frame: Callable[[object, tuple[str, int]], None],
+        on_configured: Callable[[], None],
+        draw: random.Random,
+        configuration_format: ConfigurationFormat = STORED_FORMAT,
+    ) -> None:
+        assert settings.control
+        self._settings = settings
+        self._membership = membership
+        self._life = life
+        self._take_frame = take_frame
+        self._on_configured = on_configured
+        self._draw = draw
+        self._format = configuration_format
+        self._codec = FrameCodec(keys=settings.keys)
+        self._store = store
+        self._link = StoreLink(
+            store=store,
+            peers=membership.peers,
+            codec=self._codec,
+            configure=self.configure,
+            draw=draw,
+        )
+        self._control = ControlServer(
+            address=settings.control, keys=settings.keys, handler=self._answer
+        )
+        self._socket: UdpSocket | None = None
+        self._value = b""
+        self._packed_by_service: dict[str, bytes] = {}
+        self._fetching_by_kind: dict[type, asyncio.Task] = {}
+        self._bytes_by_direction = {"in": 0, "out": 0}
+        self._started = time.monotonic()
+        self.dropped_by_reason: dict[str, int] = {}
+
+    @property
+    def jobs(self) -> tuple[Callable, ...]:
+        """What runs until the process ends."""
+        return (self._control.run, self._gossip_forever, self._link.run)
+
+    @property
+    def bytes_by_direction(self) -> dict[str, int]:
+        """Control traffic so far; ``zmq`` counts both directions."""
+        return dict(self._bytes_by_direction, zmq=self._control.bytes_total)
+
+    async def start(self) -> None:
+        """Bind the sockets.
+
+        Raises:
+            OSError: If a port is taken.
+        """
+        internal = self._settings.internal
+        assert internal
+        self._socket = await open_udp(self._receive, ip=internal.ip, port=internal.port)
+        self._control.start()
+
+    async def leave(self) -> None:
+        """Tell peers and the store that this balancer leaves."""
+        self._membership.peers.leave()
+        self._send_round(eager=True)
+        await self._link.leave()
+
+    async def stop(self) -> None:
+        """Close the sockets."""
+        await self._store.close()
+        self._control.stop()
+        if self._socket is not None:
+            self._socket.close()
+
+    # Frames
+
+    def send(self, frame, endpoint: tuple[str, int], *, is_control: bool) -> None:
+        """Send a frame to another process's internal address."""
+        data = self._codec.encode(frame)
+        if is_control:
+            self._bytes_by_direction["out"] += len(data)
+        assert self._socket is not None
+        self._socket.send(data, endpoint)
+
+    def count_control(self, size: int) -> None:
+        """Count a received frame of ``size`` bytes as control traffic."""
+        self._bytes_by_direction["in"] += size
+
+    def do(self, action) -> None:
+        """Carry out one of the membership's actions."""
+        match action:
+            case ToAgent(endpoint=endpoint, frame=frame):
+                self.send(frame, endpoint, is_control=True)
+            case FetchConfiguration() | FetchTable():
+                self._fetch(action)
+
+    def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        frame = self._codec.decode(data)
+        if isinstance(frame, Dropped):
+            dropped = self.dropped_by_reason
+            dropped[frame.reason] = dropped.get(frame.reason, 0) + 1
+            return
+        actions = self._membership.from_process(
+            frame, sender=sender, now=_now(), draw=self._draw
+        )
+        if actions is None:
+            self._take_frame(frame, sender)
+            return
+        self.count_control(len(data))
+        for action in actions:
+            self.do(action)
+
+    # Gossip
+
+    async def _gossip_forever(self) -> None:
+        """Gossip now and then, and at once when there is news."""
+        while True:
+            self._send_round(eager=False)
+            knows_targets = bool(len(self._membership.table))
+            seconds = GOSSIP_SECONDS if knows_targets else GREETING_CHECK_SECONDS
+            until = _now() + seconds * self._draw.uniform(0.8, 1.2)
+            while _now() < until:
+                await asyncio.sleep(NEWS_CHECK_SECONDS)
+                if self._membership.has_news:
+                    self._send_round(eager=True)
+
+    def _send_round(self, *, eager: bool) -> None:
+        membership = self._membership
+        for action in membership.round(now=_now(), draw=self._draw, eager=eager):
+            self.do(action)
+        if not len(membership.table):
+            self._greet_seeds()
+
+    def _greet_seeds(self) -> None:
+        """Tell the seeds of this balancer while it knows nothing."""
+        for seed in self._settings.seeds:
+            if seed != self._settings.internal:
+                self.do(self._membership.greeting(seed.endpoint, draw=self._draw))
+
+    # Asking peers
+
+    def _fetch(self, action: FetchConfiguration | FetchTable) -> None:
+        kind = type(action)
+        running = self._fetching_by_kind.get(kind)
+        if running is None or running.done():
+            self._fetching_by_kind[kind] = asyncio.create_task(self._ask(action))
+
+    async def _ask(self, action: FetchConfiguration | FetchTable) -> None:
+        membership = self._membership
+        match action:
+            case FetchConfiguration():
+                version = membership.configuration.version
+                question = AskConfiguration(newer_than=version)
+            case FetchTable():
+                question = AskTable(digests=membership.table.bucket_digests)
+        try:
+            reply = await ask(action.control, question, keys=self._settings.keys)
+        except NoAnswer as error:
+            _log.info("peer did not answer", reason=str(error))
+            return
+        match reply:
+            case ConfigurationReply(packed=packed) if packed:
+                self._configure_packed(packed)
+            case TableReply(records=records, balancers=balancers):
+                for record in records:
+                    membership.table.learn(record, now=_now())
+                for balancer in balancers:
+                    membership.peers.learn(balancer)
+
+    # Configuration
+
+    def configure(self, value: bytes) -> None:
+        """Put the store's value in force unless it is older than the one held."""
+        try:
+            configuration = self._format.decode(value)
+        except ValueError as error:
+            _log.error("stored configuration not usable", reason=str(error))
+            return
+        held = self._membership.configuration.version
+        if self._membership.configure(configuration):
+            self._value = value
+            self._packed_by_service.clear()
+            _log.info("configuration in force", version=configuration.version)
+            self._on_configured()
+        elif configuration.version < held:
+            _log.warning(
+                "older configuration refused", offered=configuration.version, held=held
+            )
+
+    def _configure_packed(self, packed: bytes) -> None:
+        try:
+            value = unpack(packed)
+        except ValueError as error:
+            _log.error("a peer's configuration not usable", reason=str(error))
+            return
+        self.configure(value)
+
+    def _packed(self, service: str) -> bytes:
+        """Return what a peer (no service named) or an agent is given."""
+        if service not in self._packed_by_service:
+            # Names that nobody declared must not fill the memory.
+            packed = self._format.pack(self._value, service)
+            if service not in self._membership.configuration.services_by_name:
+                return packed
+            self._packed_by_service[service] = packed
+        return self._packed_by_service[service]
+
+    # Control
+
+    async def _answer(self, message):
+        membership = self._membership
+        match message:
+            case AskConfiguration(newer_than=version, service=service):
+                held = membership.configuration.version
+                packed = self._packed(service) if held > version else b""
+                return ConfigurationReply(version=held, packed=packed)
+            case AskTable(digests=digests):
+                records = membership.table.records_unlike(digests)
+                balancers = tuple(membership.peers.records_by_name.values())
+                return TableReply(records=records, balancers=balancers)
+            case AskStatus():
+                return self._status()
+            case AskDrain(name=name):
+                if name != self._settings.name:
+                    return DrainReply(accepted=False, reason="not this process")
+                if self._life.state != "leaving":
+                    self._life.step("terminate")
+                return DrainReply(accepted=True)
+        return None
+
+    def _status(self) -> StatusReply:
+        membership = self._membership
+        candidates = membership.table.all_candidates(now=_now())
+        return StatusReply(
+            name=self._settings.name,
+            role="balancer",
+            data_centre=self._settings.data_centre,
+            state=self._life.state,
+            version=membership.configuration.version,
+            uptime=_now() - self._started,
+            targets=tuple(
+                TargetStatus(record=c.record, load=c.load, suspected=c.suspected)
+                for c in candidates
+            ),
+            balancers=tuple(membership.peers.records_by_name.values()),
+        )
+
+
+def _now() -> float:
+    return time.monotonic()
--- /dev/null
+++ b/monsoonpier/balancer/packet_flows.py
@@ -0,0 +1,96 @@
+"""What a balancer remembers of flows without a token: bounded, may be lost."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from monsoonpier.wire.packet import Packet
+
+__all__ = ["FlowTable", "Inquiry", "KnownFlow", "LongFlowShare"]
+
+MAX_FLOWS = 65_536  # 13,500 open flows a balancer at the size aimed at, fivefold
+LONG_SECONDS = 2.0  # a flow that still sends then carries more than one request
+SHARE_SMOOTHING = 0.1
+
+
+@dataclass(slots=True, kw_only=True)
+class Inquiry:
+    """A flow that no agent has claimed yet: who was asked, who said no."""
+
+    asked_at: float
+    packet: Packet
+    denied: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, kw_only=True)
+class KnownFlow:
+    """One flow as this balancer last saw it.
+
+    ``holders`` names the targets that may hold it: several while copies of its
+    SYN are on their way, one after its agent has said so.
+    """
+
+    service: str
+    created_at: float
+    holders: tuple[str, ...] = ()
+    is_confirmed: bool = False
+    is_accepted: bool = False
+    syn: Packet | None = None
+    sent_at: float = 0.0
+    tried: tuple[str, ...] = ()
+    inquiry: Inquiry | None = None
+    is_counted: bool = False
+
+
+class FlowTable:
+    """The flows seen last, by their address."""
+
+    def __init__(self, *, most: int = MAX_FLOWS) -> None:
+        self._most = most
+        self._flows_by_address: OrderedDict[bytes, KnownFlow] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._flows_by_address)
+
+    def get(self, flow: bytes) -> KnownFlow | None:
+        """Return what is known of a flow."""
+        return self._flows_by_address.get(flow)
+
+    def touch(self, flow: bytes) -> KnownFlow | None:
+        """Return what is known of a flow, and keep it longest."""
+        known = self._flows_by_address.get(flow)
+        if known is not None:
+            self._flows_by_address.move_to_end(flow)
+        return known
+
+    def put(self, flow: bytes, known: KnownFlow) -> None:
+        """Remember a flow; the one seen longest ago makes room."""
+        self._flows_by_address[flow] = known
+        self._flows_by_address.move_to_end(flow)
+        if len(self._flows_by_address) > self._most:
+            self._flows_by_address.popitem(last=False)
+
+    def drop(self, flow: bytes) -> None:
+        """Forget a flow."""
+        self._flows_by_address.pop(flow, None)
+
+
+class LongFlowShare:
+    """How many of the flows to one address turn out to be long ones."""
+
+    def __init__(self) -> None:
+        self._share = 0.5
+
+    @property
+    def value(self) -> float:
+        """The smoothed share, 0 to 1."""
+        return self._share
+
+    def count(self, known: KnownFlow, *, is_fin: bool, now: float) -> None:
+        """Learn from one packet of a flow; each flow counts once."""
+        if known.is_counted:
+            return
+        is_long = now - known.created_at >= LONG_SECONDS
+        if not is_long and not is_fin:
+            return
+        known.is_counted = True
+        self._share += SHARE_SMOOTHING * (float(is_long) - self._share)
--- /dev/null
+++ b/monsoonpier/balancer/packet_placement.py
@@ -0,0 +1,106 @@
+"""Choice of a target for a new flow without a token: the one it waits least at.
+
+The load that it answers: requests of 40 to 70 ms on targets of one to three
+slots at up to 0.8 of their capacity, where a request that meets a taken slot
+waits as long as it runs. Two random candidates miss the idle slot too often
+there, and a service has few targets (15 at the size that is aimed at), so all
+of them are compared.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
+from monsoonpier.model.target import Condition
+
+__all__ = ["MAX_TRIES", "PlacementQuery", "place"]
+
+MAX_TRIES = 3  # a SYN that was turned away so often is placed by force
+RETRY_AFTER_SECONDS = 0.2  # about four runs: by then a slot has come free
+BUSY_WEIGHT = 0.5  # of taken slots below the last one, against waiting
+FLOW_WEIGHT = 1.0  # of a long flow's later requests, against those under way
+REMOTE_WEIGHT = 0.05  # breaks ties only: a millisecond against runs of 50
+JITTER = 0.02  # balancers with equal knowledge must not choose alike
+MIN_SPEED_RATIO = 0.3
+MAX_SPEED_RATIO = 8.0
+DEFAULT_SERVICE_MS = 50
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlacementQuery:
+    """A new flow that is to be placed.
+
+    Attributes:
+        tried: Names of targets that have turned it away or not answered.
+        data_centre: Where the balancer is.
+        long_share: How likely the flow is to carry many requests, 0 to 1.
+        time_left: Seconds until an answer is of no use.
+    """
+
+    tried: tuple[str, ...] = ()
+    data_centre: str
+    long_share: float
+    time_left: float
+
+
+def place(
+    query: PlacementQuery, candidates: Sequence[Candidate], *, draw: random.Random
+) -> Chosen | NoTarget:
+    """Return the target that the flow should go to; pure but for the draws."""
+    untried = [c for c in candidates if c.record.name not in query.tried]
+    ready = [c for c in untried if c.takes_flows and not c.suspected]
+    # The suspicion may be wrong; a target that turned it away may be free by now.
+    ready = ready or [c for c in untried if c.takes_flows]
+    ready = ready or [c for c in candidates if c.takes_flows and not c.suspected]
+    if not ready:
+        return NoTarget(reason="no target is free", retry_after=RETRY_AFTER_SECONDS)
+    view = _View(ready)
+    best = min(ready, key=lambda c: view.score(c, query=query, draw=draw))
+    if view.wait_seconds(best) > query.time_left:
+        return NoTarget(reason="would be late", retry_after=view.wait_seconds(best))
+    return Chosen(record=best.record)
+
+
+class _View:
+    """What all ready candidates have in common."""
+
+    def __init__(self, ready: Sequence[Candidate]) -> None:
+        timed = sorted(c.load.service_ms for c in ready if c.load.service_ms)
+        self._median_ms = timed[len(timed) // 2] if timed else DEFAULT_SERVICE_MS
+        flows = sum(c.placed for c in ready)
+        self._mean_flows = (flows + 1) / sum(c.record.slots for c in ready)
+
+    def speed_ratio(self, candidate: Candidate) -> float:
+        """Return how long a run takes here against the median."""
+        if not candidate.load.service_ms:
+            return 1.0
+        ratio = candidate.load.service_ms / self._median_ms
+        return min(MAX_SPEED_RATIO, max(MIN_SPEED_RATIO, ratio))
+
+    def wait_runs(self, candidate: Candidate) -> float:
+        """Return the expected wait for a slot, in runs."""
+        slots = candidate.record.slots
+        ahead = candidate.work + candidate.sent_since + 1 - slots
+        return max(0, ahead) / slots
+
+    def wait_seconds(self, candidate: Candidate) -> float:
+        """Return the expected wait for a slot."""
+        run_ms = self._median_ms * self.speed_ratio(candidate)
+        return self.wait_runs(candidate) * run_ms / 1000
+
+    def score(
+        self, candidate: Candidate, *, query: PlacementQuery, draw: random.Random
+    ) -> float:
+        """Return the cost of placing the flow there; the least is chosen."""
+        slots = candidate.record.slots
+        taken = (candidate.work + candidate.sent_since) / slots
+        cost = (1 + self.wait_runs(candidate)) * self.speed_ratio(candidate)
+        cost += BUSY_WEIGHT * min(1.0, taken)
+        flows = candidate.placed / slots / self._mean_flows
+        cost += FLOW_WEIGHT * query.long_share * flows
+        if candidate.record.data_centre != query.data_centre:
+            cost += REMOTE_WEIGHT
+        if candidate.load.condition is Condition.SHEDDING:
+            cost += MAX_SPEED_RATIO
+        return cost + draw.random() * JITTER
--- /dev/null
+++ b/monsoonpier/balancer/packet_process.py
@@ -0,0 +1,197 @@
+"""A balancer of flows without a token: sockets and tasks around the decisions."""
+
+import asyncio
+import random
+import time
+
+import structlog
+
+from monsoonpier.balancer.actions import ToAgent
+from monsoonpier.balancer.member import ConfigurationFormat, Member, balancer_record
+from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.packet_steering import PacketSteering, ResetCaller
+from monsoonpier.documents.settings import Settings
+from monsoonpier.model.address import Address
+from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.udp import UdpSocket, open_udp
+from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.store.interface import Store
+from monsoonpier.wire.codec import Dropped
+from monsoonpier.wire.frames import NotHeld, Turned
+from monsoonpier.wire.packet import Packet, PacketCodec
+
+__all__ = ["PacketBalancerProcess"]
+
+QUIET_SECONDS = 1.0  # a leaving balancer that has passed nothing this long may stop
+MIN_LEAVE_SECONDS = 1.5  # two missed probes and one more
+MAX_LEAVE_SECONDS = 5.0  # the least time that stops are given, less a second
+RETRY_CHECK_SECONDS = 0.02
+_log = structlog.get_logger("monsoonpier.balancer.packet_process")
+
+
+class PacketBalancerProcess:
+    """Runs one balancer until it has left.
+
+    Args:
+        packets: Where callers' packets arrive; callers take theirs at that port.
+        codec: The packets' header.
+        store: Where configuration and balancers are found.
+        configuration_format: How the store's configuration is read.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        packets: Address,
+        codec: PacketCodec,
+        store: Store,
+        configuration_format: ConfigurationFormat,
+    ) -> None:
+        assert settings.metrics
+        self._settings = settings
+        self._packets = packets
+        self._codec = codec
+        self._store = store
+        self._draw = random.Random()
+        self._life = ProcessLife()
+        self._started = time.monotonic()
+        self._membership = Membership(own=balancer_record(settings))
+        self._steering = PacketSteering(
+            membership=self._membership, started_at=self._started
+        )
+        self._member = Member(
+            settings=settings,
+            membership=self._membership,
+            life=self._life,
+            store=store,
+            take_frame=self._take_frame,
+            on_configured=self._configured,
+            draw=self._draw,
+            configuration_format=configuration_format,
+        )
+        self._web = WebServer(
+            address=settings.metrics,
+            read_metrics=self._metrics,
+            is_ready=lambda: self.is_ready,
+        )
+        self._socket: UdpSocket | None = None
+        self._retry: asyncio.TimerHandle | None = None
+        self._last_passed = 0.0
+        self._dropped_by_reason: dict[str, int] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers' packets should come here."""
+        return self._life.is_ready and len(self._membership.table) > 0
+
+    async def run(self) -> None:
+        """Serve until asked to leave and traffic has moved.
+
+        Raises:
+            OSError: If a port is taken.
+        """
+        await self._member.start()
+        self._socket = await open_udp(
+            self._receive, ip=self._packets.ip, port=self._packets.port
+        )
+        await self._web.start()
+        self._life.install_signals()
+        _log.info("started", packets=str(self._packets))
+        await run_until_left(self._leave_and_finish, self._member.jobs)
+        await self._web.stop()
+        self._socket.close()
+        await self._member.stop()
+        _log.info("stopped")
+
+    async def _leave_and_finish(self) -> None:
+        await self._life.wait_for_leaving()
+        began = _now()
+        await self._member.leave()
+        while _now() - began < MAX_LEAVE_SECONDS:
+            await asyncio.sleep(0.1)
+            is_quiet = _now() - self._last_passed > QUIET_SECONDS
+            if is_quiet and _now() - began > MIN_LEAVE_SECONDS:
+                break
+        self._life.step("finished")
+
+    def _configured(self) -> None:
+        self._steering.configured()
+        self._life.step("configured")
+
+    # Packets and frames
+
+    def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
+        now = _now()
+        packet = self._codec.decode(data, from_target=False)
+        if isinstance(packet, Dropped):
+            self._drop(packet.reason)
+            return
+        self._last_passed = now
+        self._do(self._steering.from_caller(packet, now=now, draw=self._draw))
+
+    def _take_frame(self, frame, sender: tuple[str, int]) -> None:
+        packet: Packet | None = None
+        if isinstance(frame, NotHeld | Turned):
+            decoded = self._codec.decode(frame.payload, from_target=False)
+            if isinstance(decoded, Dropped):
+                self._drop(decoded.reason)
+                return
+            packet = decoded
+        actions = self._steering.from_agent(frame, packet, now=_now(), draw=self._draw)
+        if actions is None:
+            self._drop("unexpected")
+            return
+        self._do(actions)
+
+    def _do(self, actions: list) -> None:
+        for action in actions:
+            match action:
+                case ToAgent(endpoint=endpoint, frame=frame):
+                    self._member.send(frame, endpoint, is_control=False)
+                case ResetCaller(packet=packet, reason=reason):
+                    self._send_reset(packet, reason)
+        if self._retry is None and self._steering.next_retry_at is not None:
+            loop = asyncio.get_running_loop()
+            self._retry = loop.call_later(RETRY_CHECK_SECONDS, self._retry_unanswered)
+
+    def _retry_unanswered(self) -> None:
+        self._retry = None
+        self._do(self._steering.retry_unanswered(now=_now(), draw=self._draw))
+
+    def _send_reset(self, packet: Packet, reason: str) -> None:
+        _log.info(
+            "flow reset",
+            flow=packet.flow.hex(),
+            address=str(packet.service_address),
+            reason=reason,
+            version=self._membership.configuration.version,
+        )
+        reset = self._codec.reset(packet.flow, acknowledged=packet.acknowledged)
+        assert self._socket is not None
+        self._socket.send(reset, (packet.caller_ip, self._packets.port))
+
+    def _drop(self, reason: str) -> None:
+        count = self._dropped_by_reason.get(reason, 0)
+        self._dropped_by_reason[reason] = count + 1
+        _log.warning("datagram dropped", reason=reason)
+
+    def _metrics(self):
+        membership = self._membership
+        yield gauge("uptime_seconds", "Time since start.", _now() - self._started)
+        yield gauge("targets", "Targets known.", len(membership.table))
+        balancers = len(membership.peers.records_by_name)
+        yield gauge("balancers", "Balancers known.", balancers)
+        yield gauge("flows", "Flows remembered.", self._steering.flows)
+        version = membership.configuration.version
+        yield gauge("configuration_version", "Version in force.", version)
+        results = self._steering.counts_by_result
+        yield counter("flow_decisions", "Decisions on flows.", results, "result")
+        drops = self._dropped_by_reason | self._member.dropped_by_reason
+        yield counter("dropped_datagrams", "Datagrams not used.", drops, "reason")
+        control = self._member.bytes_by_direction
+        yield counter("control_bytes", "Control traffic.", control, "direction")
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -39,7 +39,7 @@
     def __init__(
         self,
         *,
-        platform: Store,
+        store: Store,
         peers: Peers,
         codec: FrameCodec,
         configure: Callable[[bytes], None],
@@ -47,7 +47,7 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._now = clock
-        self._platform = platform
+        self._store = store
         self._peers = peers
         self._codec = codec
         self._configure = configure
@@ -67,7 +67,7 @@
             return
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                await self._platform.revoke(lease.id)
+                await self._store.revoke(lease.id)
         except (StoreError, TimeoutError) as error:
             _log.info("lease not revoked", reason=str(error))
 
@@ -89,7 +89,7 @@
         asked_at = self._now()
         if self._lease.may_act(now=asked_at):
             try:
-                ttl = await self._platform.renew(self._lease.id)
+                ttl = await self._store.renew(self._lease.id)
             except LeaseNotFoundError:
                 self._lease = self._lease.lost()
             else:
@@ -101,10 +101,10 @@
 
     async def _register(self) -> None:
         asked_at = self._now()
-        lease = await self._platform.grant(ttl_seconds=LEASE_TTL_SECONDS)
+        lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
         own = self._peers.own
         put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        await self._platform.transact(compares=(), puts=(put,))
+        await self._store.transact(compares=(), puts=(put,))
         self._lease = self._lease.at(now=asked_at).granted(
             lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
         )
@@ -131,7 +131,7 @@
         while True:
             try:
                 revision = await self._read()
-                async for event in self._platform.watch(
+                async for event in self._store.watch(
                     CONFIGURATION, from_revision=revision + 1
                 ):
                     if event.value is not None:
@@ -148,12 +148,12 @@
 
     async def _read(self) -> int:
         """Read balancers and configuration; return the revision."""
-        found = await self._platform.read(BALANCERS, prefix=True)
+        found = await self._store.read(BALANCERS, prefix=True)
         for value in found.values_by_key.values():
             record = self._codec.decode(value.value)
             if isinstance(record, BalancerRecord):
                 self._peers.learn(record)
-        stored = await self._platform.read(CONFIGURATION)
+        stored = await self._store.read(CONFIGURATION)
         for value in stored.values_by_key.values():
             self._configure(value.value)
         self._last_read = self._now()
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -17,6 +17,7 @@
 FORGET_SECONDS = 120.0  # a suspected target is forgotten after this
 GONE_SECONDS = 30.0  # a record of a gone target is kept to spread the news
 WITNESSES_NEEDED = 2  # a cut between one witness and one agent convinces nobody
+UNANSWERED_LIMIT = 2  # one SYN or its answer may just be lost
 BUCKETS = 16
 DIGEST_BYTES = 8
 
@@ -29,6 +30,7 @@
     heard_at: float | None = None  # directly, by this balancer
     is_witnessed: bool = False  # its heartbeats come to this balancer
     sent_since: int = 0
+    unanswered: int = 0  # new flows in a row that got no answer
     silent_witnesses: dict[str, float] = field(default_factory=dict)
 
 
@@ -38,6 +40,7 @@
     def __init__(self) -> None:
         self._entries_by_name: dict[str, _Entry] = {}
         self._names_by_service: dict[str, set[str]] = {}
+        self._names_by_endpoint: dict[tuple[str, int], str] = {}
         self._bucket_sums = [0] * BUCKETS
 
     def __len__(self) -> int:
@@ -79,14 +82,30 @@
                 entry.sent_since = 0
         self._names_by_service.setdefault(record.service, set()).add(record.name)
         self._toggle(record)
+        self._replace_at_endpoint(record, now=now)
         return True
 
+    def _replace_at_endpoint(self, record: TargetRecord, *, now: float) -> None:
+        """End the earlier target of an address that now belongs to another."""
+        endpoint = (record.ip, record.port)
+        earlier = self._names_by_endpoint.get(endpoint, record.name)
+        self._names_by_endpoint[endpoint] = record.name
+        entry = self._entries_by_name.get(earlier)
+        if earlier == record.name or entry is None:
+            return
+        if entry.record.epoch > record.epoch:
+            self._names_by_endpoint[endpoint] = earlier
+        elif (entry.record.ip, entry.record.port) == endpoint:
+            self.learn(entry.record.with_condition(Condition.GONE), now=now)
+            self._names_by_endpoint[endpoint] = record.name
+
     def heard(self, name: str, load: LoadReport, *, now: float) -> None:
         """Take a report that came straight from the target's agent."""
         entry = self._entries_by_name.get(name)
         if entry is None:
             return
         entry.heard_at = now
+        entry.unanswered = 0
         if load.number > entry.load.number:
             entry.load = load
 
@@ -111,6 +130,12 @@
         if entry is not None and entry.sent_since:
             entry.sent_since -= 1
 
+    def not_answered(self, name: str) -> None:
+        """Note that a new flow that was sent there got no answer in time."""
+        entry = self._entries_by_name.get(name)
+        if entry is not None:
+            entry.unanswered += 1
+
     def hear_silence(self, silence: Silence, *, now: float) -> bool:
         """Take a witness's word on a target; tell whether it was news."""
         entry = self._entries_by_name.get(silence.name)
@@ -151,7 +176,10 @@
                 self._drop(name)
 
     def _drop(self, name: str) -> None:
-        self._unlist(self._entries_by_name.pop(name).record)
+        record = self._entries_by_name.pop(name).record
+        self._unlist(record)
+        if self._names_by_endpoint.get((record.ip, record.port)) == name:
+            del self._names_by_endpoint[(record.ip, record.port)]
 
     def _unlist(self, record: TargetRecord) -> None:
         self._names_by_service.get(record.service, set()).discard(record.name)
@@ -168,6 +196,19 @@
             if service.allows(name)
         ]
 
+    def candidates_of(self, service: str, *, now: float) -> list[Candidate]:
+        """Return all targets of a service whose flows carry no token."""
+        names = self._names_by_service.get(service, ())
+        return [self._candidate(self._entries_by_name[name], now=now) for name in names]
+
+    def names_of(self, service: str) -> set[str]:
+        """Return the names of a service's targets that have not ended."""
+        return {
+            name
+            for name in self._names_by_service.get(service, ())
+            if self._entries_by_name[name].record.condition is not Condition.GONE
+        }
+
     def all_candidates(self, *, now: float) -> list[Candidate]:
         """Return every target, allowed or not."""
         return [self._candidate(e, now=now) for e in self._entries_by_name.values()]
@@ -182,6 +223,8 @@
 
     def _is_suspected(self, entry: _Entry, *, now: float) -> bool:
         """Hearing it oneself outweighs any number of witnesses."""
+        if entry.unanswered >= UNANSWERED_LIMIT:
+            return True
         if entry.heard_at is not None and now - entry.heard_at <= SUSPECT_SECONDS:
             return False
         return len(entry.silent_witnesses) >= WITNESSES_NEEDED
--- /dev/null
+++ b/monsoonpier/http/client.py
@@ -0,0 +1,161 @@
+"""A client of one server: each call has a time-out, connections are reused."""
+
+import asyncio
+
+import httptools
+
+from monsoonpier.http.message import MAX_BODY_BYTES, Response
+from monsoonpier.model.address import Address
+
+__all__ = ["HttpClient", "HttpError"]
+
+MAX_IDLE_CONNECTIONS = 2  # a call beside a waiting watch
+IDLE_SECONDS = 8.0  # below the 12 s after which servers commonly close
+CONNECT_SECONDS = 1.0
+
+
+class HttpError(Exception):
+    """No whole response came.
+
+    ``was_sent`` tells whether the server may have acted on the request.
+    """
+
+    def __init__(self, reason: str, *, was_sent: bool) -> None:
+        super().__init__(reason)
+        self.was_sent = was_sent
+
+
+class HttpClient:
+    """Calls one server. A connection that failed a call is never used again."""
+
+    def __init__(self, *, address: Address) -> None:
+        self._address = address
+        self._idle: list[_Connection] = []
+
+    async def call(
+        self, method: str, target: str, *, body: bytes = b"", timeout: float
+    ) -> Response:
+        """Send one request and return its response.
+
+        Args:
+            method: The request's method.
+            target: Path and query.
+            body: JSON, or nothing.
+            timeout: Seconds until the call is given up.
+
+        Raises:
+            HttpError: If no whole response came in time.
+        """
+        connection = await self._connection(min(timeout, CONNECT_SECONDS))
+        try:
+            response = await asyncio.wait_for(
+                connection.exchange(self._request(method, target, body)), timeout
+            )
+        except (TimeoutError, OSError, httptools.HttpParserError) as error:
+            connection.close()
+            raise HttpError(f"{method} {target}: {error!r}", was_sent=True) from error
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        self._keep(connection)
+        return response
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def _connection(self, seconds: float) -> "_Connection":
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable and now - connection.used_at < IDLE_SECONDS:
+                return connection
+            connection.close()
+        loop = asyncio.get_running_loop()
+        try:
+            _, connection = await asyncio.wait_for(
+                loop.create_connection(_Connection, *self._address.endpoint), seconds
+            )
+        except (TimeoutError, OSError) as error:
+            raise HttpError(
+                f"{self._address} not reached: {error!r}", was_sent=False
+            ) from error
+        return connection
+
+    def _keep(self, connection: "_Connection") -> None:
+        if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            connection.used_at = asyncio.get_running_loop().time()
+            self._idle.append(connection)
+            return
+        connection.close()
+
+    def _request(self, method: str, target: str, body: bytes) -> bytes:
+        head = f"{method} {target} HTTP/1.1\r\nHost: {self._address}\r\n"
+        if body or method == "POST":
+            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        return head.encode() + b"\r\n" + body
+
+
+class _Connection(asyncio.Protocol):
+    """One connection and its one response at a time; called by asyncio."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = bytearray()
+        self._waiting: asyncio.Future | None = None
+        self._keeps_alive = True
+        self.used_at = 0.0
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        assert self._transport is not None
+        return self._keeps_alive and not self._transport.is_closing()
+
+    async def exchange(self, request: bytes) -> Response:
+        """Send a request and wait for its response."""
+        assert self._transport is not None
+        self._waiting = asyncio.get_running_loop().create_future()
+        self._transport.write(request)
+        return await self._waiting
+
+    def close(self) -> None:
+        """Close without waiting: what was not sent is not wanted."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport) -> None:
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail(exc or ConnectionResetError("connection closed"))
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(error)
+            self.close()
+
+    def on_message_begin(self) -> None:
+        self._body.clear()
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+        if len(self._body) > MAX_BODY_BYTES:
+            self._fail(OSError("response too large"))
+            self.close()
+
+    def on_message_complete(self) -> None:
+        self._keeps_alive = self._parser.should_keep_alive()
+        if self._waiting is None or self._waiting.done():
+            return
+        status = self._parser.get_status_code()
+        self._waiting.set_result(Response(status=status, body=bytes(self._body)))
+
+    def _fail(self, error: Exception) -> None:
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_exception(error)
--- a/monsoonpier/model/service.py
+++ b/monsoonpier/model/service.py
@@ -7,7 +7,7 @@
 
 from monsoonpier.model.address import Address
 
-__all__ = ["Configuration", "Kind", "Limits", "Preference", "Service"]
+__all__ = ["Configuration", "Kind", "Limits", "PacketRoute", "Preference", "Service"]
 
 DEFAULT_DEADLINE_SECONDS = 10.0
 
@@ -54,12 +54,26 @@
         return _matches(target, self.targets)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PacketRoute:
+    """Where new flows without a token go that are opened at one address.
+
+    ``aim_seconds`` is the latency that callers want, ``timeout_seconds`` the
+    one after which an answer is of no use to them.
+    """
+
+    service: str
+    aim_seconds: float
+    timeout_seconds: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
     """One accepted version of the whole set of operators' files."""
 
     version: int = 0
     services_by_name: dict[str, Service] = field(default_factory=dict)
+    routes_by_address: dict[Address, PacketRoute] = field(default_factory=dict)
 
     def allows(self, *, service: str, target: str) -> bool:
         """Tell whether the target may serve the service in this version."""
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -25,7 +25,7 @@
 
     ``number`` grows with each report, so that a late one is known as such.
     ``service_ms`` is the smoothed time of one run, ``age_ms`` the time since
-    the target began to serve.
+    the target began to serve, ``cold_ms`` how much longer it says it is slow.
     """
 
     number: int
@@ -35,6 +35,7 @@
     service_ms: int = 0
     age_ms: int = 0
     condition: Condition = Condition.STARTING
+    cold_ms: int = 0
 
 
 class TargetRecord(
--- /dev/null
+++ b/monsoonpier/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: it translates, and decides nothing."""
--- /dev/null
+++ b/monsoonpier/platform/configuration.py
@@ -0,0 +1,66 @@
+"""The operator's configuration as the platform's store holds it."""
+
+import zlib
+
+import msgspec
+
+from monsoonpier.model.address import Address
+from monsoonpier.model.service import Configuration, PacketRoute
+
+__all__ = ["PLATFORM_FORMAT"]
+
+from monsoonpier.balancer.member import ConfigurationFormat
+
+
+class _Route(msgspec.Struct, frozen=True, kw_only=True):
+    """A route: ``host`` is an IP number, ``prefix`` a port between slashes."""
+
+    host: str
+    prefix: str
+    service: str = ""
+    timeout_ms: float = 10_000
+    target_latency_ms: float = 1_000
+
+
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    idle_timeout_ms: float = 15_000
+
+
+class _Stored(msgspec.Struct, frozen=True, kw_only=True):
+    version: int
+    routes: list[_Route]
+    limits: _Limits = _Limits()
+
+
+_decode = msgspec.json.Decoder(_Stored).decode
+
+
+def _configuration(value: bytes) -> Configuration:
+    try:
+        stored = _decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ValueError(f"not a configuration of the operator: {error}") from error
+    return Configuration(
+        version=stored.version,
+        routes_by_address={_address(route): _route(route) for route in stored.routes},
+    )
+
+
+def _address(route: _Route) -> Address:
+    return Address(ip=route.host, port=int(route.prefix.strip("/")))
+
+
+def _route(route: _Route) -> PacketRoute:
+    return PacketRoute(
+        service=route.service,
+        aim_seconds=route.target_latency_ms / 1000,
+        timeout_seconds=route.timeout_ms / 1000,
+    )
+
+
+def _pack(value: bytes, service: str) -> bytes:
+    """Return the value compressed; agents of this path don't ask for it."""
+    return zlib.compress(value)
+
+
+PLATFORM_FORMAT = ConfigurationFormat(decode=_configuration, pack=_pack)
--- /dev/null
+++ b/monsoonpier/platform/settings.py
@@ -0,0 +1,138 @@
+"""A process's settings as the platform writes them, decoded into `Settings`."""
+
+import os
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from monsoonpier.documents.settings import Settings, TargetSettings
+from monsoonpier.model.address import Address
+from monsoonpier.model.keys import Key, KeyRing
+
+__all__ = ["PlatformSettings", "load_platform_settings"]
+
+SETTINGS_VARIABLE = "MONSOONPIER_SETTINGS"
+KEY_VARIABLE = "FRAME_KEY"
+KEY_BYTES = 32
+CONTROL_OFFSET = 1  # after the first internal port, which takes frames
+METRICS_PORT = 9464  # Prometheus exporters' usual one; also in deploy/system.toml
+
+
+class _Listen(msgspec.Struct, frozen=True, kw_only=True):
+    ready: str
+    datagram_addr: str
+    control: str | None = None
+    outbound: str | None = None
+
+
+class _StorePlace(msgspec.Struct, frozen=True, kw_only=True):
+    address: str
+
+
+class _File(msgspec.Struct, frozen=True, kw_only=True):
+    """The fields that are used; unknown ones are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    platform: _StorePlace
+    seeds: tuple[str, ...] = ()
+    app: str | None = None
+    service: str | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """The product's settings, and the addresses that only this path has.
+
+    Attributes:
+        common: What every process of the product knows.
+        ready: Where readiness is probed.
+        packets: Where callers' packets arrive; its port is also the callers'.
+        store: Where the platform's store is.
+        heartbeats: Where the target announces itself, or on entry VMs nothing
+            that a target should ever call.
+        from_target: Where the target sends its packets; agents only.
+        target: Where the target takes packets; agents only.
+    """
+
+    common: Settings
+    ready: Address
+    packets: Address
+    store: Address
+    heartbeats: Address | None
+    from_target: Address | None
+    target: Address | None
+
+
+def load_platform_settings(
+    *, role: str, environment: Mapping[str, str] = os.environ
+) -> PlatformSettings:
+    """Read and check the settings file that the environment names.
+
+    Raises:
+        ValueError: If it can't be read or lacks something; says what and where.
+    """
+    path = environment.get(SETTINGS_VARIABLE)
+    if not path:
+        raise ValueError(f"{SETTINGS_VARIABLE} names no settings file")
+    try:
+        content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        file = msgspec.convert(content, _File)
+        return _settings(file, role=role, keys=_keys(environment))
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        raise ValueError(f"{path}: {error}") from error
+
+
+def _settings(file: _File, *, role: str, keys: KeyRing) -> PlatformSettings:
+    first_port = file.internal_ports[0]
+    internal = Address(ip=file.ip, port=first_port)
+    target = None
+    if role == "agent":
+        if not file.app or not file.service or not file.listen.outbound:
+            raise ValueError("an agent needs app, service and listen.outbound")
+        target = TargetSettings(service=file.service, url=f"http://{file.app}")
+    common = Settings(
+        role=role,
+        name=file.node_name,
+        data_centre=file.zone,
+        platform=(),
+        keys=keys,
+        internal=internal,
+        control=Address(ip=file.ip, port=first_port + CONTROL_OFFSET),
+        metrics=Address(ip=file.ip, port=METRICS_PORT),
+        # A seed is where targets would announce themselves; its process takes
+        # frames at the internal port, which is the same on all machines.
+        seeds=tuple(
+            Address(ip=Address.parse(seed).ip, port=first_port) for seed in file.seeds
+        ),
+        target=target,
+    )
+    return PlatformSettings(
+        common=common,
+        ready=Address.parse(file.listen.ready),
+        packets=Address.parse(file.listen.datagram_addr),
+        store=Address.parse(file.platform.address),
+        heartbeats=_optional(file.listen.control),
+        from_target=_optional(file.listen.outbound),
+        target=_optional(file.app),
+    )
+
+
+def _optional(text: str | None) -> Address | None:
+    return Address.parse(text) if text else None
+
+
+def _keys(environment: Mapping[str, str]) -> KeyRing:
+    try:
+        secret = bytes.fromhex(environment.get(KEY_VARIABLE, ""))
+    except ValueError as error:
+        raise ValueError(f"{KEY_VARIABLE} is not hexadecimal") from error
+    if len(secret) != KEY_BYTES:
+        raise ValueError(f"{KEY_VARIABLE} must have {KEY_BYTES} bytes")
+    return KeyRing(keys=(Key(id=1, secret=secret),))
--- /dev/null
+++ b/monsoonpier/platform/store.py
@@ -0,0 +1,250 @@
+"""The platform's metadata store as an implementation of `Store`."""
+
+import asyncio
+import base64
+import random
+from collections.abc import AsyncIterator
+from urllib.parse import urlencode
+
+import msgspec
+import structlog
+
+from monsoonpier.http import HttpClient, HttpError, Response
+from monsoonpier.model.address import Address
+from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.interface import (
+    CompactedError,
+    Compare,
+    KeyValue,
+    LeaseNotFoundError,
+    Put,
+    Snapshot,
+    StoreError,
+    TransactionResult,
+    WatchEvent,
+)
+from monsoonpier.store.keys import CONFIGURATION
+
+__all__ = ["PlatformStore"]
+
+CALL_SECONDS = 2.0  # 500 times an answer of the store when it is well
+WATCH_SECONDS = 10.0  # a watch that hangs without a word is found out after this
+WATCH_SLACK_SECONDS = 2.0
+MAX_PAGES = 64  # 500 items each: seven times the balancers aimed at
+_PATH = "/monsoonpier/"
+_OPERATORS_KEY = "op/config"
+_log = structlog.get_logger("monsoonpier.platform.store")
+
+
+class _Item(msgspec.Struct, frozen=True, kw_only=True):
+    key: str
+    revision: int  # of its last change
+    value: str = ""
+    lease: int = 0
+    deleted: bool = False
+
+
+class _Found(msgspec.Struct, frozen=True, kw_only=True):
+    items: list[_Item]
+    current_rev: int
+    truncated: bool = False
+
+
+class _Watched(msgspec.Struct, frozen=True, kw_only=True):
+    events: list[_Item]
+    current_rev: int
+
+
+class _Written(msgspec.Struct, frozen=True, kw_only=True):
+    revision: int
+
+
+class _Granted(msgspec.Struct, frozen=True, kw_only=True):
+    lease: int
+
+
+class _Kept(msgspec.Struct, frozen=True, kw_only=True):
+    ttl_ms: int
+
+
+class PlatformStore:
+    """Speaks the store's HTTP calls; keys are translated at this boundary."""
+
+    def __init__(self, *, address: Address, draw: random.Random) -> None:
+        self._client = HttpClient(address=address)
+        self._draw = draw
+        self.calls = 0
+
+    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
+        """Return the key, or all keys that begin with it."""
+        wanted = _outer(key)
+        items: list[_Item] = []
+        after = ""
+        for _ in range(MAX_PAGES):
+            query = {"prefix": wanted} | ({"after": after} if after else {})
+            found = _parse(await self._get("kv-range", query), _Found)
+            items += found.items
+            if not found.truncated or not found.items:
+                break
+            after = found.items[-1].key
+        values = [_key_value(item) for item in items if prefix or item.key == wanted]
+        return Snapshot(
+            revision=found.current_rev,
+            values_by_key={value.key: value for value in values},
+        )
+
+    async def transact(
+        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+    ) -> TransactionResult:
+        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+        body = {
+            "expect": [
+                {"key": _outer(c.key), "revision": c.mod_revision} for c in compares
+            ],
+            "puts": [
+                {
+                    "key": _outer(put.key),
+                    "value": base64.b64encode(put.value).decode(),
+                    "lease": put.lease,
+                }
+                for put in puts
+            ],
+            "remove": [],
+        }
+        response = await self._post("kv-txn", body)
+        if response.status == 412:
+            return TransactionResult(succeeded=False, revision=0)
+        if response.status == 404:
+            raise LeaseNotFoundError("the lease has ended")
+        written = _parse(_checked(response, "kv-txn"), _Written)
+        return TransactionResult(succeeded=True, revision=written.revision)
+
+    async def grant(self, *, ttl_seconds: int) -> int:
+        """Return the id of a new lease."""
+        response = await self._post("kv-lease", {"ttl_ms": ttl_seconds * 1000})
+        return _parse(_checked(response, "kv-lease"), _Granted).lease
+
+    async def renew(self, lease: int) -> int:
+        """Renew a lease and return its seconds to live."""
+        response = await self._post(f"kv-keep/{lease}", {})
+        if response.status == 404:
+            raise LeaseNotFoundError("the lease has ended")
+        return _parse(_checked(response, "kv-keep"), _Kept).ttl_ms // 1000
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease; its keys are deleted."""
+        path = f"{_PATH}kv-lease-end/{lease}"
+        _checked(await self._call("DELETE", path), "kv-lease-end")
+
+    async def watch(
+        self, key: str, *, prefix: bool = False, from_revision: int
+    ) -> AsyncIterator[WatchEvent]:
+        """Yield every change from that revision on, across cuts.
+
+        Raises:
+            CompactedError: If changes since then are no longer kept.
+            StoreError: If the store can't be reached: what it knows may be newer.
+        """
+        wanted = _outer(key)
+        after = from_revision - 1
+        backoff = Backoff()
+        while True:
+            try:
+                watched = await self._watch_once(wanted, after)
+            except CompactedError:
+                raise
+            except StoreError as error:
+                _log.warning("watch failed", key=wanted, reason=str(error))
+                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+                backoff = backoff.after_failure()
+                continue
+            backoff = backoff.after_success()
+            after = max(after, watched.current_rev)
+            for item in watched.events:
+                if prefix or item.key == wanted:
+                    yield _watch_event(item)
+
+    async def close(self) -> None:
+        """Let go of connections."""
+        self._client.close()
+
+    async def _watch_once(self, wanted: str, after: int) -> _Watched:
+        query = {
+            "prefix": wanted,
+            "after": after,
+            "wait_ms": int(WATCH_SECONDS * 1000),
+        }
+        path = f"{_PATH}kv-watch?{urlencode(query)}"
+        response = await self._call(
+            "GET", path, timeout=WATCH_SECONDS + WATCH_SLACK_SECONDS
+        )
+        if response.status == 410:
+            raise CompactedError("the watch's revision is compacted")
+        return _parse(_checked(response, "kv-watch"), _Watched)
+
+    async def _get(self, call: str, query: dict) -> Response:
+        response = await self._call("GET", f"{_PATH}{call}?{urlencode(query)}")
+        return _checked(response, call)
+
+    async def _post(self, call: str, body: dict) -> Response:
+        return await self._call("POST", _PATH + call, body=msgspec.json.encode(body))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        timeout: float = CALL_SECONDS,
+    ) -> Response:
+        self.calls += 1
+        try:
+            return await self._client.call(method, path, body=body, timeout=timeout)
+        except HttpError as error:
+            raise StoreError(str(error)) from error
+
+
+def _outer(key: str) -> str:
+    """Return the platform's spelling: the operator's key is not ours to name."""
+    return _OPERATORS_KEY if key == CONFIGURATION else key.removeprefix("/")
+
+
+def _inner(key: str) -> str:
+    return CONFIGURATION if key == _OPERATORS_KEY else f"/{key}"
+
+
+def _checked(response: Response, call: str) -> Response:
+    if response.status != 200:
+        raise StoreError(f"{call} answered {response.status}")
+    return response
+
+
+def _parse(response: Response, kind: type):
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise StoreError(f"the store's answer is not usable: {error}") from error
+
+
+def _value(item: _Item) -> bytes:
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise StoreError(f"the value of {item.key} is not base64") from error
+
+
+def _key_value(item: _Item) -> KeyValue:
+    return KeyValue(
+        key=_inner(item.key),
+        value=_value(item),
+        mod_revision=item.revision,
+        lease=item.lease,
+    )
+
+
+def _watch_event(item: _Item) -> WatchEvent:
+    return WatchEvent(
+        key=_inner(item.key),
+        value=None if item.deleted else _value(item),
+        mod_revision=item.revision,
+    )
--- a/monsoonpier/process/life.py
+++ b/monsoonpier/process/life.py
@@ -3,13 +3,14 @@
 import asyncio
 import os
 import signal
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
 from monsoonpier.charts import load_chart
 from monsoonpier.exits import Exit
 
-__all__ = ["ProcessLife"]
+__all__ = ["ProcessLife", "run_until_left"]
 
 _log = structlog.get_logger("monsoonpier.process.life")
 
@@ -55,3 +56,17 @@
         self.step("terminate")
         if self._state == "stopped":
             os._exit(Exit.INTERRUPTED)
+
+
+async def run_until_left(
+    leave: Callable[[], Awaitable[None]], jobs: Iterable[Callable[[], Awaitable[None]]]
+) -> None:
+    """Run jobs until ``leave`` has returned; a job that fails ends all of them."""
+    tasks = [asyncio.create_task(job()) for job in jobs]
+    leaving = asyncio.create_task(leave())
+    done, _ = await asyncio.wait([leaving, *tasks], return_when=asyncio.FIRST_COMPLETED)
+    for task in (leaving, *tasks):
+        task.cancel()
+    await asyncio.gather(leaving, *tasks, return_exceptions=True)
+    for task in done:
+        task.result()
--- a/monsoonpier/process/web.py
+++ b/monsoonpier/process/web.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable, Iterable
 
-from aiohttp import web
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import Metric
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily
 
+from monsoonpier.http import HttpServer, Request, Response
 from monsoonpier.model.address import Address
 
-__all__ = ["WebServer", "counter", "gauge"]
+__all__ = ["WebServer", "counter", "gauge", "ready_response"]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "monsoonpier_"
@@ -48,11 +48,10 @@
         read_metrics: Callable[[], Iterable[Metric]],
         is_ready: Callable[[], bool],
     ) -> None:
-        self._address = address
         self._registry = CollectorRegistry()
         self._registry.register(_Collector(read_metrics))
         self._is_ready = is_ready
-        self._runner: web.AppRunner | None = None
+        self._server = HttpServer(address=address, handler=self.answer)
 
     async def start(self) -> None:
         """Begin to serve.
@@ -60,29 +59,29 @@
         Raises:
             OSError: If the port is taken.
         """
-        app = web.Application()
-        app.router.add_get("/metrics", self._metrics)
-        app.router.add_get("/healthz", self._healthz)
-        app.router.add_get("/readyz", self._readyz)
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, *self._address.endpoint).start()
+        await self._server.start()
 
     async def stop(self) -> None:
         """Stop serving."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def _metrics(self, request: web.Request) -> web.Response:
-        return web.Response(
-            body=generate_latest(self._registry),
-            headers={"Content-Type": CONTENT_TYPE},
-        )
-
-    async def _healthz(self, request: web.Request) -> web.Response:
-        return web.Response(text="ok\n")
-
-    async def _readyz(self, request: web.Request) -> web.Response:
-        if self._is_ready():
-            return web.Response(text="ready\n")
-        return web.Response(status=503, text="not ready\n")
+        await self._server.stop()
+
+    def answer(self, request: Request) -> Response:
+        """Return the page that was asked for."""
+        if request.method != "GET":
+            return Response(status=405)
+        match request.path:
+            case "/metrics":
+                body = generate_latest(self._registry)
+                return Response(body=body, content_type=CONTENT_TYPE)
+            case "/healthz":
+                return Response(body=b"ok\n")
+            case "/readyz":
+                return ready_response(is_ready=self._is_ready())
+        return Response(status=404)
+
+
+def ready_response(*, is_ready: bool) -> Response:
+    """Return what a probe of readiness is answered."""
+    if is_ready:
+        return Response(body=b"ready\n")
+    return Response(status=503, body=b"not ready\n")
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -13,10 +13,15 @@
     "Announce",
     "BalancerRecord",
     "Bounce",
+    "Carry",
     "Forward",
     "FrameCodec",
     "Gossip",
     "Heartbeat",
+    "Held",
+    "Load",
+    "NotHeld",
+    "Turned",
     "HeartbeatAck",
     "Return",
     "Silence",
@@ -31,6 +36,7 @@
 Ip = Annotated[str, Meta(max_length=15)]
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 Payload = Annotated[bytes, Meta(max_length=1_400)]
+FlowAddress = Annotated[bytes, Meta(min_length=12, max_length=12)]
 Tried = Annotated[tuple[Name, ...], Meta(max_length=MAX_TRIED)]
 
 
@@ -142,6 +148,54 @@
     is_answer: bool = False
 
 
+class Carry(_Frame, tag=9, kw_only=True, gc=False):
+    """A packet of a flow without a token, on its way to an agent.
+
+    ``tried`` names the targets that this SYN has been sent to.
+    """
+
+    service: Name
+    payload: Payload
+    tried: Tried = ()
+
+
+class Held(_Frame, tag=10, kw_only=True, gc=False):
+    """An agent's word that its target holds a flow.
+
+    ``is_open`` is false while the target has only answered the SYN.
+    """
+
+    flow: FlowAddress
+    agent: Name
+    load: LoadReport
+    is_open: bool
+
+
+class NotHeld(_Frame, tag=11, kw_only=True, gc=False):
+    """An agent's word that its target doesn't hold a flow, and the packet."""
+
+    agent: Name
+    instance: Annotated[bytes, Meta(max_length=64)]
+    payload: Payload
+
+
+class Turned(_Frame, tag=12, kw_only=True, gc=False):
+    """A SYN that an agent or its target did not accept, for another target."""
+
+    agent: Name
+    payload: Payload
+    tried: Tried
+    reason: Short
+    load: LoadReport
+
+
+class Load(_Frame, tag=13, kw_only=True, gc=False):
+    """An agent's load as it has just changed, for balancers that send it flows."""
+
+    agent: Name
+    load: LoadReport
+
+
 Frame = (
     Forward
     | Return
@@ -151,6 +205,11 @@
     | BalancerRecord
     | Announce
     | Gossip
+    | Carry
+    | Held
+    | NotHeld
+    | Turned
+    | Load
 )
 
 
--- a/tests/balancer/test_decision.py
+++ b/tests/balancer/test_decision.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, settings, strategies as st
 
-from monsoonpier.balancer.decision import FetchConfiguration, ToAgent, ToCaller
+from monsoonpier.balancer.actions import FetchConfiguration, ToAgent, ToCaller
 from monsoonpier.balancer.table import FORGET_SECONDS, SUSPECT_SECONDS
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Configuration
@@ -194,16 +194,16 @@
         """An older or equal version is refused, whoever offers it."""
         one = balancer()
         newer = Configuration(version=7, services_by_name={"maps": service()})
-        self.assertTrue(one.configure(newer))
+        self.assertTrue(one.membership.configure(newer))
         for version in (6, 7, 0):
-            self.assertFalse(one.configure(Configuration(version=version)))
+            self.assertFalse(one.membership.configure(Configuration(version=version)))
         self.assertEqual(one.configuration, newer)
 
     def test_peer_with_newer_version_is_asked(self):
         """Gossip of a newer version makes a balancer ask for it."""
         old, new = balancer("b1", host=1), balancer("b2", host=2)
-        new.configure(Configuration(version=5))
-        hello = new.greeting(("10.2.0.1", 9000), draw=random.Random(1)).frame
+        new.membership.configure(Configuration(version=5))
+        hello = new.membership.greeting(("10.2.0.1", 9000), draw=random.Random(1)).frame
         actions = frame(old, hello, sender=("10.2.0.2", 9000))
         wanted = [a for a in actions if isinstance(a, FetchConfiguration)]
         self.assertEqual([a.control for a in wanted], ["10.2.0.2:9001"])
@@ -291,7 +291,9 @@
             queue = [
                 (node, action)
                 for node in nodes
-                for action in node.round(now=now, draw=draw, eager=node.has_news)
+                for action in node.membership.round(
+                    now=now, draw=draw, eager=node.membership.has_news
+                )
             ]
             while queue:
                 sender, action = queue.pop()
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -21,7 +21,7 @@
         self.configured: list[str] = []
         self.peers = Peers(own=balancer("b1").peers.own)
         self.link = StoreLink(
-            platform=self.platform,
+            store=self.platform,
             peers=self.peers,
             codec=FrameCodec(keys=KEYS),
             configure=self.configured.append,
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,7 +12,8 @@
 
 from monsoonpier.agent import actions
 from monsoonpier.agent.holder import Holder
-from monsoonpier.balancer.decision import Balancer, ToAgent, ToCaller
+from monsoonpier.balancer.actions import ToAgent, ToCaller
+from monsoonpier.balancer.decision import Balancer
 from monsoonpier.caller.session import FlowLostEvent, FlowSession, RequestEnded
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
@@ -83,7 +84,7 @@
         epoch=1,
     )
     made = Balancer(own=own, keys=KEYS)
-    made.configure(
+    made.membership.configure(
         Configuration(version=1, services_by_name={"maps": service(**limits)})
     )
     return made
