Keep a balancer without the route from resetting an open flow

Ruled out: an unsettled table: the inquiry waits for that. Conclusion: a SYN without a route is reset only under some configuration, other packets never: the flow may be open through a newer one.

--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -107,6 +107,8 @@
         route = self._route(packet)
         if route is None:
             self.counts_by_result["no_route"] += 1
+            if not self._membership.configuration.version:
+                return []
             return [self._reset(packet, "no route")]
         known = KnownFlow(service=route.service, created_at=now, syn=packet)
         self._flows.put(packet.flow, known)
@@ -171,8 +173,9 @@
         """Send the packet to every agent that may hold its flow."""
         route = self._route(packet)
         if route is None:
+            # The flow may be open through a newer configuration than this one.
             self.counts_by_result["no_route"] += 1
-            return [self._reset(packet, "no route")]
+            return []
         names = self._membership.table.names_of(route.service)
         inquiry = Inquiry(asked_at=now, packet=packet, denied=set(denied))
         known = KnownFlow(service=route.service, created_at=now, inquiry=inquiry)
--- /dev/null
+++ b/tests/packets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of flows without a token."""
--- /dev/null
+++ b/tests/packets/rig.py
@@ -0,0 +1,170 @@
+"""Packets, balancers and agents for tests of flows without a token."""
+
+import random
+
+import msgspec
+
+from monsoonpier.agent.packet_holder import PacketHolder
+from monsoonpier.balancer.actions import ToAgent
+from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.packet_steering import PacketSteering, ResetCaller
+from monsoonpier.model.address import Address
+from monsoonpier.model.service import Configuration, PacketRoute
+from monsoonpier.model.target import Condition, LoadReport, TargetRecord
+from monsoonpier.platform.packets import PlatformPackets
+from monsoonpier.wire.frames import BalancerRecord, Carry
+from monsoonpier.wire.packet import Packet
+
+CODEC = PlatformPackets()
+SERVICE = Address(ip="198.18.0.1", port=8443)
+BALANCER = ("10.1.0.1", 7720)
+OTHER_BALANCER = ("10.1.0.2", 7720)
+TARGET_SEQUENCE = 5_000
+SETTLED = 100.0  # a time at which a balancer that started at 0 has settled
+
+
+def packet(
+    number: int = 1,
+    *,
+    syn: bool = False,
+    fin: bool = False,
+    reset: bool = False,
+    size: int = 0,
+    sequence: int = 1_000,
+    acknowledged: int = TARGET_SEQUENCE + 1,
+    address: Address = SERVICE,
+    returned: bool = False,
+) -> Packet:
+    """Return a caller's packet of the flow with that number."""
+    flow = number.to_bytes(12, "big")
+    return Packet(
+        raw=flow + bytes(size),
+        flow=flow,
+        caller_ip="100.64.0.7",
+        service_address=address,
+        sequence=sequence,
+        acknowledged=0 if syn else acknowledged,
+        size=size,
+        is_syn=syn,
+        is_ack=not syn,
+        is_fin=fin,
+        is_reset=reset,
+        is_returned=returned,
+    )
+
+
+def answer(number: int = 1, **fields) -> Packet:
+    """Return a target's packet of the flow with that number."""
+    return packet(number, **{"sequence": TARGET_SEQUENCE} | fields)
+
+
+def record(name: str, *, host: int = 1, **more) -> TargetRecord:
+    """Return the record of a target that serves."""
+    fields = {
+        "name": name,
+        "service": "maps",
+        "data_centre": "dc-1",
+        "ip": f"10.2.0.{host}",
+        "port": 7720,
+        "control": f"10.2.0.{host}:7721",
+        "instance": b"i-1",
+        "epoch": 1,
+        "slots": 2,
+        "connections": 2000,
+        "condition": Condition.SERVING,
+    }
+    return TargetRecord(**fields | more)
+
+
+class SteeringRig:
+    """One balancer's steering with targets ``maps-1`` and on."""
+
+    def __init__(self, *, targets: int = 2, version: int = 1) -> None:
+        own = BalancerRecord(
+            name="lb-1",
+            data_centre="dc-1",
+            ip=BALANCER[0],
+            port=BALANCER[1],
+            control="10.1.0.1:7721",
+            epoch=1,
+        )
+        self.membership = Membership(own=own)
+        self.draw = random.Random(7)
+        self.steering = PacketSteering(membership=self.membership, started_at=0.0)
+        if version:
+            self.configure(version=version)
+        for number in range(1, targets + 1):
+            self.learn(record(f"maps-{number}", host=number))
+
+    def configure(self, *, version: int, service: str = "maps") -> None:
+        """Put a configuration with one route in force."""
+        route = PacketRoute(service=service, aim_seconds=0.2, timeout_seconds=3.0)
+        self.membership.configure(
+            Configuration(version=version, routes_by_address={SERVICE: route})
+        )
+        self.steering.configured()
+
+    def learn(self, target: TargetRecord, *, now: float = 0.0) -> None:
+        """Make a target known that serves."""
+        self.membership.table.learn(target, now=now)
+        self.report(target.name, now=now)
+
+    def report(self, name: str, *, now: float = 0.0, **load) -> None:
+        """Take a load report from a target's agent."""
+        entry = self.membership.table.candidates_of("maps", now=now)
+        number = max((c.load.number for c in entry if c.record.name == name), default=0)
+        fields = {"number": number + 1, "condition": Condition.SERVING} | load
+        self.membership.table.heard(name, LoadReport(**fields), now=now)
+
+    def caller(self, sent: Packet, *, now: float = SETTLED) -> list:
+        """Return what a caller's packet leads to."""
+        return self.steering.from_caller(sent, now=now, draw=self.draw)
+
+    def agent(self, frame, sent: Packet | None = None, *, now: float = SETTLED) -> list:
+        """Return what an agent's frame leads to."""
+        return self.steering.from_agent(frame, sent, now=now, draw=self.draw)
+
+    def names(self, actions: list) -> list[str]:
+        """Return the targets that packets are carried to, sorted."""
+        names_by_endpoint = {
+            (r.ip, r.port): r.name for r in self.membership.table.records
+        }
+        return sorted(
+            names_by_endpoint[action.endpoint]
+            for action in actions
+            if isinstance(action, ToAgent)
+        )
+
+
+def resets(actions: list) -> list[str]:
+    """Return the reasons of the resets among the actions."""
+    return [a.reason for a in actions if isinstance(a, ResetCaller)]
+
+
+def load(number: int = 1, **fields) -> LoadReport:
+    """Return a load report of a target that serves."""
+    return LoadReport(**{"number": number, "condition": Condition.SERVING} | fields)
+
+
+def holder(*, slots: int = 2) -> PacketHolder:
+    """Return the holder of a target that serves and was seen to start."""
+    made = PacketHolder(name="maps-1", service="maps", slots=slots, connections=100)
+    made.started(b"i-1", is_first=True)
+    made.condition = Condition.SERVING
+    return made
+
+
+def carry(sent: Packet, *, service: str = "maps", tried=("maps-1",)) -> Carry:
+    """Return the frame in which a balancer brings a packet."""
+    return Carry(service=service, payload=sent.raw, tried=tried if sent.is_syn else ())
+
+
+def frames(actions: list, kind: type) -> list:
+    """Return the frames of one kind among the actions."""
+    found = [getattr(action, "frame", None) for action in actions]
+    return [frame for frame in found if isinstance(frame, kind)]
+
+
+def replace(struct, **fields):
+    """Return a copy of a message with other fields."""
+    return msgspec.structs.replace(struct, **fields)
--- /dev/null
+++ b/tests/packets/test_steering.py
@@ -0,0 +1,161 @@
+"""A balancer's decisions on flows without a token."""
+
+import unittest
+
+from monsoonpier.model.address import Address
+from monsoonpier.model.target import Condition
+from monsoonpier.wire.frames import Held, NotHeld, Turned
+from tests.packets.rig import SteeringRig, load, packet, record, resets
+
+OTHER_ADDRESS = Address(ip="198.18.0.9", port=1)
+
+
+def held(agent: str, sent, *, is_open: bool = True) -> Held:
+    return Held(flow=sent.flow, agent=agent, load=load(number=9), is_open=is_open)
+
+
+def denied(agent: str, sent) -> NotHeld:
+    return NotHeld(agent=agent, instance=b"i-1", payload=sent.raw)
+
+
+def turned(agent: str, sent, **fields) -> Turned:
+    more = {"tried": (agent,), "reason": "busy", "load": load(number=9)} | fields
+    return Turned(agent=agent, payload=sent.raw, **more)
+
+
+class NewFlowTests(unittest.TestCase):
+    """SYNs and their copies."""
+
+    def setUp(self) -> None:
+        self.rig = SteeringRig(targets=3)
+
+    def test_copy_goes_to_the_same_target(self) -> None:
+        """A SYN's copy is not placed again."""
+        first = self.rig.names(self.rig.caller(packet(syn=True)))
+        self.rig.agent(held(first[0], packet(), is_open=False))
+        copies = [self.rig.caller(packet(syn=True), now=100.2 + n) for n in range(3)]
+        self.assertEqual([self.rig.names(c) for c in copies], [first] * 3)
+
+    def test_turned_away_goes_on_at_once(self) -> None:
+        """A SYN that a target turns away goes to another at once."""
+        first = self.rig.names(self.rig.caller(packet(syn=True)))
+        actions = self.rig.agent(turned(first[0], packet(syn=True)), packet(syn=True))
+        self.assertNotEqual(self.rig.names(actions), first)
+        self.assertEqual(len(self.rig.names(actions)), 1)
+
+    def test_turned_away_everywhere(self) -> None:
+        """The caller learns at once that no target takes its flow."""
+        actions = self.rig.caller(packet(syn=True))
+        for _ in range(10):
+            names = self.rig.names(actions)
+            if not names:
+                break
+            frame = turned(names[0], packet(syn=True))
+            actions = self.rig.agent(frame, packet(syn=True))
+        self.assertEqual(resets(actions), ["turned away everywhere"])
+
+    def test_unanswered_goes_elsewhere_before_the_copy(self) -> None:
+        """A SYN without an answer is sent to another target in 100 ms."""
+        first = self.rig.names(self.rig.caller(packet(syn=True)))
+        actions = self.rig.steering.retry_unanswered(now=100.1, draw=self.rig.draw)
+        self.assertEqual(len(self.rig.names(actions)), 1)
+        self.assertNotEqual(self.rig.names(actions), first)
+
+    def test_leaving_targets_get_none(self) -> None:
+        """Targets that leave or have ended get no new flow."""
+        self.rig.learn(record("maps-1", host=1, epoch=2, condition=Condition.LEAVING))
+        self.rig.learn(record("maps-2", host=2, epoch=2, condition=Condition.GONE))
+        for number in range(20):
+            names = self.rig.names(self.rig.caller(packet(number, syn=True)))
+            self.assertEqual(names, ["maps-3"])
+
+    def test_no_route(self) -> None:
+        """A flow to an address without a route is reset at once."""
+        self.rig.configure(version=2)
+        other = packet(syn=True, address=OTHER_ADDRESS)
+        self.assertEqual(resets(self.rig.caller(other)), ["no route"])
+
+    def test_no_targets_known_yet(self) -> None:
+        """A balancer that has just started stays silent; a settled one resets."""
+        rig = SteeringRig(targets=0)
+        self.assertEqual(rig.caller(packet(syn=True), now=0.5), [])
+        self.assertEqual(resets(rig.caller(packet(syn=True))), ["no target is free"])
+
+
+class UnknownFlowTests(unittest.TestCase):
+    """Packets of flows that this balancer has not seen."""
+
+    def setUp(self) -> None:
+        self.rig = SteeringRig(targets=3)
+
+    def test_asks_all_and_remembers_the_holder(self) -> None:
+        """All agents of the service are asked; later packets go to the holder."""
+        actions = self.rig.caller(packet())
+        self.assertEqual(self.rig.names(actions), ["maps-1", "maps-2", "maps-3"])
+        self.rig.agent(held("maps-2", packet()))
+        self.assertEqual(self.rig.names(self.rig.caller(packet())), ["maps-2"])
+
+    def test_reset_when_all_deny(self) -> None:
+        """The caller is reset when, and only when, every agent has denied."""
+        self.rig.caller(packet())
+        for name in ("maps-1", "maps-2"):
+            self.assertEqual(self.rig.agent(denied(name, packet()), packet()), [])
+        last = self.rig.agent(denied("maps-3", packet()), packet())
+        self.assertEqual(resets(last), ["nobody holds the flow"])
+
+    def test_no_reset_while_one_is_silent(self) -> None:
+        """A target that can't be reached may hold the flow."""
+        for n in range(50):
+            self.assertEqual(resets(self.rig.caller(packet(), now=100 + n / 10)), [])
+            self.rig.agent(denied("maps-1", packet()), packet())
+            self.rig.agent(denied("maps-3", packet()), packet())
+
+    def test_no_reset_before_all_may_be_known(self) -> None:
+        """A balancer that has just started doesn't know who else there is."""
+        self.rig.caller(packet(), now=1.0)
+        for name in ("maps-1", "maps-2", "maps-3"):
+            frame = denied(name, packet())
+            self.assertEqual(self.rig.agent(frame, packet(), now=1.1), [])
+
+    def test_no_reset_without_configuration(self) -> None:
+        """A balancer without a configuration can't tell what has no route."""
+        rig = SteeringRig(version=0)
+        for syn in (False, True):
+            self.assertEqual(resets(rig.caller(packet(syn=syn))), [])
+
+    def test_no_reset_of_open_flows_by_an_older_configuration(self) -> None:
+        """A flow may be open on a route that this balancer hasn't heard of."""
+        sent = packet(address=OTHER_ADDRESS)
+        self.assertEqual(resets(self.rig.caller(sent)), [])
+
+    def test_denied_by_the_remembered_holder(self) -> None:
+        """When the remembered holder denies a flow, the others are asked."""
+        self.rig.agent(held("maps-2", packet()))
+        actions = self.rig.agent(denied("maps-2", packet()), packet())
+        self.assertEqual(self.rig.names(actions), ["maps-1", "maps-3"])
+
+    def test_holder_has_ended(self) -> None:
+        """A flow whose target has ended is reset at once."""
+        self.rig.agent(held("maps-2", packet()))
+        self.rig.learn(record("maps-2", host=2, epoch=2, condition=Condition.GONE))
+        self.assertEqual(resets(self.rig.caller(packet())), ["target gone"])
+
+    def test_copy_opened_elsewhere(self) -> None:
+        """A SYN's copy placed by another balancer doesn't move an open flow."""
+        placed = self.rig.names(self.rig.caller(packet(syn=True)))
+        sent = packet(size=10)
+        self.assertEqual(self.rig.names(self.rig.caller(sent)), placed)
+        actions = self.rig.agent(denied(placed[0], sent), sent)
+        others = sorted({"maps-1", "maps-2", "maps-3"} - set(placed))
+        self.assertEqual(self.rig.names(actions), others)
+
+
+class AddressReuseTests(unittest.TestCase):
+    """An address that now belongs to another target."""
+
+    def test_earlier_target_has_ended(self) -> None:
+        """The newer record at an address ends the earlier one's target."""
+        rig = SteeringRig(targets=2)
+        rig.agent(held("maps-2", packet()))
+        rig.learn(record("logs-9", host=2, epoch=5, service="logs"))
+        self.assertEqual(resets(rig.caller(packet())), ["target gone"])
