--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -9,9 +9,9 @@
 import structlog
 
 from monsoonpier.agent.witnesses import Witnesses
-from monsoonpier.documents.settings import Settings
 from monsoonpier.documents.stored import unpack, unstore
 from monsoonpier.model.service import Configuration
+from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.process.control import NoAnswer, ask
 from monsoonpier.store.backoff import Backoff
@@ -32,6 +32,7 @@
 INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
 FIND_SECONDS = 1.0  # between looks at the platform while no balancer answers
 MAX_FIND_SECONDS = 30.0
+GREET_SECONDS = 0.2  # to seeds while cut off: they may be starting too
 _log = structlog.get_logger("monsoonpier.agent.balancer_link")
 
 
@@ -127,22 +128,27 @@
         self._send_datagram(self._codec.encode(frame), endpoint)
 
     async def _find_forever(self) -> None:
-        """Ask seeds and the platform while no balancer has answered.
+        """Ask seeds and the store while no balancer has answered.
 
-        When a whole fleet is cut off it must not take the platform's rates.
+        When a whole fleet is cut off it must not take the store's rates, so the
+        store is asked ever more seldom; seeds cost nobody anything.
         """
         backoff = Backoff(first_seconds=FIND_SECONDS, most_seconds=MAX_FIND_SECONDS)
+        ask_store_at = _now() + GREET_SECONDS
         while True:
             if not self._witnesses.is_cut_off:
                 backoff = backoff.after_success()
-            else:
-                for seed in self._settings.seeds:
-                    self._send(self._announcement(), seed.endpoint)
-                await self._read_platform()
+                await asyncio.sleep(FIND_SECONDS * self._draw.uniform(0.5, 1.0))
+                continue
+            for seed in self._settings.seeds:
+                self._send(self._announcement(), seed.endpoint)
+            if _now() >= ask_store_at:
+                await self._read_store()
+                ask_store_at = _now() + backoff.wait_seconds(draw=self._draw)
                 backoff = backoff.after_failure()
-            await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+            await asyncio.sleep(GREET_SECONDS)
 
-    async def _read_platform(self) -> None:
+    async def _read_store(self) -> None:
         try:
             found = await self._store.read(BALANCERS, prefix=True)
         except StoreError as error:
--- a/monsoonpier/agent/condition.py
+++ b/monsoonpier/agent/condition.py
@@ -1,4 +1,4 @@
-"""The target's condition as its agent judges it, on ``charts/target.yaml``."""
+"""The target's condition as its agent judges it, on ``charts/target.toml``."""
 
 from dataclasses import dataclass, replace
 
--- a/monsoonpier/agent/liveness.py
+++ b/monsoonpier/agent/liveness.py
@@ -10,22 +10,31 @@
 __all__ = ["TargetLiveness"]
 
 CONNECT_SECONDS = 1.0
-RETRY_SECONDS = 0.3
+RETRY_SECONDS = 0.1  # a target that starts beside its agent is up in a second
+REFUSALS_NEEDED = 2  # a listener may be set up anew in between
 _log = structlog.get_logger("monsoonpier.agent.liveness")
 
 
 class TargetLiveness:
-    """Keeps a connection open and calls ``on_gone`` when it is refused anew.
+    """Keeps a connection open; ``on_gone`` is called when it is refused anew.
 
     A target that ends closes its connections at once, long before its
     heartbeats are missed. Closing alone proves nothing, since targets close
     idle connections too; only a refused connection means that nobody listens.
     """
 
-    def __init__(self, *, address: Address, on_gone: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        on_up: Callable[[], None],
+        on_gone: Callable[[], None],
+    ) -> None:
         self._address = address
+        self._on_up = on_up
         self._on_gone = on_gone
         self._was_up = False
+        self._refusals = 0
         self._check = asyncio.Event()
 
     def check_now(self) -> None:
@@ -49,7 +58,10 @@
         except (TimeoutError, OSError) as error:
             _log.info("target not reached", reason=repr(error))
             return
-        self._was_up = True
+        self._refusals = 0
+        if not self._was_up:
+            self._was_up = True
+            self._on_up()
         try:
             await self._wait_for_end(reader)
         finally:
@@ -68,6 +80,7 @@
             self._check.clear()
 
     def _refused(self) -> None:
-        if self._was_up:
+        self._refusals += 1
+        if self._was_up and self._refusals >= REFUSALS_NEEDED:
             self._was_up = False
             self._on_gone()
--- a/monsoonpier/agent/packet_flows.py
+++ b/monsoonpier/agent/packet_flows.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from monsoonpier.wire.packet import Packet
+
 __all__ = ["PacketFlow", "Phase"]
 
 
@@ -25,7 +27,8 @@
         changed_at: When its phase began.
         target_sequence: The target's first one; ``None`` until it has answered.
         is_open: The caller has acknowledged this target's answer to its SYN.
-        is_guessed: This agent did not see the flow open; the target will tell.
+        guessed: The caller's packet, if this agent did not see the flow open and
+            the target has yet to tell.
         acknowledged: The caller's last one, which a reset must be near to.
         caller_end: The sequence after the caller's last data.
     """
@@ -39,7 +42,7 @@
     tried: tuple[str, ...] = ()
     target_sequence: int | None = None
     is_open: bool = False
-    is_guessed: bool = False
+    guessed: Packet | None = None
     phase: Phase = Phase.IDLE
     has_caller_fin: bool = False
     has_target_fin: bool = False
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -16,13 +16,14 @@
     ToCallerPacket,
     ToTarget,
 )
-from monsoonpier.documents.settings import Settings
 from monsoonpier.model.address import Address
+from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.process.control import ControlServer
 from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
-from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.process.web import WebServer
 from monsoonpier.store.interface import Store
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import AskDrain, AskStatus, DrainReply, StatusReply
@@ -33,6 +34,7 @@
 
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
+LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
 MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
 _log = structlog.get_logger("monsoonpier.agent.packet_process")
 
@@ -97,7 +99,9 @@
             configure=None,
             draw=self._draw,
         )
-        self._liveness = TargetLiveness(address=target, on_gone=self._target_gone)
+        self._liveness = TargetLiveness(
+            address=target, on_up=self._target_up, on_gone=self._target_gone
+        )
         self._control = ControlServer(
             address=settings.control, keys=settings.keys, handler=self._answer
         )
@@ -111,6 +115,7 @@
         self._reporting: asyncio.TimerHandle | None = None
         self._sequence = -1
         self._has_left = False
+        self._gone_at = 0.0
         self._dropped_by_reason: dict[str, int] = {}
 
     @property
@@ -185,6 +190,9 @@
         holder.slots = heard.slots
         holder.is_cold_until(_now() + heard.cold_seconds)
         self._life.step("configured")
+        is_late = _now() - self._gone_at < LATE_SECONDS
+        if not is_new and is_late and holder.condition is Condition.UNRESPONSIVE:
+            return True  # Sent before the target ended.
         condition = Condition.LEAVING if heard.is_draining else Condition.SERVING
         if self._life.state == "leaving" and not heard.is_draining:
             condition = Condition.SHEDDING
@@ -199,8 +207,18 @@
             self._liveness.check_now()
         return True
 
+    def _target_up(self) -> None:
+        """Serve a target that listens before its first heartbeat has come.
+
+        One that is leaving says so with its next heartbeat, in about a second.
+        """
+        if self._holder.condition is Condition.STARTING:
+            self._life.step("configured")
+            self._enter(Condition.SERVING)
+
     def _target_gone(self) -> None:
         """The target's address refuses connections: its flows have ended."""
+        self._gone_at = _now()
         resets = self._holder.ended()
         _log.warning("target does not listen", flows=len(resets))
         if not self._has_left:
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -21,14 +21,15 @@
 from monsoonpier.agent.holder import Holder
 from monsoonpier.agent.runner import Event, ItemRead, RunEnded, Runner, StreamClosed
 from monsoonpier.agent.target_client import HealthHint, TargetClient
-from monsoonpier.documents.settings import Settings
 from monsoonpier.model.service import Configuration
+from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.model.token import HolderToken
 from monsoonpier.process.control import ControlServer
 from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
-from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.process.web import WebServer
 from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.wire import frames
 from monsoonpier.wire.codec import Dropped
--- a/monsoonpier/balancer/decision.py
+++ b/monsoonpier/balancer/decision.py
@@ -120,7 +120,7 @@
         match choice:
             case Chosen(record=record):
                 self.opens_by_result["placed"] += 1
-                self.table.sent_flow(record.name)
+                self.table.sent_flow(record.name, now=now)
                 frame = Forward(
                     service=service,
                     ip=caller[0],
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -11,9 +11,9 @@
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.store_link import StoreLink
-from monsoonpier.documents.settings import Settings
 from monsoonpier.documents.stored import pack, unpack, unstore
 from monsoonpier.model.service import Configuration
+from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import ControlServer, NoAnswer, ask
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
--- a/monsoonpier/balancer/packet_placement.py
+++ b/monsoonpier/balancer/packet_placement.py
@@ -14,14 +14,15 @@
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
 from monsoonpier.model.target import Condition
 
-__all__ = ["MAX_TRIES", "PlacementQuery", "place"]
+__all__ = ["QUEUE_AHEAD", "PlacementQuery", "place", "wait_for_slot"]
 
-MAX_TRIES = 3  # a SYN that was turned away so often is placed by force
+QUEUE_AHEAD = 1  # a target's next run starts without the way from here and back
 RETRY_AFTER_SECONDS = 0.2  # about four runs: by then a slot has come free
 BUSY_WEIGHT = 0.5  # of taken slots below the last one, against waiting
 FLOW_WEIGHT = 1.0  # of a long flow's later requests, against those under way
 REMOTE_WEIGHT = 0.05  # breaks ties only: a millisecond against runs of 50
 JITTER = 0.02  # balancers with equal knowledge must not choose alike
+COLD_SPEED_RATIO = 1.5  # before the first run of a cold target was timed
 MIN_SPEED_RATIO = 0.3
 MAX_SPEED_RATIO = 8.0
 DEFAULT_SERVICE_MS = 50
@@ -35,47 +36,63 @@
         tried: Names of targets that have turned it away or not answered.
         data_centre: Where the balancer is.
         long_share: How likely the flow is to carry many requests, 0 to 1.
-        time_left: Seconds until an answer is of no use.
     """
 
     tried: tuple[str, ...] = ()
     data_centre: str
     long_share: float
-    time_left: float
 
 
 def place(
     query: PlacementQuery, candidates: Sequence[Candidate], *, draw: random.Random
 ) -> Chosen | NoTarget:
     """Return the target that the flow should go to; pure but for the draws."""
-    untried = [c for c in candidates if c.record.name not in query.tried]
-    ready = [c for c in untried if c.takes_flows and not c.suspected]
-    # The suspicion may be wrong; a target that turned it away may be free by now.
-    ready = ready or [c for c in untried if c.takes_flows]
-    ready = ready or [c for c in candidates if c.takes_flows and not c.suspected]
+    untried = [
+        c for c in candidates if c.record.name not in query.tried and _takes_one(c)
+    ]
+    # The suspicion may be wrong.
+    ready = [c for c in untried if not c.suspected] or untried
     if not ready:
         return NoTarget(reason="no target is free", retry_after=RETRY_AFTER_SECONDS)
     view = _View(ready)
     best = min(ready, key=lambda c: view.score(c, query=query, draw=draw))
-    if view.wait_seconds(best) > query.time_left:
-        return NoTarget(reason="would be late", retry_after=view.wait_seconds(best))
     return Chosen(record=best.record)
 
 
+def wait_for_slot(candidates: Sequence[Candidate], *, ahead: int) -> float | None:
+    """Return seconds until a slot comes free for one behind ``ahead`` others.
+
+    ``None`` if no target serves at all.
+    """
+    ready = [c for c in candidates if c.takes_flows and not c.suspected]
+    if not ready:
+        return None
+    slots = sum(c.record.slots for c in ready)
+    return (ahead + 1) * _View(ready).median_ms / 1000 / slots
+
+
+def _takes_one(candidate: Candidate) -> bool:
+    """Tell whether a new flow would wait for one run at the most."""
+    if not candidate.takes_flows:
+        return False
+    taken = candidate.work + candidate.sent_since
+    return taken < candidate.record.slots + QUEUE_AHEAD
+
+
 class _View:
     """What all ready candidates have in common."""
 
     def __init__(self, ready: Sequence[Candidate]) -> None:
         timed = sorted(c.load.service_ms for c in ready if c.load.service_ms)
-        self._median_ms = timed[len(timed) // 2] if timed else DEFAULT_SERVICE_MS
+        self.median_ms = timed[len(timed) // 2] if timed else DEFAULT_SERVICE_MS
         flows = sum(c.placed for c in ready)
         self._mean_flows = (flows + 1) / sum(c.record.slots for c in ready)
 
     def speed_ratio(self, candidate: Candidate) -> float:
         """Return how long a run takes here against the median."""
         if not candidate.load.service_ms:
-            return 1.0
-        ratio = candidate.load.service_ms / self._median_ms
+            return COLD_SPEED_RATIO if candidate.load.cold_ms else 1.0
+        ratio = candidate.load.service_ms / self.median_ms
         return min(MAX_SPEED_RATIO, max(MIN_SPEED_RATIO, ratio))
 
     def wait_runs(self, candidate: Candidate) -> float:
@@ -84,11 +101,6 @@
         ahead = candidate.work + candidate.sent_since + 1 - slots
         return max(0, ahead) / slots
 
-    def wait_seconds(self, candidate: Candidate) -> float:
-        """Return the expected wait for a slot."""
-        run_ms = self._median_ms * self.speed_ratio(candidate)
-        return self.wait_runs(candidate) * run_ms / 1000
-
     def score(
         self, candidate: Candidate, *, query: PlacementQuery, draw: random.Random
     ) -> float:
--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packet_process.py
@@ -10,11 +10,12 @@
 from monsoonpier.balancer.member import ConfigurationFormat, Member, balancer_record
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packet_steering import PacketSteering, ResetCaller
-from monsoonpier.documents.settings import Settings
 from monsoonpier.model.address import Address
+from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
-from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.process.web import WebServer
 from monsoonpier.store.interface import Store
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.frames import NotHeld, Turned
@@ -151,13 +152,13 @@
                     self._member.send(frame, endpoint, is_control=False)
                 case ResetCaller(packet=packet, reason=reason):
                     self._send_reset(packet, reason)
-        if self._retry is None and self._steering.next_retry_at is not None:
+        if self._retry is None and self._steering.is_waiting:
             loop = asyncio.get_running_loop()
-            self._retry = loop.call_later(RETRY_CHECK_SECONDS, self._retry_unanswered)
+            self._retry = loop.call_later(RETRY_CHECK_SECONDS, self._look_after)
 
-    def _retry_unanswered(self) -> None:
+    def _look_after(self) -> None:
         self._retry = None
-        self._do(self._steering.retry_unanswered(now=_now(), draw=self._draw))
+        self._do(self._steering.retry(now=_now(), draw=self._draw))
 
     def _send_reset(self, packet: Packet, reason: str) -> None:
         _log.info(
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -23,8 +23,17 @@
     KnownFlow,
     LongFlowShare,
 )
-from monsoonpier.balancer.packet_placement import PlacementQuery, place
-from monsoonpier.balancer.steering import Chosen, NoTarget
+from monsoonpier.balancer.packet_placement import (
+    PlacementQuery,
+    place,
+    wait_for_slot,
+)
+from monsoonpier.balancer.packet_waiting import (
+    MAX_WAIT_SECONDS,
+    MAX_WAIT_SHARE,
+    WaitingRoom,
+)
+from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import Condition
@@ -53,7 +62,8 @@
         self._started_at = started_at
         self._flows = FlowTable()
         self._long_share_by_address: dict[Address, LongFlowShare] = {}
-        self._waiting: deque[tuple[float, bytes]] = deque()
+        self._unanswered: deque[tuple[float, bytes]] = deque()
+        self._waiting_room = WaitingRoom()
         self.counts_by_result: Counter[str] = Counter()
 
     @property
@@ -62,9 +72,9 @@
         return len(self._flows)
 
     @property
-    def next_retry_at(self) -> float | None:
-        """When `retry_unanswered` is due."""
-        return self._waiting[0][0] if self._waiting else None
+    def is_waiting(self) -> bool:
+        """Whether `retry` has something to look after."""
+        return bool(self._unanswered) or len(self._waiting_room) > 0
 
     def configured(self) -> None:
         """Forget what was learned of addresses that have no route any more."""
@@ -97,6 +107,8 @@
         now: float,
         draw: random.Random,
     ) -> list:
+        if packet.flow in self._waiting_room:
+            return []
         if known is not None and known.holders:
             # A copy goes where the flow may be open already; only a target that
             # has not answered the first one in time is passed over.
@@ -117,45 +129,102 @@
     def _place(
         self, packet: Packet, known: KnownFlow, *, now: float, draw: random.Random
     ) -> list:
-        if len(known.tried) >= MOST_PLACEMENTS:
-            return self._refuse(packet, known, "turned away everywhere")
         table = self._membership.table
         candidates = table.candidates_of(known.service, now=now)
-        if not candidates and not self._is_settled(now=now):
-            # Targets may just not be known yet; the SYN's copies come later.
-            self._flows.drop(packet.flow)
-            return []
+        if len(known.tried) >= MOST_PLACEMENTS:
+            return self._wait(packet, known, candidates, now=now)
         query = PlacementQuery(
             tried=known.tried,
             data_centre=self._membership.peers.own.data_centre,
             long_share=self._long_share(packet).value,
-            time_left=self._time_left(packet, known, now=now),
         )
-        choice = place(query, candidates, draw=draw)
-        match choice:
-            case NoTarget(reason=reason):
-                return self._refuse(packet, known, reason)
+        match place(query, candidates, draw=draw):
+            case NoTarget():
+                return self._wait(packet, known, candidates, now=now)
             case Chosen(record=record):
                 known.holders = (*known.holders, record.name)[-MAX_TRIED:]
                 known.tried = (*known.tried, record.name)
                 known.sent_at = now
-                table.sent_flow(record.name)
-                self._waiting.append((now + HEDGE_SECONDS, packet.flow))
+                table.sent_flow(record.name, now=now)
+                self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
                 self.counts_by_result["placed"] += 1
                 return self._carry(packet, known, names=(record.name,))
 
-    def _refuse(self, packet: Packet, known: KnownFlow, reason: str) -> list:
-        if known.holders:
+    def _wait(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        candidates: list[Candidate],
+        *,
+        now: float,
+    ) -> list:
+        """Keep a SYN until a slot comes free, or refuse it if that is too late."""
+        route = self._route(packet)
+        if known.holders or route is None:
             return []  # One that was asked earlier may still answer.
+        most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
+        ahead = self._waiting_room.ahead(known.service)
+        balancers = len(self._membership.peers.records_by_name)
+        wait = wait_for_slot(candidates, ahead=ahead * balancers)
+        if wait is None and not self._is_settled(now=now):
+            wait = 0.0  # Targets may just not be known yet.
+        if wait is None:
+            return self._refuse(packet, "no target serves")
+        if now - known.created_at + wait >= most:
+            return self._refuse(packet, "would be late")
+        known.tried = ()
+        has_room = self._waiting_room.add(
+            packet.flow,
+            service=known.service,
+            since=known.created_at,
+            priority=route.priority,
+            most=most,
+        )
+        if not has_room:
+            return self._refuse(packet, "too many wait")
+        self.counts_by_result["waited"] += 1
+        return []
+
+    def _refuse(self, packet: Packet, reason: str) -> list:
         self._flows.drop(packet.flow)
         self.counts_by_result["refused"] += 1
         return [self._reset(packet, reason)]
 
-    def retry_unanswered(self, *, now: float, draw: random.Random) -> list:
-        """Send SYNs that no target has answered in time to another one."""
+    def place_waiting(self, *, now: float, draw: random.Random) -> list:
+        """Place flows for which a slot has come free, refuse those it's late for."""
+        actions: list = []
+        for flow in self._waiting_room.expired(now=now):
+            known = self._flows.get(flow)
+            if known is not None and known.syn is not None:
+                actions += self._refuse(known.syn, "no slot came free")
+        for service in self._waiting_room.services:
+            actions += self._place_waiting_for(service, now=now, draw=draw)
+        return actions
+
+    def _place_waiting_for(
+        self, service: str, *, now: float, draw: random.Random
+    ) -> list:
+        actions: list = []
+        for _ in range(self._waiting_room.ahead(service)):
+            candidates = self._membership.table.candidates_of(service, now=now)
+            if not any(c.has_free_slot and not c.suspected for c in candidates):
+                break
+            flow = self._waiting_room.pop(service)
+            known = self._flows.get(flow) if flow is not None else None
+            if known is None or known.syn is None:
+                continue
+            actions += self._place(known.syn, known, now=now, draw=draw)
+        return actions
+
+    def retry(self, *, now: float, draw: random.Random) -> list:
+        """Look after SYNs that wait for a slot or for a target's answer."""
+        actions = self.place_waiting(now=now, draw=draw)
+        return actions + self._retry_unanswered(now=now, draw=draw)
+
+    def _retry_unanswered(self, *, now: float, draw: random.Random) -> list:
         actions: list = []
-        while self._waiting and self._waiting[0][0] <= now:
-            _, flow = self._waiting.popleft()
+        while self._unanswered and self._unanswered[0][0] <= now:
+            _, flow = self._unanswered.popleft()
             known = self._flows.get(flow)
             if known is None or known.is_accepted or known.is_confirmed:
                 continue
@@ -211,7 +280,7 @@
         match frame:
             case Load(agent=agent, load=load):
                 self._membership.table.heard(agent, load, now=now)
-                return []
+                return self.place_waiting(now=now, draw=draw)
             case Held():
                 return self._held(frame, now=now)
             case NotHeld() if packet is not None:
@@ -272,7 +341,7 @@
         if known is None or known.is_accepted or known.is_confirmed:
             return []
         known.holders = tuple(name for name in known.holders if name != frame.agent)
-        if known.holders:
+        if known.holders or packet.flow in self._waiting_room:
             return []
         return self._place(packet, known, now=now, draw=draw)
 
@@ -282,11 +351,6 @@
         routes = self._membership.configuration.routes_by_address
         return routes.get(packet.service_address)
 
-    def _time_left(self, packet: Packet, known: KnownFlow, *, now: float) -> float:
-        route = self._route(packet)
-        seconds = route.timeout_seconds if route is not None else 1.0
-        return seconds - (now - known.created_at)
-
     def _is_settled(self, *, now: float) -> bool:
         return now - self._started_at >= SETTLE_SECONDS
 
--- a/monsoonpier/balancer/process.py
+++ b/monsoonpier/balancer/process.py
@@ -11,10 +11,11 @@
 from monsoonpier.balancer.actions import ToAgent, ToCaller
 from monsoonpier.balancer.decision import Balancer
 from monsoonpier.balancer.member import Member, balancer_record
-from monsoonpier.documents.settings import Settings
+from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
-from monsoonpier.process.web import WebServer, counter, gauge
+from monsoonpier.process.web import WebServer
 from monsoonpier.store.etcd import EtcdStore
 
 __all__ = ["BalancerProcess"]
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -18,6 +18,8 @@
 GONE_SECONDS = 30.0  # a record of a gone target is kept to spread the news
 WITNESSES_NEEDED = 2  # a cut between one witness and one agent convinces nobody
 UNANSWERED_LIMIT = 2  # one SYN or its answer may just be lost
+ANSWER_SECONDS = 0.2  # an agent answers a new flow in a few milliseconds
+STALE_SECONDS = 0.5  # ten runs: by then nothing is known of slots
 BUCKETS = 16
 DIGEST_BYTES = 8
 
@@ -30,6 +32,8 @@
     heard_at: float | None = None  # directly, by this balancer
     is_witnessed: bool = False  # its heartbeats come to this balancer
     sent_since: int = 0
+    sent_at: float = 0.0
+    loaded_at: float = 0.0  # when the load was taken
     unanswered: int = 0  # new flows in a row that got no answer
     silent_witnesses: dict[str, float] = field(default_factory=dict)
 
@@ -108,6 +112,7 @@
         entry.unanswered = 0
         if load.number > entry.load.number:
             entry.load = load
+            entry.loaded_at = now
 
     def beaten(self, name: str, load: LoadReport, *, now: float) -> None:
         """Take a heartbeat: this balancer is a witness of the target."""
@@ -118,11 +123,12 @@
             # An OPEN whose answer was lost must not count for ever.
             entry.sent_since = 0
 
-    def sent_flow(self, name: str) -> None:
+    def sent_flow(self, name: str, *, now: float) -> None:
         """Count a flow that was sent to a target and not answered yet."""
         entry = self._entries_by_name.get(name)
         if entry is not None:
             entry.sent_since += 1
+            entry.sent_at = now
 
     def answered_flow(self, name: str) -> None:
         """Note that the target's reports know of one flow more."""
@@ -199,7 +205,14 @@
     def candidates_of(self, service: str, *, now: float) -> list[Candidate]:
         """Return all targets of a service whose flows carry no token."""
         names = self._names_by_service.get(service, ())
-        return [self._candidate(self._entries_by_name[name], now=now) for name in names]
+        entries = [self._entries_by_name[name] for name in names]
+        for entry in entries:
+            if entry.sent_since and now - entry.sent_at > ANSWER_SECONDS:
+                entry.sent_since = 0  # What is not answered by now was lost.
+            if entry.load.in_flight and now - entry.loaded_at > STALE_SECONDS:
+                # Runs have ended since; a wrong guess is turned away with news.
+                entry.load = msgspec.structs.replace(entry.load, in_flight=0)
+        return [self._candidate(entry, now=now) for entry in entries]
 
     def names_of(self, service: str) -> set[str]:
         """Return the names of a service's targets that have not ended."""
--- a/monsoonpier/charts/__init__.py
+++ b/monsoonpier/charts/__init__.py
@@ -1,4 +1,4 @@
-"""State charts: YAML files beside this module, interpreted by ``transitions``."""
+"""State charts: TOML files beside this module, which `Chart` interprets."""
 
 from monsoonpier.charts.chart import Chart, load_chart
 
--- a/monsoonpier/charts/chart.py
+++ b/monsoonpier/charts/chart.py
@@ -1,33 +1,22 @@
 """Loads a state chart and steps it: state and event in, state out."""
 
-import logging
-from dataclasses import dataclass, field
+import tomllib
+from dataclasses import dataclass
 from functools import lru_cache
-from importlib import resources
-
-from ruamel.yaml import YAML
-from transitions import Machine
+from pathlib import Path
 
 __all__ = ["Chart", "load_chart"]
 
-# An event that a state doesn't name is no fault here, and not worth a warning.
-logging.getLogger("transitions").setLevel(logging.ERROR)
-
-
-class _Model:
-    """What ``transitions`` moves through the chart; lives for one step."""
-
-    state: str = ""
 
-
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Chart:
     """One role's life. An event that a state does not name leaves it as it is."""
 
     name: str
     initial: str
     traits_by_state: dict[str, dict[str, bool]]
-    _machine: Machine = field(repr=False)
+    events: frozenset[str]
+    next_by_state_and_event: dict[tuple[str, str], str]
 
     def step(self, state: str, event: str) -> str:
         """Return the state that follows ``state`` upon ``event``.
@@ -37,15 +26,9 @@
         """
         if state not in self.traits_by_state:
             raise ValueError(f"{self.name} has no state {state!r}")
-        if event not in self._machine.events:
+        if event not in self.events:
             raise ValueError(f"{self.name} has no event {event!r}")
-        model = _Model()
-        self._machine.add_model(model, initial=state)
-        try:
-            model.trigger(event)
-            return model.state
-        finally:
-            self._machine.remove_model(model)
+        return self.next_by_state_and_event.get((state, event), state)
 
     def has(self, state: str, trait: str) -> bool:
         """Tell whether the chart gives the state that trait."""
@@ -54,21 +37,29 @@
 
 @lru_cache
 def load_chart(name: str) -> Chart:
-    """Return the chart in ``charts/<name>.yaml``, read once per process."""
-    text = resources.files(__package__).joinpath(f"{name}.yaml").read_text()
-    content = YAML(typ="safe", pure=True).load(text)
+    """Return the chart in ``charts/<name>.toml``, read once per process.
+
+    Raises:
+        ValueError: If a transition names a state that the chart doesn't have.
+    """
+    # importlib.resources takes 29 ms to import, a tenth of a daemon's start.
+    text = (Path(__file__).parent / f"{name}.toml").read_text(encoding="utf-8")
+    content = tomllib.loads(text)
     states = content["states"]
-    machine = Machine(
-        model=None,
-        states=list(states),
-        initial=content["initial"],
-        transitions=content["transitions"],
-        auto_transitions=False,
-        ignore_invalid_triggers=True,
-    )
+    transitions = content["transitions"]
+    next_by_state_and_event = {
+        (source, transition["event"]): transition["to"]
+        for transition in transitions
+        for source in transition["from"]
+    }
+    named = {state for state, _ in next_by_state_and_event}
+    named |= {transition["to"] for transition in transitions} | {content["initial"]}
+    if unknown := named - states.keys():
+        raise ValueError(f"{name} has no states {sorted(unknown)}")
     return Chart(
         name=name,
         initial=content["initial"],
-        traits_by_state={state: traits or {} for state, traits in states.items()},
-        _machine=machine,
+        traits_by_state=states,
+        events=frozenset(transition["event"] for transition in transitions),
+        next_by_state_and_event=next_by_state_and_event,
     )
--- a/monsoonpier/documents/settings.py
+++ b/monsoonpier/documents/settings.py
@@ -10,8 +10,9 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.findings import Finding, Place
 from monsoonpier.model.keys import Key, KeyRing
+from monsoonpier.model.settings import Settings, TargetSettings
 
-__all__ = ["LoadedSettings", "Settings", "TargetSettings", "load_settings"]
+__all__ = ["LoadedSettings", "load_settings"]
 
 ENVIRONMENT_PREFIX = "MONSOONPIER_"
 _ADDRESS_KEYS = ("internal", "control", "metrics")
@@ -22,33 +23,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class TargetSettings:
-    """The one target that an agent stands beside."""
-
-    service: str
-    url: str
-    slots: int = 3
-    connections: int = 2000
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Settings:
-    """What a process needs to know of itself; fully checked."""
-
-    role: str
-    name: str
-    data_centre: str
-    platform: tuple[str, ...]
-    keys: KeyRing
-    internal: Address | None = None
-    control: Address | None = None
-    metrics: Address | None = None
-    service_bind_ip: str | None = None
-    seeds: tuple[Address, ...] = ()
-    target: TargetSettings | None = None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LoadedSettings:
     """Settings, or all that is wrong with them."""
--- a/monsoonpier/model/service.py
+++ b/monsoonpier/model/service.py
@@ -59,12 +59,14 @@
     """Where new flows without a token go that are opened at one address.
 
     ``aim_seconds`` is the latency that callers want, ``timeout_seconds`` the
-    one after which an answer is of no use to them.
+    one after which an answer is of no use to them. ``priority`` 0 is the most
+    urgent.
     """
 
     service: str
     aim_seconds: float
     timeout_seconds: float
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/monsoonpier/model/settings.py
@@ -0,0 +1,35 @@
+"""What a process knows of itself, however its settings were written."""
+
+from dataclasses import dataclass
+
+from monsoonpier.model.address import Address
+from monsoonpier.model.keys import KeyRing
+
+__all__ = ["Settings", "TargetSettings"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetSettings:
+    """The one target that an agent stands beside."""
+
+    service: str
+    url: str
+    slots: int = 3
+    connections: int = 2000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """What a process needs to know of itself; fully checked."""
+
+    role: str
+    name: str
+    data_centre: str
+    platform: tuple[str, ...]
+    keys: KeyRing
+    internal: Address | None = None
+    control: Address | None = None
+    metrics: Address | None = None
+    service_bind_ip: str | None = None
+    seeds: tuple[Address, ...] = ()
+    target: TargetSettings | None = None
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -10,7 +10,7 @@
 
 
 class Condition(IntEnum):
-    """What a target will take; the states of ``charts/target.yaml``."""
+    """What a target will take; the states of ``charts/target.toml``."""
 
     STARTING = 0
     SERVING = 1
--- a/monsoonpier/operator/session.py
+++ b/monsoonpier/operator/session.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from monsoonpier.documents.settings import Settings
+from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import NoAnswer, ask
 from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.store.interface import StoreError
--- a/monsoonpier/platform/__main__.py
+++ b/monsoonpier/platform/__main__.py
@@ -1,6 +1,7 @@
 """Entry points of the daemons: ``python3 -m monsoonpier.platform ROLE``."""
 
 import asyncio
+import gc
 import random
 import sys
 
@@ -32,6 +33,7 @@
         print(f"monsoonpier: {error}", file=sys.stderr)
         return Exit.BAD_INPUT
     common = settings.common
+    gc.freeze()  # What was imported lives as long as the process.
     configure_logs(level="info", process=common.name, role=role)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/monsoonpier/platform/configuration.py
+++ b/monsoonpier/platform/configuration.py
@@ -20,6 +20,7 @@
     service: str = ""
     timeout_ms: float = 10_000
     target_latency_ms: float = 1_000
+    priority: int = 0
 
 
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,6 +56,7 @@
         service=route.service,
         aim_seconds=route.target_latency_ms / 1000,
         timeout_seconds=route.timeout_ms / 1000,
+        priority=route.priority,
     )
 
 
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from monsoonpier.documents.settings import Settings, TargetSettings
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
+from monsoonpier.model.settings import Settings, TargetSettings
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
--- /dev/null
+++ b/monsoonpier/process/exposition.py
@@ -0,0 +1,53 @@
+"""Readings in the text format of Prometheus, by ``prometheus_client``.
+
+Imported when metrics are first asked for: it takes 25 ms and 3 MB, in which a
+process that was just restarted should rather serve.
+"""
+
+from collections.abc import Callable, Iterable
+from itertools import accumulate
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import Metric
+from prometheus_client.metrics_core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
+
+from monsoonpier.process.readings import BOUNDS, Counter, Gauge, Histogram, Reading
+
+__all__ = ["expose"]
+
+PREFIX = "monsoonpier_"
+
+
+def expose(read: Callable[[], Iterable[Reading]]) -> bytes:
+    """Return the present readings as text."""
+    registry = CollectorRegistry()
+    registry.register(_Collector(read))
+    return generate_latest(registry)
+
+
+class _Collector:
+    def __init__(self, read: Callable[[], Iterable[Reading]]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterable[Metric]:
+        return (_metric(reading) for reading in self._read())
+
+
+def _metric(reading: Reading) -> Metric:
+    name = PREFIX + reading.name
+    match reading:
+        case Gauge(help=text, value=value):
+            return GaugeMetricFamily(name, text, value=value)
+        case Counter(help=text, values_by_label=values, label=label):
+            family = CounterMetricFamily(name, text, labels=[label])
+            for key, value in values.items():
+                family.add_metric([str(key)], value)
+            return family
+        case Histogram(help=text, counts=counts, sums=sums):
+            bounds = [str(bound) for bound in BOUNDS] + ["+Inf"]
+            buckets = list(zip(bounds, accumulate(counts), strict=True))
+            return HistogramMetricFamily(name, text, buckets=buckets, sum_value=sums[0])
--- a/monsoonpier/process/life.py
+++ b/monsoonpier/process/life.py
@@ -1,4 +1,4 @@
-"""The life of a process on ``charts/process.yaml``, and its signals."""
+"""The life of a process on ``charts/process.toml``, and its signals."""
 
 import asyncio
 import os
--- /dev/null
+++ b/monsoonpier/process/readings.py
@@ -0,0 +1,57 @@
+"""What a process tells of itself when its metrics are asked for."""
+
+from bisect import bisect_left
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+__all__ = ["Counter", "Gauge", "Histogram", "Reading", "counter", "gauge"]
+
+# Seconds; from a packet's way through one process to a caller's patience.
+BOUNDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Gauge:
+    """A value that goes up and down."""
+
+    name: str
+    help: str
+    value: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Counter:
+    """Counts that only grow, by one label."""
+
+    name: str
+    help: str
+    values_by_label: Mapping[str, float]
+    label: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Histogram:
+    """Times in seconds, counted by bucket; the last bucket has no bound."""
+
+    name: str
+    help: str
+    counts: list[int] = field(default_factory=lambda: [0] * (len(BOUNDS) + 1))
+    sums: list[float] = field(default_factory=lambda: [0.0])
+
+    def observe(self, seconds: float) -> None:
+        """Count one time."""
+        self.counts[bisect_left(BOUNDS, seconds)] += 1
+        self.sums[0] += seconds
+
+
+Reading = Gauge | Counter | Histogram
+
+
+def gauge(name: str, text: str, value: float) -> Gauge:
+    """Return a gauge without labels."""
+    return Gauge(name=name, help=text, value=value)
+
+
+def counter(name: str, text: str, values: Mapping[str, float], label: str) -> Counter:
+    """Return a counter with one label."""
+    return Counter(name=name, help=text, values_by_label=values, label=label)
--- a/monsoonpier/process/web.py
+++ b/monsoonpier/process/web.py
@@ -2,40 +2,13 @@
 
 from collections.abc import Callable, Iterable
 
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import Metric
-from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily
-
 from monsoonpier.http import HttpServer, Request, Response
 from monsoonpier.model.address import Address
+from monsoonpier.process.readings import Reading
 
-__all__ = ["WebServer", "counter", "gauge", "ready_response"]
+__all__ = ["WebServer", "ready_response"]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-PREFIX = "monsoonpier_"
-
-
-def gauge(name: str, text: str, value: float) -> Metric:
-    """Return a gauge without labels."""
-    return GaugeMetricFamily(PREFIX + name, text, value=value)
-
-
-def counter(name: str, text: str, values_by_label: dict, label: str) -> Metric:
-    """Return a counter with one label."""
-    family = CounterMetricFamily(PREFIX + name, text, labels=[label])
-    for key, value in values_by_label.items():
-        family.add_metric([str(key)], value)
-    return family
-
-
-class _Collector:
-    """Reads the process's own counts when metrics are asked for."""
-
-    def __init__(self, read: Callable[[], Iterable[Metric]]) -> None:
-        self._read = read
-
-    def collect(self) -> Iterable[Metric]:
-        return self._read()
 
 
 class WebServer:
@@ -45,11 +18,10 @@
         self,
         *,
         address: Address,
-        read_metrics: Callable[[], Iterable[Metric]],
+        read_metrics: Callable[[], Iterable[Reading]],
         is_ready: Callable[[], bool],
     ) -> None:
-        self._registry = CollectorRegistry()
-        self._registry.register(_Collector(read_metrics))
+        self._read_metrics = read_metrics
         self._is_ready = is_ready
         self._server = HttpServer(address=address, handler=self.answer)
 
@@ -71,14 +43,18 @@
             return Response(status=405)
         match request.path:
             case "/metrics":
-                body = generate_latest(self._registry)
-                return Response(body=body, content_type=CONTENT_TYPE)
+                return Response(body=self._metrics(), content_type=CONTENT_TYPE)
             case "/healthz":
                 return Response(body=b"ok\n")
             case "/readyz":
                 return ready_response(is_ready=self._is_ready())
         return Response(status=404)
 
+    def _metrics(self) -> bytes:
+        from monsoonpier.process.exposition import expose
+
+        return expose(self._read_metrics)
+
 
 def ready_response(*, is_ready: bool) -> Response:
     """Return what a probe of readiness is answered."""
--- a/monsoonpier/store/lease.py
+++ b/monsoonpier/store/lease.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Lease:
-    """State on ``charts/lease.yaml`` and the monotonic time of its end.
+    """State on ``charts/lease.toml`` and the monotonic time of its end.
 
     The end counts from before the request was sent: the platform's own term
     began later, so the holder stops first.
--- a/tests/agent/test_process.py
+++ b/tests/agent/test_process.py
@@ -4,8 +4,8 @@
 
 from monsoonpier.agent.process import AgentProcess
 from monsoonpier.agent.target_client import HealthHint
-from monsoonpier.documents.settings import Settings, TargetSettings
 from monsoonpier.model.address import Address
+from monsoonpier.model.settings import Settings, TargetSettings
 from monsoonpier.wire.frames import HeartbeatAck
 from tests.rig import KEYS
 
--- /dev/null
+++ b/tests/packets/test_holder.py
@@ -0,0 +1,234 @@
+"""An agent's decisions on flows without a token."""
+
+import unittest
+
+from monsoonpier.agent.packet_holder import (
+    PacketHolder,
+    ResetFlow,
+    ToCallerPacket,
+    ToTarget,
+)
+from monsoonpier.model.target import Condition
+from monsoonpier.wire.frames import Held, Load, NotHeld, Turned
+from tests.packets.rig import (
+    BALANCER,
+    OTHER_BALANCER,
+    TARGET_SEQUENCE,
+    answer,
+    carry,
+    frames,
+    holder,
+    packet,
+)
+
+
+def kinds(actions: list) -> list[type]:
+    return [type(action) for action in actions]
+
+
+def delivered(actions: list) -> int:
+    return kinds(actions).count(ToTarget)
+
+
+def restarted() -> PacketHolder:
+    """Return the holder of an agent that started beside a running target."""
+    made = PacketHolder(name="maps-1", service="maps", slots=2, connections=100)
+    made.started(b"i-1", is_first=False)
+    made.condition = Condition.SERVING
+    return made
+
+
+class HolderCase(unittest.TestCase):
+    """One agent; packets come from ``BALANCER`` unless said otherwise."""
+
+    def setUp(self) -> None:
+        self.holder = holder()
+
+    def bring(self, sent, *, sender=BALANCER, now: float = 1.0, **fields) -> list:
+        frame = carry(sent, **fields)
+        return self.holder.from_balancer(frame, sent, sender=sender, now=now)
+
+    def open(self, number: int = 1, *, now: float = 1.0) -> None:
+        """Open a flow up to the end of its handshake."""
+        self.bring(packet(number, syn=True), now=now)
+        self.holder.from_target(answer(number, syn=True), now=now)
+        self.bring(packet(number), now=now)
+
+
+class OpeningTests(HolderCase):
+    """SYNs, and who holds the flow afterwards."""
+
+    def test_handshake(self) -> None:
+        """A SYN is delivered, its answer passed on, and the balancer told."""
+        self.assertEqual(kinds(self.bring(packet(syn=True))), [ToTarget])
+        actions = self.holder.from_target(answer(syn=True), now=1.0)
+        self.assertIn(ToCallerPacket, kinds(actions))
+        self.assertEqual([f.is_open for f in frames(actions, Held)], [False])
+        actions = self.bring(packet(size=10))
+        self.assertEqual([f.is_open for f in frames(actions, Held)], [True])
+        self.assertEqual(delivered(actions), 1)
+
+    def test_opened_at_another_target(self) -> None:
+        """A caller that acknowledges another target's answer isn't delivered."""
+        self.bring(packet(syn=True))
+        self.holder.from_target(answer(syn=True), now=1.0)
+        other = TARGET_SEQUENCE + (1 << 30)
+        actions = self.bring(packet(size=10, acknowledged=other))
+        self.assertEqual(delivered(actions), 0)
+        self.assertEqual(len(frames(actions, NotHeld)), 1)
+
+    def test_packet_before_the_target_has_answered(self) -> None:
+        """A flow that opened elsewhere is denied while the SYN is on its way."""
+        self.bring(packet(syn=True))
+        self.assertEqual(delivered(self.bring(packet(size=10))), 0)
+
+    def test_leaving_target_turns_away_at_once(self) -> None:
+        """A SYN for a leaving target goes back with a reason."""
+        self.holder.condition = Condition.LEAVING
+        actions = self.bring(packet(syn=True))
+        self.assertEqual([f.reason for f in frames(actions, Turned)], ["leaving"])
+        self.assertEqual(delivered(actions), 0)
+
+    def test_leaving_target_keeps_its_flows(self) -> None:
+        """Open flows of a leaving target go on."""
+        self.open()
+        self.holder.condition = Condition.LEAVING
+        self.assertEqual(delivered(self.bring(packet(size=10))), 1)
+
+    def test_another_service(self) -> None:
+        """A SYN of another service, from a stale table, is never delivered."""
+        actions = self.bring(packet(syn=True), service="logs")
+        self.assertEqual(delivered(actions), 0)
+        self.assertEqual(len(frames(actions, Turned)), 1)
+
+    def test_target_refuses(self) -> None:
+        """A SYN that the target sends back goes back to the balancer."""
+        self.bring(packet(syn=True))
+        actions = self.holder.from_target(packet(syn=True, returned=True), now=1.0)
+        self.assertEqual(len(frames(actions, Turned)), 1)
+        self.assertEqual(self.holder.flows, 0)
+
+    def test_full_target_waits_for_one_at_the_most(self) -> None:
+        """Beyond its slots a target gets one SYN, and only after three tries."""
+        for number in (1, 2):
+            self.open(number)
+            self.bring(packet(number, size=10))
+        first = self.bring(packet(3, syn=True))
+        self.assertEqual(len(frames(first, Turned)), 1)
+        tried = ("a", "b", "c")
+        self.assertEqual(delivered(self.bring(packet(3, syn=True), tried=tried)), 1)
+        again = self.bring(packet(4, syn=True), tried=tried)
+        self.assertEqual(len(frames(again, Turned)), 1)
+
+
+class HoldingTests(HolderCase):
+    """Packets of open flows and of unknown ones."""
+
+    def test_through_any_balancer(self) -> None:
+        """An open flow's packets are delivered whoever brings them."""
+        self.open()
+        sent = packet(size=10)
+        self.assertEqual(delivered(self.bring(sent, sender=OTHER_BALANCER)), 1)
+
+    def test_unknown_flow_is_denied(self) -> None:
+        """An agent that has seen all of its target denies what it doesn't hold."""
+        actions = self.bring(packet(size=10))
+        self.assertEqual(len(frames(actions, NotHeld)), 1)
+        self.assertEqual(delivered(actions), 0)
+
+    def test_new_run_of_the_target(self) -> None:
+        """When the target starts anew, callers of its flows are reset at once."""
+        self.open()
+        actions = self.holder.started(b"i-2", is_first=True)
+        self.assertEqual(kinds(actions), [ResetFlow])
+        self.assertEqual(actions[0].acknowledged, TARGET_SEQUENCE + 1)
+        denied = self.bring(packet(size=10))
+        self.assertEqual(len(frames(denied, NotHeld)), 1)
+
+
+class RestartedAgentTests(HolderCase):
+    """An agent that has started beside a target that lived on."""
+
+    def setUp(self) -> None:
+        self.holder = restarted()
+
+    def test_target_answers(self) -> None:
+        """A flow that the target answers on is held."""
+        self.assertEqual(delivered(self.bring(packet(size=10))), 1)
+        actions = self.holder.from_target(answer(size=10), now=1.1)
+        self.assertEqual([f.is_open for f in frames(actions, Held)], [True])
+
+    def test_target_sends_it_back(self) -> None:
+        """A packet that the target sends back is denied to who brought it."""
+        sent = packet(size=10)
+        self.bring(sent, sender=OTHER_BALANCER)
+        back = packet(size=10, returned=True)
+        actions = self.holder.from_target(back, now=1.1)
+        self.assertEqual([a.endpoint for a in actions], [OTHER_BALANCER])
+        self.assertEqual(len(frames(actions, NotHeld)), 1)
+
+    def test_target_resets_a_flow_of_another(self) -> None:
+        """A reset for a flow that may be another target's isn't passed on."""
+        self.bring(packet(size=10))
+        actions = self.holder.from_target(answer(reset=True), now=1.1)
+        self.assertNotIn(ToCallerPacket, kinds(actions))
+        self.assertEqual(len(frames(actions, NotHeld)), 1)
+
+    def test_another_service_is_not_guessed(self) -> None:
+        """A packet of another service is not tried on this target."""
+        actions = self.bring(packet(size=10), service="logs")
+        self.assertEqual(delivered(actions), 0)
+
+
+class LoadTests(HolderCase):
+    """The agent's count of requests under way."""
+
+    def test_request_and_answer(self) -> None:
+        """A request counts from its first packet until its answer's first."""
+        self.open()
+        self.holder.tick(now=2.0)
+        self.assertEqual(self.holder.busy, 0)
+        self.bring(packet(size=10), now=2.0)
+        self.assertEqual(self.holder.busy, 1)
+        self.holder.from_target(answer(size=10), now=2.05)
+        self.assertEqual(self.holder.busy, 0)
+        self.assertEqual(self.holder.load(now=2.1).service_ms, 50)
+
+    def test_retransmission_after_the_answer(self) -> None:
+        """A late copy of an answered request doesn't count as another."""
+        self.open()
+        self.bring(packet(size=10), now=2.0)
+        self.holder.from_target(answer(size=10), now=2.05)
+        self.bring(packet(size=10), now=2.2)
+        self.assertEqual(self.holder.busy, 0)
+        self.bring(packet(size=10, sequence=1_010), now=2.3)
+        self.assertEqual(self.holder.busy, 1)
+
+    def test_opened_elsewhere(self) -> None:
+        """A slot is not kept for long for a flow that doesn't open here."""
+        self.bring(packet(syn=True), now=1.0)
+        self.assertEqual(self.holder.busy, 1)
+        self.holder.tick(now=1.2)
+        self.assertEqual(self.holder.busy, 0)
+
+    def test_news_for_those_who_place_here(self) -> None:
+        """Balancers that send SYNs are told of changes, each change once."""
+        self.open()
+        self.bring(packet(syn=True, number=2), sender=OTHER_BALANCER)
+        news = self.holder.load_news(now=1.1)
+        self.assertEqual({n.endpoint for n in news}, {BALANCER, OTHER_BALANCER})
+        self.assertEqual([f.load.in_flight for f in frames(news, Load)], [2, 2])
+        self.assertEqual(self.holder.load_news(now=1.2), [])
+
+    def test_all_is_given_back(self) -> None:
+        """When all flows have ended nothing counts as busy or open."""
+        for number in range(20):
+            self.open(number, now=1.0)
+            self.bring(packet(number, size=10, fin=number % 2 == 0), now=1.0)
+            if number % 3 == 0:
+                self.holder.from_target(answer(number, size=5, fin=True), now=1.0)
+            if number % 5 == 0:
+                self.bring(packet(number, reset=True), now=1.0)
+        self.holder.tick(now=100.0)
+        load = self.holder.load(now=100.0)
+        self.assertEqual((load.in_flight, load.flows, self.holder.flows), (0, 0, 0))
