Stand-ins that speak packets, with process tests; a log line a decision

Cause: the path without tokens had no test as processes, the adapter's store no contract test, and a failure could not be followed in the logs.

--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -14,6 +14,7 @@
 
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
 from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
 from monsoonpier.wire.packet import Packet, sequence_distance
 
@@ -73,10 +74,21 @@
         name: The target's name, as balancers know it.
         service: The only service whose packets are delivered.
         slots: How many requests the target works on at once, if known.
+        connections: How many flows the target holds at the most.
+        log: Takes a line for each decision.
     """
 
-    def __init__(self, *, name: str, service: str, slots: int, connections: int):
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        slots: int,
+        connections: int,
+        log: DecisionLog,
+    ) -> None:
         self._name = name
+        self._log = log
         self._service = service
         self._connections = connections
         self._flows_by_address: dict[bytes, PacketFlow] = {}
@@ -242,16 +254,17 @@
         """Tell by the acknowledgement whether the caller took this target."""
         first = flow.target_sequence
         if first is None or not packet.is_ack:
-            return self._deny(packet, sender=sender)
+            return self._deny(packet, sender=sender, now=now)
         if sequence_distance(first, packet.acknowledged) > MAX_STREAM_BYTES:
             # The SYN's copy opened the flow at another target.
             self._drop(packet.flow)
-            return self._deny(packet, sender=sender)
-        self._opened(flow, now=now)
+            return self._deny(packet, sender=sender, now=now)
+        self._opened(packet.flow, flow, now=now)
         held = self._claim(packet.flow, sender=sender, is_open=True, now=now)
         return [held, *self._deliver(packet, flow, now=now)]
 
-    def _opened(self, flow: PacketFlow, *, now: float) -> None:
+    def _opened(self, address: bytes, flow: PacketFlow, *, now: float) -> None:
+        self._log.note("flow opened", now=now, flow=address, busy=self._busy)
         flow.is_open = True
         flow.guessed = None
         self._open += 1
@@ -274,9 +287,9 @@
         self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
     ) -> list:
         if self._knows_all or frame.service != self._service:
-            return self._deny(packet, sender=sender)
+            return self._deny(packet, sender=sender, now=now)
         if self.condition is Condition.GONE:
-            return self._deny(packet, sender=sender)
+            return self._deny(packet, sender=sender, now=now)
         self._flows_by_address[packet.flow] = PacketFlow(
             caller_ip=packet.caller_ip,
             balancer=sender,
@@ -286,6 +299,7 @@
             guessed=packet,
         )
         self.counts_by_result["guessed"] += 1
+        self._log.note("flow tried on the target", now=now, flow=packet.flow)
         return [ToTarget(raw=packet.raw)]
 
     # Packets of the target
@@ -296,7 +310,7 @@
         if packet.is_returned:
             return self._returned(packet, flow, now=now)
         if packet.is_reset:
-            return self._reset_by_target(packet, flow)
+            return self._reset_by_target(packet, flow, now=now)
         actions: list = [ToCallerPacket(ip=packet.caller_ip, raw=packet.raw)]
         if flow is None:
             if packet.is_syn:
@@ -314,7 +328,7 @@
                 )
             return actions
         if flow.guessed is not None:
-            self._opened(flow, now=now)
+            self._opened(packet.flow, flow, now=now)
             self._enter(flow, Phase.IDLE, now=now)
             actions.append(
                 self._claim(packet.flow, sender=flow.balancer, is_open=True, now=now)
@@ -325,7 +339,9 @@
             flow.has_target_fin = True
         return actions
 
-    def _reset_by_target(self, packet: Packet, flow: PacketFlow | None) -> list:
+    def _reset_by_target(
+        self, packet: Packet, flow: PacketFlow | None, *, now: float
+    ) -> list:
         """Pass a reset on only if the target is known to hold the flow.
 
         A target that is just starting resets what it doesn't know. The flow may
@@ -336,7 +352,7 @@
             return []
         self._drop(packet.flow)
         if flow.guessed is not None:
-            return self._deny(flow.guessed, sender=flow.balancer)
+            return self._deny(flow.guessed, sender=flow.balancer, now=now)
         return [ToCallerPacket(ip=packet.caller_ip, raw=packet.raw)]
 
     def _adopt(self, packet: Packet, *, now: float) -> PacketFlow:
@@ -375,7 +391,7 @@
             reason = "the target refused it"
             return [self._turn(packet, tried, reason, sender=balancer, now=now)]
         self._drop(packet.flow)
-        return self._deny(packet, sender=balancer)
+        return self._deny(packet, sender=balancer, now=now)
 
     # Time
 
@@ -410,8 +426,11 @@
         frame = Held(flow=flow, agent=self._name, load=load, is_open=is_open)
         return ToBalancer(endpoint=sender, frame=frame)
 
-    def _deny(self, packet: Packet, *, sender: tuple[str, int]) -> list:
+    def _deny(self, packet: Packet, *, sender: tuple[str, int], now: float) -> list:
         self.counts_by_result["denied"] += 1
+        self._log.note(
+            "flow denied", now=now, flow=packet.flow, knows_all=self._knows_all
+        )
         if not sender[1]:
             return []  # Nobody asked: the target's own packet made it known.
         frame = NotHeld(agent=self._name, instance=self._instance, payload=packet.raw)
@@ -427,6 +446,15 @@
         now: float,
     ) -> ToBalancer:
         self.counts_by_result["turned"] += 1
+        self._log.note(
+            "flow turned away",
+            now=now,
+            flow=packet.flow,
+            reason=reason,
+            busy=self._busy,
+            slots=self.slots,
+            tried=tried,
+        )
         frame = Turned(
             agent=self._name,
             payload=packet.raw,
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -21,6 +21,7 @@
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.process.control import ControlServer
 from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.logs import DecisionLog, flow_name
 from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.process.web import WebServer
@@ -77,6 +78,7 @@
             service=settings.target.service,
             slots=settings.target.slots,
             connections=settings.target.connections,
+            log=DecisionLog("monsoonpier.agent.packet_holder"),
         )
         record = TargetRecord(
             name=settings.name,
@@ -274,7 +276,9 @@
                 case ResetFlow(ip=ip, flow=flow, acknowledged=acknowledged):
                     reset = self._packets.reset(flow, acknowledged=acknowledged)
                     self._internal.send(reset, (ip, self._callers_port))
-                    _log.info("flow reset", flow=flow.hex(), reason="target ended")
+                    _log.info(
+                        "caller reset", flow=flow_name(flow), reason="target ended"
+                    )
         self._report_soon()
 
     def _report_soon(self) -> None:
--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packet_process.py
@@ -13,6 +13,7 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
+from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.process.web import WebServer
@@ -59,7 +60,9 @@
         self._started = time.monotonic()
         self._membership = Membership(own=balancer_record(settings))
         self._steering = PacketSteering(
-            membership=self._membership, started_at=self._started
+            membership=self._membership,
+            started_at=self._started,
+            log=DecisionLog("monsoonpier.balancer.packet_steering"),
         )
         self._member = Member(
             settings=settings,
@@ -150,8 +153,8 @@
             match action:
                 case ToAgent(endpoint=endpoint, frame=frame):
                     self._member.send(frame, endpoint, is_control=False)
-                case ResetCaller(packet=packet, reason=reason):
-                    self._send_reset(packet, reason)
+                case ResetCaller(packet=packet):
+                    self._send_reset(packet)
         if self._retry is None and self._steering.is_waiting:
             loop = asyncio.get_running_loop()
             self._retry = loop.call_later(RETRY_CHECK_SECONDS, self._look_after)
@@ -160,14 +163,7 @@
         self._retry = None
         self._do(self._steering.retry(now=_now(), draw=self._draw))
 
-    def _send_reset(self, packet: Packet, reason: str) -> None:
-        _log.info(
-            "flow reset",
-            flow=packet.flow.hex(),
-            address=str(packet.service_address),
-            reason=reason,
-            version=self._membership.configuration.version,
-        )
+    def _send_reset(self, packet: Packet) -> None:
         reset = self._codec.reset(packet.flow, acknowledged=packet.acknowledged)
         assert self._socket is not None
         self._socket.send(reset, (packet.caller_ip, self._packets.port))
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -37,6 +37,7 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import Condition
+from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
 from monsoonpier.wire.packet import Packet
 
@@ -57,8 +58,11 @@
 class PacketSteering:
     """Decides on callers' packets and agents' frames. Does no I/O."""
 
-    def __init__(self, *, membership: Membership, started_at: float) -> None:
+    def __init__(
+        self, *, membership: Membership, started_at: float, log: DecisionLog
+    ) -> None:
         self._membership = membership
+        self._log = log
         self._started_at = started_at
         self._flows = FlowTable()
         self._long_share_by_address: dict[Address, LongFlowShare] = {}
@@ -96,7 +100,7 @@
             return self._ask_again(packet, known, now=now)
         if self._is_over(known):
             self._flows.drop(packet.flow)
-            return [self._reset(packet, "target gone")]
+            return [self._reset(packet, "target gone", now=now)]
         return self._carry(packet, known, names=known.holders)
 
     def _syn(
@@ -121,7 +125,7 @@
             self.counts_by_result["no_route"] += 1
             if not self._membership.configuration.version:
                 return []
-            return [self._reset(packet, "no route")]
+            return [self._reset(packet, "no route", now=now)]
         known = KnownFlow(service=route.service, created_at=now, syn=packet)
         self._flows.put(packet.flow, known)
         return self._place(packet, known, now=now, draw=draw)
@@ -142,6 +146,7 @@
             case NoTarget():
                 return self._wait(packet, known, candidates, now=now)
             case Chosen(record=record):
+                self._note_placed(packet, known, candidates, record.name, now=now)
                 known.holders = (*known.holders, record.name)[-MAX_TRIED:]
                 known.tried = (*known.tried, record.name)
                 known.sent_at = now
@@ -169,9 +174,9 @@
         if wait is None and not self._is_settled(now=now):
             wait = 0.0  # Targets may just not be known yet.
         if wait is None:
-            return self._refuse(packet, "no target serves")
+            return self._refuse(packet, "no target serves", now=now)
         if now - known.created_at + wait >= most:
-            return self._refuse(packet, "would be late")
+            return self._refuse(packet, "would be late", now=now)
         known.tried = ()
         has_room = self._waiting_room.add(
             packet.flow,
@@ -181,14 +186,23 @@
             most=most,
         )
         if not has_room:
-            return self._refuse(packet, "too many wait")
+            return self._refuse(packet, "too many wait", now=now)
         self.counts_by_result["waited"] += 1
+        self._log.note(
+            "flow waits for a slot",
+            now=now,
+            flow=packet.flow,
+            service=known.service,
+            ahead=ahead,
+            expected_seconds=round(wait, 3),
+            at_most_seconds=round(most, 3),
+        )
         return []
 
-    def _refuse(self, packet: Packet, reason: str) -> list:
+    def _refuse(self, packet: Packet, reason: str, *, now: float) -> list:
         self._flows.drop(packet.flow)
         self.counts_by_result["refused"] += 1
-        return [self._reset(packet, reason)]
+        return [self._reset(packet, reason, now=now)]
 
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
@@ -196,7 +210,7 @@
         for flow in self._waiting_room.expired(now=now):
             known = self._flows.get(flow)
             if known is not None and known.syn is not None:
-                actions += self._refuse(known.syn, "no slot came free")
+                actions += self._refuse(known.syn, "no slot came free", now=now)
         for service in self._waiting_room.services:
             actions += self._place_waiting_for(service, now=now, draw=draw)
         return actions
@@ -231,6 +245,13 @@
             if not known.holders or now - known.sent_at < HEDGE_SECONDS * 0.9:
                 continue
             self.counts_by_result["unanswered"] += 1
+            self._log.note(
+                "target did not answer",
+                now=now,
+                flow=flow,
+                target=known.holders[-1],
+                waited_seconds=round(now - known.sent_at, 3),
+            )
             self._membership.table.not_answered(known.holders[-1])
             assert known.syn is not None
             actions += self._place(known.syn, known, now=now, draw=draw)
@@ -250,7 +271,9 @@
         known = KnownFlow(service=route.service, created_at=now, inquiry=inquiry)
         self._flows.put(packet.flow, known)
         self.counts_by_result["asked"] += 1
-        return self._carry(packet, known, names=sorted(names - inquiry.denied))
+        asked = sorted(names - inquiry.denied)
+        self._log.note("holder asked for", now=now, flow=packet.flow, agents=len(asked))
+        return self._carry(packet, known, names=asked)
 
     def _ask_again(self, packet: Packet, known: KnownFlow, *, now: float) -> list:
         inquiry = known.inquiry
@@ -269,7 +292,7 @@
         if names - inquiry.denied or not self._is_settled(now=now):
             return []
         self._flows.drop(inquiry.packet.flow)
-        return [self._reset(inquiry.packet, "nobody holds the flow")]
+        return [self._reset(inquiry.packet, "nobody holds the flow", now=now)]
 
     # Agents' frames
 
@@ -300,6 +323,14 @@
             known = KnownFlow(service=record.service, created_at=now)
             self._flows.put(frame.flow, known)
         if frame.is_open:
+            if known.holders != (frame.agent,):
+                self._log.note(
+                    "holder learned",
+                    now=now,
+                    flow=frame.flow,
+                    target=frame.agent,
+                    before=known.holders,
+                )
             known.holders = (frame.agent,)
             known.is_confirmed = True
             known.inquiry = None
@@ -315,6 +346,9 @@
         known = self._flows.get(packet.flow)
         if known is None:
             return []
+        self._log.note(
+            "holder denies flow", now=now, flow=packet.flow, target=frame.agent
+        )
         if known.inquiry is not None:
             known.inquiry.denied.add(frame.agent)
             return self._conclude(known, now=now)
@@ -337,6 +371,15 @@
         table.heard(frame.agent, frame.load, now=now)
         table.answered_flow(frame.agent)
         self.counts_by_result["turned"] += 1
+        self._log.note(
+            "flow turned away",
+            now=now,
+            flow=packet.flow,
+            target=frame.agent,
+            reason=frame.reason,
+            tried=frame.tried,
+            in_flight=frame.load.in_flight,
+        )
         known = self._flows.get(packet.flow)
         if known is None or known.is_accepted or known.is_confirmed:
             return []
@@ -347,6 +390,31 @@
 
     # Helpers
 
+    def _note_placed(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        candidates: list[Candidate],
+        name: str,
+        *,
+        now: float,
+    ) -> None:
+        chosen = next(c for c in candidates if c.record.name == name)
+        self._log.note(
+            "flow placed",
+            now=now,
+            flow=packet.flow,
+            service=known.service,
+            target=name,
+            of=len(candidates),
+            tried=known.tried,
+            in_flight=chosen.load.in_flight,
+            sent_since=chosen.sent_since,
+            load_number=chosen.load.number,
+            load_age=round(self._membership.table.load_age(name, now=now), 3),
+            version=self._membership.configuration.version,
+        )
+
     def _route(self, packet: Packet) -> PacketRoute | None:
         routes = self._membership.configuration.routes_by_address
         return routes.get(packet.service_address)
@@ -376,8 +444,16 @@
             actions.append(ToAgent(endpoint=endpoint, frame=frame))
         return actions
 
-    def _reset(self, packet: Packet, reason: str) -> ResetCaller:
+    def _reset(self, packet: Packet, reason: str, *, now: float) -> ResetCaller:
         self.counts_by_result["reset"] += 1
+        self._log.note(
+            "caller reset",
+            now=now,
+            flow=packet.flow,
+            reason=reason,
+            version=self._membership.configuration.version,
+            targets=len(self._membership.table),
+        )
         return ResetCaller(packet=packet, reason=reason)
 
     def _long_share(self, packet: Packet) -> LongFlowShare:
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -214,6 +214,11 @@
                 entry.load = msgspec.structs.replace(entry.load, in_flight=0)
         return [self._candidate(entry, now=now) for entry in entries]
 
+    def load_age(self, name: str, *, now: float) -> float:
+        """Return seconds since a target's load was taken."""
+        entry = self._entries_by_name.get(name)
+        return now - entry.loaded_at if entry is not None else 0.0
+
     def names_of(self, service: str) -> set[str]:
         """Return the names of a service's targets that have not ended."""
         return {
--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli.py
@@ -314,10 +314,11 @@
 
 
 def _run_process(process, settings, log_level: str) -> int:
-    from monsoonpier.process.logs import configure_logs
+    from monsoonpier.process.logs import STDOUT, configure_logs
 
     configure_logs(
         level=log_level,
+        descriptor=STDOUT,
         process=settings.name,
         role=settings.role,
         data_centre=settings.data_centre,
--- a/monsoonpier/platform/__main__.py
+++ b/monsoonpier/platform/__main__.py
@@ -13,7 +13,7 @@
 from monsoonpier.platform.packets import PlatformPackets
 from monsoonpier.platform.settings import PlatformSettings, load_platform_settings
 from monsoonpier.platform.store import PlatformStore
-from monsoonpier.process.logs import configure_logs
+from monsoonpier.process.logs import STDOUT, configure_logs
 from monsoonpier.process.web import ready_response
 
 _READY = "/monsoonpier/ready"
@@ -34,7 +34,7 @@
         return Exit.BAD_INPUT
     common = settings.common
     gc.freeze()  # What was imported lives as long as the process.
-    configure_logs(level="info", process=common.name, role=role)
+    configure_logs(level="info", descriptor=STDOUT, process=common.name, role=role)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(runs_by_role[role](settings))
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,61 +2,23 @@
 
 import asyncio
 import json
-import os
 import shutil
-import signal
-import sys
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
+from standins.processes import PYTHON, Node, kill_all, spawn
+
 __all__ = ["Deployment", "Node"]
 
-PYTHON = sys.executable
 START_SECONDS = 15.0
-STOP_SECONDS = 30.0
 POLL_SECONDS = 0.05
 KEYS = [{"id": 1, "secret": "5f" * 32}]
 SERVICE_PORTS = {"maps": 7001, "logs": 7002}
 
 
-@dataclass(slots=True, kw_only=True)
-class Node:
-    """One process that the deployment started."""
-
-    name: str
-    ip: str
-    process: asyncio.subprocess.Process
-    log: Path
-
-    @property
-    def pid(self) -> int:
-        """The process's id."""
-        return self.process.pid
-
-    def signal(self, number: int) -> None:
-        """Send a signal, unless the process has ended."""
-        if self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def wait(self, seconds: float = STOP_SECONDS) -> int:
-        """Return the exit status; kill the process if it takes too long."""
-        try:
-            async with asyncio.timeout(seconds):
-                return await self.process.wait()
-        except TimeoutError:
-            self.process.kill()
-            await self.process.wait()
-            raise TimeoutError(f"{self.name} did not stop") from None
-
-    async def stop(self) -> int:
-        """Ask it to leave and wait until it has."""
-        self.signal(signal.SIGTERM)
-        return await self.wait()
-
-
 @dataclass(kw_only=True)
 class Deployment:
     """Processes by name on a /24 of loopback; use as ``async with``.
@@ -81,11 +43,7 @@
         return self
 
     async def __aexit__(self, *exception) -> None:
-        for node in list(self.nodes_by_name.values()):
-            if node.process.returncode is None:
-                node.signal(signal.SIGCONT)
-                node.signal(signal.SIGKILL)
-                await node.process.wait()
+        await kill_all(list(self.nodes_by_name.values()))
         await self._http.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -332,17 +290,7 @@
         return file
 
     async def _spawn(self, name: str, ip: str, *arguments: str) -> Node:
-        log = self.folder / f"{name.replace(' ', '-')}.log"
-        with log.open("ab") as stderr:
-            process = await asyncio.create_subprocess_exec(
-                PYTHON,
-                *arguments,
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=stderr,
-                stderr=stderr,
-                env=os.environ | {"PYTHONUNBUFFERED": "1"},
-            )
-        node = Node(name=name, ip=ip, process=process, log=log)
+        node = await spawn(name, *arguments, ip=ip, folder=self.folder)
         self.nodes_by_name[name] = node
         return node
 
--- /dev/null
+++ b/standins/packets/deployment.py
@@ -0,0 +1,237 @@
+"""Balancers and agents of flows without a token, as processes on loopback."""
+
+import asyncio
+import json
+import random
+import shutil
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+
+from monsoonpier.model.address import Address
+from standins.packets.caller import PacketCaller
+from standins.packets.store import StoreStandIn
+from standins.packets.target import PacketTarget
+from standins.processes import Node, kill_all, spawn
+
+__all__ = ["PacketDeployment"]
+
+KEY = "5f" * 32
+STORE_PORT = 8169
+READY_PORT = 8167
+CONTROL_PORT = 8166
+PACKET_PORT = 8172
+OUTBOUND_PORT = 8162
+APP_PORT = 8165
+FIRST_INTERNAL_PORT = 7720
+START_SECONDS = 15.0
+SERVICES = {"maps": ("198.18.0.1", 8443), "logs": ("198.18.0.2", 8443)}
+MAX_SEEDS = 3
+
+
+@dataclass(kw_only=True)
+class PacketDeployment:
+    """Processes by name on a /24 of loopback; use as ``async with``.
+
+    The store, the targets and the callers live in this process, so that faults
+    and records are at hand.
+    """
+
+    net: str
+    seed: int = 0
+    nodes_by_name: dict[str, Node] = field(default_factory=dict)
+    targets_by_name: dict[str, PacketTarget] = field(default_factory=dict)
+    store: StoreStandIn = field(init=False)
+    folder: Path = field(init=False)
+    version: int = 0
+    _ips_by_name: dict[str, str] = field(default_factory=dict)
+    _running_by_name: dict[str, asyncio.Task] = field(default_factory=dict)
+    _seeds: list[str] = field(default_factory=list)
+    _next_host: int = 10
+
+    async def __aenter__(self) -> "PacketDeployment":
+        self.folder = Path(tempfile.mkdtemp(prefix="monsoonpier-"))
+        self.store = StoreStandIn(seed=self.seed)
+        self._runner = web.AppRunner(self.store.application(), shutdown_timeout=0.01)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, f"{self.net}.1", STORE_PORT).start()
+        self._http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2))
+        self.caller = PacketCaller(
+            ip=f"{self.net}.5",
+            port=PACKET_PORT,
+            balancers=[],
+            draw=random.Random(self.seed),
+        )
+        self.caller.start()
+        return self
+
+    async def __aexit__(self, *exception) -> None:
+        self.caller.close()
+        await kill_all(list(self.nodes_by_name.values()))
+        for task in self._running_by_name.values():
+            task.cancel()
+        await asyncio.gather(*self._running_by_name.values(), return_exceptions=True)
+        await self._http.close()
+        await self._runner.cleanup()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Configuration
+
+    def configure(self, *services: str, routes: int = 0) -> int:
+        """Write a newer configuration as the operator does; return its version."""
+        self.version += random.Random(self.seed + self.version).randint(1, 3)
+        named = [
+            self._route(f"r-{name}", *SERVICES[name], service=name)
+            for name in services or SERVICES
+        ]
+        idle = [
+            self._route(f"r-{n}", "198.18.9.9", 10_000 + n, service="maps")
+            for n in range(routes)
+        ]
+        body = {"version": self.version, "routes": named + idle, "services": []}
+        self.store.put("op/config", json.dumps(body).encode())
+        return self.version
+
+    def _route(self, name: str, host: str, port: int, *, service: str) -> dict:
+        return {
+            "name": name,
+            "host": host,
+            "prefix": f"/{port}/",
+            "service": service,
+            "type": "safe",
+            "timeout_ms": 3000,
+            "target_latency_ms": 300,
+            "priority": 1,
+            "max_attempts": 2,
+        }
+
+    # Processes
+
+    async def start_balancer(self, name: str, *, wait: bool = True) -> Node:
+        """Start a balancer; the first few are the seeds of all others."""
+        ip = self.ip(name)
+        if len(self._seeds) < MAX_SEEDS and ip not in self._seeds:
+            self._seeds.append(ip)
+        node = await self._start("balancer", name, {})
+        if wait:
+            await self.wait_ready(name)
+            self.rotate(name)
+        return node
+
+    async def start_pair(self, name: str, service: str, *, slots: int = 3) -> Node:
+        """Start a target and its agent; return the agent."""
+        self.start_target(name, service, slots=slots)
+        return await self.start_agent(name, service)
+
+    def start_target(self, name: str, service: str, *, slots: int = 3) -> None:
+        """Start a target, which announces itself until its agent answers."""
+        ip = self.ip(name)
+        target = PacketTarget(
+            service=service,
+            app=Address(ip=ip, port=APP_PORT),
+            outbound=Address(ip=ip, port=OUTBOUND_PORT),
+            control=Address(ip=ip, port=CONTROL_PORT),
+            slots=slots,
+        )
+        self.targets_by_name[name] = target
+        self._running_by_name[name] = asyncio.create_task(target.run())
+
+    async def stop_target(self, name: str) -> None:
+        """End a target as a crash does."""
+        task = self._running_by_name.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    async def start_agent(self, name: str, service: str) -> Node:
+        """Start the agent beside the target of that name."""
+        ip = self.ip(name)
+        more = {
+            "app": f"{ip}:{APP_PORT}",
+            "service": service,
+            "outbound": f"{ip}:{OUTBOUND_PORT}",
+        }
+        return await self._start("agent", name, more)
+
+    def rotate(self, *names: str, out: bool = False) -> None:
+        """Take balancers into the fabric's rotation, or out of it."""
+        for name in names:
+            endpoint = (self.ip(name), PACKET_PORT)
+            present = endpoint in self.caller.balancers
+            if out and present:
+                self.caller.balancers.remove(endpoint)
+            elif not out and not present:
+                self.caller.balancers.append(endpoint)
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until all these processes answer that they are ready.
+
+        Raises:
+            RuntimeError: If one doesn't in time; with the end of its log.
+        """
+        for name in names:
+            try:
+                async with asyncio.timeout(START_SECONDS):
+                    while not await self.is_ready(name):
+                        await asyncio.sleep(0.05)
+            except TimeoutError:
+                log = self.nodes_by_name[name].log.read_text()[-2000:]
+                raise RuntimeError(f"{name} is not ready: {log}") from None
+
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether a process answers that it is ready."""
+        url = f"http://{self.ip(name)}:{READY_PORT}/monsoonpier/ready"
+        try:
+            async with self._http.get(url) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    def ip(self, name: str) -> str:
+        """Return a process's address, the same each time it starts."""
+        if name not in self._ips_by_name:
+            self._next_host += 1
+            self._ips_by_name[name] = f"{self.net}.{self._next_host}"
+        return self._ips_by_name[name]
+
+    async def _start(self, role: str, name: str, more: dict) -> Node:
+        file = self._write_settings(name, **more)
+        node = await spawn(
+            name,
+            "-m",
+            "monsoonpier.platform",
+            role,
+            ip=self.ip(name),
+            folder=self.folder,
+            MONSOONPIER_SETTINGS=str(file),
+            FRAME_KEY=KEY,
+        )
+        self.nodes_by_name[name] = node
+        return node
+
+    def _write_settings(
+        self, name: str, *, app: str = "", service: str = "", outbound: str = ""
+    ) -> Path:
+        ip = self.ip(name)
+        seeds = [f"{seed}:{CONTROL_PORT}" for seed in self._seeds]
+        lines = [
+            f'node_name = "{name}"',
+            f'ip = "{ip}"',
+            'zone = "dc-1"',
+            f"internal_ports = [{FIRST_INTERNAL_PORT}, {FIRST_INTERNAL_PORT + 15}]",
+            f"seeds = {json.dumps(seeds)}",
+            f'app = "{app}"' if app else "",
+            f'service = "{service}"' if service else "",
+            "[listen]",
+            f'ready = "{ip}:{READY_PORT}"',
+            f'control = "{ip}:{CONTROL_PORT}"',
+            f'datagram_addr = "{ip}:{PACKET_PORT}"',
+            f'outbound = "{outbound}"' if outbound else "",
+            "[platform]",
+            f'address = "{self.net}.1:{STORE_PORT}"',
+        ]
+        file = self.folder / f"{name}.toml"
+        file.write_text("\n".join(lines))
+        return file
--- /dev/null
+++ b/standins/packets/target.py
@@ -0,0 +1,229 @@
+"""A target that speaks packets, announces itself, and counts what it ran."""
+
+import asyncio
+import random
+import socket
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+from monsoonpier.model.address import Address
+from standins.packets.stream import Stream
+from standins.packets.wire import ACK, BOUNCED, FIN, RST, SYN, Segment
+
+__all__ = ["PacketTarget"]
+
+TICK_SECONDS = 0.02
+
+
+@dataclass(slots=True, kw_only=True)
+class _Flow:
+    stream: Stream
+    first: int
+    is_open: bool = False
+    buffer: bytearray = field(default_factory=bytearray)
+    tasks: set = field(default_factory=set)
+
+
+@dataclass(kw_only=True)
+class PacketTarget:
+    r"""Runs requests of the form ``id size work_ms\n`` and ``size`` bytes of body.
+
+    Its answer is ``id instance size\n`` and as many bytes as the request names.
+
+    Args:
+        app: Where it takes packets (UDP) and health checks (TCP).
+        outbound: Where it sends all of its packets.
+        control: Where it announces itself.
+    """
+
+    service: str
+    app: Address
+    outbound: Address
+    control: Address
+    slots: int = 3
+    beat_seconds: float = 0.5
+    instance: str = ""
+    runs_by_id: Counter = field(default_factory=Counter)
+    is_draining: bool = False
+    foreign: int = 0  # packets of flows that it doesn't hold
+    _flows: dict = field(default_factory=dict)
+    _sequence: int = 0
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        self.instance = self.instance or f"i-{random.getrandbits(32):08x}"
+        self._slot = asyncio.Semaphore(self.slots)
+        loop = asyncio.get_running_loop()
+        raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        raw.bind(self.app.endpoint)
+        raw.setblocking(False)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+        loop.add_reader(raw, self._readable, raw)
+        self._socket = raw
+        app = web.Application()
+        app.router.add_get("/health", self._health)
+        app.router.add_get("/standin/runs", self._runs)
+        app.router.add_post("/standin/drain", self._drain)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, *self.app.endpoint).start()
+        try:
+            await asyncio.gather(self._beat_forever(), self._tick_forever())
+        finally:
+            self._flows.clear()
+            loop.remove_reader(raw)
+            raw.close()
+            await runner.cleanup()
+
+    def holds(self, source: tuple[str, int], destination: tuple[str, int]) -> bool:
+        """Tell whether a flow is open here."""
+        flow = self._flows.get((source, destination))
+        return flow is not None and flow.is_open
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(status=503 if self.is_draining else 200)
+
+    async def _runs(self, request: web.Request) -> web.Response:
+        body = {
+            "instance": self.instance,
+            "runs": self.runs_by_id,
+            "foreign": self.foreign,
+            "flows": sum(flow.is_open for flow in self._flows.values()),
+        }
+        return web.json_response(body)
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        self.is_draining = True
+        return web.Response()
+
+    async def _beat_forever(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                self._sequence += 1
+                body = {
+                    "service": self.service,
+                    "address": str(self.app),
+                    "zone": "dc-1",
+                    "version": "v1",
+                    "slots": self.slots,
+                    "state": "draining" if self.is_draining else "ready",
+                    "cold_remaining_ms": 0,
+                    "sequence": self._sequence,
+                }
+                path = f"/monsoonpier/Instances.Heartbeat/{self.instance}"
+                try:
+                    async with session.post(
+                        f"http://{self.control}{path}", json=body
+                    ) as answer:
+                        await answer.read()
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    pass  # the agent isn't there yet; the next one will do
+                await asyncio.sleep(self.beat_seconds)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            for key, flow in list(self._flows.items()):
+                self._send(flow.stream.resend(now=_now()))
+                if flow.stream.resends > 8:
+                    del self._flows[key]
+
+    # Packets
+
+    def _readable(self, raw: socket.socket) -> None:
+        for _ in range(64):
+            try:
+                data = raw.recv(2048)
+            except (BlockingIOError, ConnectionRefusedError):
+                return
+            self._take(data)
+
+    def _send(self, segments: list[Segment]) -> None:
+        for segment in segments:
+            self._send_raw(segment.encode())
+
+    def _send_raw(self, data: bytes) -> None:
+        try:
+            self._socket.sendto(data, self.outbound.endpoint)
+        except (BlockingIOError, ConnectionRefusedError):
+            pass  # lost, as on a network
+
+    def _take(self, data: bytes) -> None:
+        segment = Segment.decode(data)
+        key = (segment.source, segment.destination)
+        flow = self._flows.get(key)
+        if segment.flags & SYN:
+            if flow is None:
+                flow = self._new_flow(segment)
+                self._flows[key] = flow
+            answer = Segment(
+                flags=SYN | ACK,
+                source=segment.destination,
+                destination=segment.source,
+                sequence=flow.first,
+                acknowledged=(segment.sequence + 1) % (1 << 32),
+            )
+            self._send([answer])
+            return
+        if flow is None or not self._opens(flow, segment):
+            self.foreign += 1
+            self._send_raw(bytes((data[0] | BOUNCED,)) + data[1:])
+            return
+        if segment.flags & RST:
+            del self._flows[key]
+            return
+        self._send(flow.stream.receive(segment, now=_now()))
+        flow.buffer += flow.stream.inbox
+        flow.stream.inbox.clear()
+        self._run_whole_requests(flow)
+        if segment.flags & FIN and not flow.stream.has_fin:
+            self._send(flow.stream.send(b"", now=_now(), fin=True))
+
+    def _new_flow(self, segment: Segment) -> _Flow:
+        first = random.getrandbits(32)
+        stream = Stream(
+            own=segment.destination,
+            peer=segment.source,
+            sent=(first + 1) % (1 << 32),
+            received=(segment.sequence + 1) % (1 << 32),
+        )
+        return _Flow(stream=stream, first=first)
+
+    def _opens(self, flow: _Flow, segment: Segment) -> bool:
+        distance = (segment.acknowledged - flow.first) % (1 << 32)
+        flow.is_open |= 0 < distance < (1 << 26)
+        return flow.is_open
+
+    def _run_whole_requests(self, flow: _Flow) -> None:
+        while True:
+            line, separator, rest = bytes(flow.buffer).partition(b"\n")
+            if not separator:
+                return
+            request, size, work_ms, answer = line.decode().split(" ")
+            if len(rest) < int(size):
+                return
+            flow.buffer = bytearray(rest[int(size) :])
+            task = asyncio.create_task(
+                self._run_one(flow, request, int(work_ms), int(answer))
+            )
+            flow.tasks.add(task)
+            task.add_done_callback(flow.tasks.discard)
+
+    async def _run_one(
+        self, flow: _Flow, request: str, work_ms: int, answer: int
+    ) -> None:
+        async with self._slot:
+            self.runs_by_id[request] += 1
+            await asyncio.sleep(work_ms / 1000)
+        head = f"{request} {self.instance} {answer}\n".encode()
+        fin = self.is_draining
+        self._send(flow.stream.send(head + b"x" * answer, now=_now(), fin=fin))
+
+
+def _now() -> float:
+    return time.monotonic()
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -12,9 +12,11 @@
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.platform.packets import PlatformPackets
+from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import BalancerRecord, Carry
 from monsoonpier.wire.packet import Packet
 
+LOG = DecisionLog("tests")
 CODEC = PlatformPackets()
 SERVICE = Address(ip="198.18.0.1", port=8443)
 BALANCER = ("10.1.0.1", 7720)
@@ -90,7 +92,9 @@
         )
         self.membership = Membership(own=own)
         self.draw = random.Random(7)
-        self.steering = PacketSteering(membership=self.membership, started_at=0.0)
+        self.steering = PacketSteering(
+            membership=self.membership, started_at=0.0, log=LOG
+        )
         if version:
             self.configure(version=version)
         for number in range(1, targets + 1):
@@ -146,10 +150,12 @@
     return LoadReport(**{"number": number, "condition": Condition.SERVING} | fields)
 
 
-def holder(*, slots: int = 2) -> PacketHolder:
-    """Return the holder of a target that serves and was seen to start."""
-    made = PacketHolder(name="maps-1", service="maps", slots=slots, connections=100)
-    made.started(b"i-1", is_first=True)
+def holder(*, slots: int = 2, is_first: bool = True) -> PacketHolder:
+    """Return the holder of a target that serves."""
+    made = PacketHolder(
+        name="maps-1", service="maps", slots=slots, connections=100, log=LOG
+    )
+    made.started(b"i-1", is_first=is_first)
     made.condition = Condition.SERVING
     return made
 
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -32,10 +32,7 @@
 
 def restarted() -> PacketHolder:
     """Return the holder of an agent that started beside a running target."""
-    made = PacketHolder(name="maps-1", service="maps", slots=2, connections=100)
-    made.started(b"i-1", is_first=False)
-    made.condition = Condition.SERVING
-    return made
+    return holder(is_first=False)
 
 
 class HolderCase(unittest.TestCase):
--- /dev/null
+++ b/tests/packets/test_processes.py
@@ -0,0 +1,117 @@
+"""Real balancers and agents on loopback, judged by callers and targets."""
+
+import asyncio
+import signal
+import unittest
+
+from standins.packets.deployment import PacketDeployment
+from standins.packets.load import PacketLoad
+
+PAIRS = (("maps-1", "maps"), ("maps-2", "maps"), ("logs-1", "logs"))
+
+
+class ProcessTests(unittest.IsolatedAsyncioTestCase):
+    """A deployment of its own for each test, on a net of its own."""
+
+    async def _start(self, net: str, *, balancers: int = 2) -> PacketDeployment:
+        deployment = PacketDeployment(net=net, seed=3)
+        await self.enterAsyncContext(deployment)
+        deployment.configure()
+        names = [f"lb-{n}" for n in range(1, balancers + 1)]
+        for name in names:
+            deployment.ip(name)
+        await asyncio.gather(
+            *(deployment.start_balancer(name) for name in names),
+            *(deployment.start_pair(name, service) for name, service in PAIRS),
+        )
+        return deployment
+
+    async def _load(self, deployment: PacketDeployment) -> PacketLoad:
+        load = PacketLoad(deployment=deployment, seed=5)
+        load.start(readers=6, writers=3, uploaders=1)
+        await asyncio.sleep(1.0)
+        return load
+
+    async def _finish(self, load: PacketLoad) -> None:
+        verdict = await load.stop()
+        self.assertTrue(verdict.is_clean, f"{verdict} {load.reasons}")
+        self.assertGreater(verdict.requests, 30)
+
+    async def test_serves_all_kinds_while_balancers_are_replaced(self) -> None:
+        """Planned replacement of balancers breaks no flow and fails no request."""
+        deployment = await self._start("127.84.1")
+        load = await self._load(deployment)
+        await deployment.start_balancer("lb-3")
+        for name in ("lb-1", "lb-2"):
+            node = deployment.nodes_by_name[name]
+            node.signal(signal.SIGTERM)
+            deployment.rotate(name, out=True)
+            self.assertEqual(await node.wait(), 0)
+            await deployment.start_balancer(name)
+        await self._finish(load)
+        self.assertEqual(load.counts["failed"], 0, load.reasons)
+
+    async def test_agent_killed_beside_a_living_target(self) -> None:
+        """Flows that are open at a target go on when its agent starts again."""
+        deployment = await self._start("127.84.2")
+        load = await self._load(deployment)
+        deployment.nodes_by_name["maps-1"].signal(signal.SIGKILL)
+        await asyncio.sleep(0.3)
+        await deployment.start_agent("maps-1", "maps")
+        await asyncio.sleep(2.0)
+        await self._finish(load)
+        self.assertEqual(load.counts["failed"], 0, load.reasons)
+
+    async def test_target_crashes(self) -> None:
+        """Callers of a crashed target's flows are reset at once, not left waiting."""
+        deployment = await self._start("127.84.3")
+        load = await self._load(deployment)
+        await deployment.stop_target("maps-1")
+        await asyncio.sleep(2.0)
+        deployment.start_target("maps-1", "maps")
+        await asyncio.sleep(1.0)
+        await self._finish(load)
+        self.assertNotIn("request: TimeoutError()", load.reasons)
+
+    async def test_all_killed_with_the_store_away(self) -> None:
+        """Whoever lives brings configuration to all that start without the store."""
+        deployment = await self._start("127.84.4", balancers=3)
+        load = await self._load(deployment)
+        deployment.store.faults.is_down = True
+        for name in ("lb-1", "lb-2", "maps-1", "maps-2", "logs-1"):
+            deployment.nodes_by_name[name].signal(signal.SIGKILL)
+        deployment.rotate("lb-1", "lb-2", out=True)
+        await asyncio.gather(
+            *(deployment.start_balancer(name) for name in ("lb-1", "lb-2")),
+            *(deployment.start_agent(name, service) for name, service in PAIRS),
+        )
+        await asyncio.sleep(1.5)
+        before = load.counts["answered"]
+        await asyncio.sleep(1.0)
+        self.assertGreater(load.counts["answered"], before + 10, load.reasons)
+        await self._finish(load)
+
+    async def test_target_leaves(self) -> None:
+        """A leaving target gets no new flow and fails no request."""
+        deployment = await self._start("127.84.5")
+        load = await self._load(deployment)
+        target = deployment.targets_by_name["maps-1"]
+        target.is_draining = True
+        await asyncio.sleep(1.5)
+        before = sum(target.runs_by_id.values())
+        await asyncio.sleep(1.0)
+        self.assertEqual(sum(target.runs_by_id.values()), before)
+        await self._finish(load)
+        self.assertEqual(load.counts["failed"], 0, load.reasons)
+
+    async def test_configuration_in_force_everywhere(self) -> None:
+        """A new configuration is in force on all balancers, a removed route too."""
+        deployment = await self._start("127.84.6", balancers=3)
+        deployment.configure("maps", routes=300)
+        await asyncio.sleep(1.5)
+        load = PacketLoad(deployment=deployment, seed=6)
+        load.start(readers=0, writers=0, uploaders=3)
+        await asyncio.sleep(1.0)
+        await load.stop()
+        self.assertEqual(load.counts["answered"], 0)
+        self.assertEqual(set(load.reasons), {"open: reset"})
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -7,15 +7,20 @@
 
 from aiohttp import web
 
+from monsoonpier.model.address import Address
+from monsoonpier.platform.store import PlatformStore
 from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.store.interface import (
+    CompactedError,
     Compare,
     LeaseNotFoundError,
     Put,
     Store,
     StoreError,
 )
+from monsoonpier.store.keys import CONFIGURATION
 from standins.fake_store import FakeStore
+from standins.packets.store import StoreStandIn
 from standins.platform import PlatformStandIn
 
 KEY = "/test/key"
@@ -133,16 +138,84 @@
         self.platform.is_down = down
 
 
+async def _serve(application: web.Application) -> tuple[web.AppRunner, int]:
+    """Serve an application on a free port of loopback; return the port."""
+    runner = web.AppRunner(application, shutdown_timeout=0.01)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    return runner, site._server.sockets[0].getsockname()[1]
+
+
+class PlatformStoreTests(_Contract, unittest.IsolatedAsyncioTestCase):
+    """The adapter's client with the stand-in of the users' store."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand_in = StoreStandIn()
+        self.runner, port = await _serve(self.stand_in.application())
+        address = Address(ip="127.0.0.1", port=port)
+        self.platform = PlatformStore(address=address, draw=random.Random(1))
+
+    async def asyncTearDown(self) -> None:
+        await self.platform.close()
+        await self.runner.cleanup()
+
+    async def cut(self) -> None:
+        """Cut the watches."""
+        self.stand_in.faults.is_down = True
+        await asyncio.sleep(0.05)
+        self.stand_in.faults.is_down = False
+
+    async def lose_answers(self, count: int) -> None:
+        """Lose the answers to writes from now on."""
+        self.stand_in.faults.lost_share = 1.0
+
+    async def set_down(self, down: bool) -> None:
+        """Cut every call."""
+        self.stand_in.faults.is_down = down
+
+    async def test_operators_key(self) -> None:
+        """The operator's key is read and watched by the product's name."""
+        revision = self.stand_in.put("op/config", b"v1")
+        found = await self.platform.read(CONFIGURATION)
+        self.assertEqual(found.values_by_key[CONFIGURATION].value, b"v1")
+        self.assertEqual(found.revision, revision)
+        watch = self.platform.watch(CONFIGURATION, from_revision=revision + 1)
+        self.stand_in.put("op/config-draft", b"not this")
+        self.stand_in.put("op/config", b"v2")
+        event = await asyncio.wait_for(anext(watch), 5)
+        self.assertEqual((event.key, event.value), (CONFIGURATION, b"v2"))
+
+    async def test_compacted(self) -> None:
+        """A watch of changes that are no longer kept says so."""
+        self.stand_in.put("op/config", b"v1")
+        self.stand_in.put("op/config", b"v2")
+        self.stand_in.faults.is_compacted = True
+        watch = self.platform.watch(CONFIGURATION, from_revision=1)
+        with self.assertRaises(CompactedError):
+            await asyncio.wait_for(anext(watch), 5)
+
+    async def test_refused(self) -> None:
+        """A refusal of any kind is an error, never an answer."""
+        for status in (429, 503):
+            self.stand_in.faults.status = status
+            with self.assertRaises(StoreError):
+                await self.platform.read(KEY)
+
+    async def test_more_than_a_page(self) -> None:
+        """A prefix with more items than a page holds is read in whole."""
+        for number in range(1_100):
+            self.stand_in.put(f"a/{number:05d}", b"x")
+        found = await self.platform.read("/a/", prefix=True)
+        self.assertEqual(len(found.values_by_key), 1_100)
+
+
 class ClientTests(_Contract, unittest.IsolatedAsyncioTestCase):
     """The real client with the stand-in, which is behind a dead address too."""
 
     async def asyncSetUp(self) -> None:
         self.stand_in = PlatformStandIn()
-        self.runner = web.AppRunner(self.stand_in.application(), shutdown_timeout=0.01)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        port = site._server.sockets[0].getsockname()[1]
+        self.runner, port = await _serve(self.stand_in.application())
         self.platform = EtcdStore(
             addresses=("http://127.0.0.1:1", f"http://127.0.0.1:{port}"),
             draw=random.Random(1),
