Answer for dead flows a second after a start, and read the store sooner

Ruled out: no rule of time at all (a planned restart would reset flows of agents that it has not heard of yet). Change: a second is enough once a peer's table has been the same; denials from before are looked at again then. The store is read again after 0.2 s at first. A packet without a route is tried on agents whose target serves its address.

--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
+from monsoonpier.model.address import Address
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
@@ -36,6 +37,7 @@
 MAX_STREAM_BYTES = 1 << 26  # acknowledgements farther off are another target's
 SMOOTHING = 0.1
 MIN_RUN_MS = 1
+MAX_ADDRESSES = 64  # a service has a few
 INTERESTED_SECONDS = 10.0  # balancers that sent SYNs so lately are told of load
 
 
@@ -99,6 +101,7 @@
         self._cold_until = 0.0
         self._instance = b""
         self._knows_all = False
+        self._served_addresses: set[Address] = set()
         self._seen_by_balancer: dict[tuple[str, int], float] = {}
         self._reported: tuple | None = None
         self.slots = slots
@@ -286,7 +289,10 @@
     def _unknown(
         self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
     ) -> list:
-        if self._knows_all or frame.service != self._service:
+        may_be_its = frame.service == self._service or (
+            packet.service_address in self._served_addresses
+        )
+        if self._knows_all or not may_be_its:
             return self._deny(packet, sender=sender, now=now)
         if self.condition is Condition.GONE:
             return self._deny(packet, sender=sender, now=now)
@@ -312,6 +318,8 @@
         if packet.is_reset:
             return self._reset_by_target(packet, flow, now=now)
         actions: list = [ToCallerPacket(ip=packet.caller_ip, raw=packet.raw)]
+        if len(self._served_addresses) < MAX_ADDRESSES:
+            self._served_addresses.add(packet.service_address)
         if flow is None:
             if packet.is_syn:
                 return actions
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -25,6 +25,10 @@
     """Targets, peers and the configuration's version, kept by gossip.
 
     Both ways of steering, by token and by address, decide on what it knows.
+
+    Attributes:
+        has_news: Something is to be spread at once.
+        has_agreed: A peer's table has been the same as this one.
     """
 
     def __init__(self, *, own: BalancerRecord) -> None:
@@ -32,6 +36,7 @@
         self.table = TargetTable()
         self.configuration = Configuration()
         self.has_news = False
+        self.has_agreed = False
         self._differed_from: str | None = None
 
     def from_process(
@@ -124,6 +129,7 @@
         """
         if frame.digest == self.table.digest:
             self._differed_from = None
+            self.has_agreed = len(self.table) > 0
             return False
         if not len(self.table):
             return True
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -45,7 +45,13 @@
 
 HEDGE_SECONDS = 0.06  # twenty times a SYN's way to a target and back
 MOST_PLACEMENTS = 6  # of one SYN; then its caller learns at once that it failed
-SETTLE_SECONDS = 4.0  # until then agents that restarted with this may be unknown
+# Until then targets may be unknown to a balancer that has just started. Agents
+# announce themselves five times a second while no balancer answers them, and a
+# peer that has been there for longer hands on its whole table.
+AGREED_SECONDS = 1.0
+ALONE_SECONDS = 4.0
+MAX_DENIED_EARLY = 8_192  # half the open flows of a balancer aimed at
+ANY_SERVICE = "*"  # names the service while no configuration says which it is
 
 
 class ResetCaller(msgspec.Struct, frozen=True, kw_only=True, gc=False):
@@ -68,6 +74,7 @@
         self._long_share_by_address: dict[Address, LongFlowShare] = {}
         self._unanswered: deque[tuple[float, bytes]] = deque()
         self._waiting_room = WaitingRoom()
+        self._denied_early: list[bytes] = []
         self.counts_by_result: Counter[str] = Counter()
 
     @property
@@ -78,7 +85,8 @@
     @property
     def is_waiting(self) -> bool:
         """Whether `retry` has something to look after."""
-        return bool(self._unanswered) or len(self._waiting_room) > 0
+        has_waiting = len(self._waiting_room) > 0
+        return has_waiting or bool(self._unanswered or self._denied_early)
 
     def configured(self) -> None:
         """Forget what was learned of addresses that have no route any more."""
@@ -233,7 +241,21 @@
     def retry(self, *, now: float, draw: random.Random) -> list:
         """Look after SYNs that wait for a slot or for a target's answer."""
         actions = self.place_waiting(now=now, draw=draw)
-        return actions + self._retry_unanswered(now=now, draw=draw)
+        actions += self._retry_unanswered(now=now, draw=draw)
+        if self._denied_early and self._is_settled(now=now):
+            actions += self._conclude_early(now=now)
+        return actions
+
+    def _conclude_early(self, *, now: float) -> list:
+        """Look again at flows that were denied before all targets were known."""
+        flows, self._denied_early = self._denied_early, []
+        known_flows = [self._flows.get(flow) for flow in flows]
+        return [
+            action
+            for known in known_flows
+            if known is not None and known.inquiry is not None
+            for action in self._conclude(known, now=now)
+        ]
 
     def _retry_unanswered(self, *, now: float, draw: random.Random) -> list:
         actions: list = []
@@ -263,9 +285,7 @@
         """Send the packet to every agent that may hold its flow."""
         route = self._route(packet)
         if route is None:
-            # The flow may be open through a newer configuration than this one.
-            self.counts_by_result["no_route"] += 1
-            return []
+            return self._try_all(packet)
         names = self._membership.table.names_of(route.service)
         inquiry = Inquiry(asked_at=now, packet=packet, denied=set(denied))
         known = KnownFlow(service=route.service, created_at=now, inquiry=inquiry)
@@ -275,6 +295,20 @@
         self._log.note("holder asked for", now=now, flow=packet.flow, agents=len(asked))
         return self._carry(packet, known, names=asked)
 
+    def _try_all(self, packet: Packet) -> list:
+        """Pass on a packet whose address has no route that is known here.
+
+        The flow may be open through a newer configuration than this one, or
+        there is none yet since all was restarted without the store. Agents
+        deliver it only if their target holds it or serves that address.
+        """
+        self.counts_by_result["no_route"] += 1
+        if self._membership.configuration.version:
+            return []
+        known = KnownFlow(service=ANY_SERVICE, created_at=0.0)
+        names = [record.name for record in self._membership.table.records]
+        return self._carry(packet, known, names=sorted(names))
+
     def _ask_again(self, packet: Packet, known: KnownFlow, *, now: float) -> list:
         inquiry = known.inquiry
         assert inquiry is not None
@@ -289,7 +323,11 @@
         inquiry = known.inquiry
         assert inquiry is not None
         names = self._membership.table.names_of(known.service)
-        if names - inquiry.denied or not self._is_settled(now=now):
+        if names - inquiry.denied:
+            return []
+        if not self._is_settled(now=now):
+            if len(self._denied_early) < MAX_DENIED_EARLY:
+                self._denied_early.append(inquiry.packet.flow)
             return []
         self._flows.drop(inquiry.packet.flow)
         return [self._reset(inquiry.packet, "nobody holds the flow", now=now)]
@@ -420,7 +458,8 @@
         return routes.get(packet.service_address)
 
     def _is_settled(self, *, now: float) -> bool:
-        return now - self._started_at >= SETTLE_SECONDS
+        needed = AGREED_SECONDS if self._membership.has_agreed else ALONE_SECONDS
+        return now - self._started_at >= needed
 
     def _is_over(self, known: KnownFlow) -> bool:
         """Tell whether the flow's only holder is known to have ended."""
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -26,6 +26,8 @@
 RENEW_SECONDS = 10.0
 WATCH_CHECK_SECONDS = 2.0  # how soon a watcher's place is taken when it dies
 POLL_SECONDS = 60.0  # those who don't watch look this seldom; peers tell them first
+REREAD_SECONDS = 0.2  # a process without configuration serves nothing
+MAX_REREAD_SECONDS = 2.0
 LEAVE_CALL_SECONDS = 2.0
 _log = structlog.get_logger("monsoonpier.balancer.store_link")
 
@@ -79,7 +81,7 @@
                 backoff = backoff.after_success()
                 await asyncio.sleep(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
             except StoreError as error:
-                _log.info("platform unreachable", reason=str(error))
+                _log.info("store unreachable", reason=str(error))
                 self._lease = self._lease.renewal_failed()
                 await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
                 backoff = backoff.after_failure()
@@ -128,23 +130,28 @@
 
     async def _watch(self) -> None:
         """Read all, then follow every change of the configuration."""
+        backoff = Backoff(first_seconds=REREAD_SECONDS, most_seconds=MAX_REREAD_SECONDS)
         while True:
             try:
                 revision = await self._read()
                 async for event in self._store.watch(
                     CONFIGURATION, from_revision=revision + 1
                 ):
+                    backoff = backoff.after_success()
                     if event.value is not None:
                         self._configure(event.value)
-            except (StoreError, CompactedError) as error:
+            except CompactedError as error:
                 _log.info("watch begins anew", reason=str(error))
-                await asyncio.sleep(self._draw.uniform(0.5, 1.0))
+            except StoreError as error:
+                _log.info("store unreachable", reason=str(error), key=CONFIGURATION)
+                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+                backoff = backoff.after_failure()
 
     async def _read_quietly(self) -> None:
         try:
             await self._read()
         except StoreError as error:
-            _log.info("platform unreachable", reason=str(error))
+            _log.info("store unreachable", reason=str(error))
 
     async def _read(self) -> int:
         """Read balancers and configuration; return the revision."""
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -176,6 +176,12 @@
         actions = self.bring(packet(size=10), service="logs")
         self.assertEqual(delivered(actions), 0)
 
+    def test_address_that_the_target_serves(self) -> None:
+        """Without a configuration the target's own packets tell what it serves."""
+        self.assertEqual(delivered(self.bring(packet(size=10), service="*")), 0)
+        self.holder.from_target(answer(7, size=10), now=1.0)
+        self.assertEqual(delivered(self.bring(packet(size=10), service="*")), 1)
+
 
 class LoadTests(HolderCase):
     """The agent's count of requests under way."""
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -151,12 +151,23 @@
             self.rig.agent(denied("maps-1", packet()), packet())
             self.rig.agent(denied("maps-3", packet()), packet())
 
+    def _deny_all(self, *, now: float) -> list:
+        actions = self.rig.caller(packet(), now=now)
+        for name in ("maps-1", "maps-2", "maps-3"):
+            actions += self.rig.agent(denied(name, packet()), packet(), now=now)
+        return resets(actions)
+
     def test_no_reset_before_all_may_be_known(self) -> None:
         """A balancer that has just started doesn't know who else there is."""
-        self.rig.caller(packet(), now=1.0)
-        for name in ("maps-1", "maps-2", "maps-3"):
-            frame = denied(name, packet())
-            self.assertEqual(self.rig.agent(frame, packet(), now=1.1), [])
+        self.assertEqual(self._deny_all(now=3.0), [])
+
+    def test_reset_soon_after_agreeing_with_a_peer(self) -> None:
+        """One that knows what its peers know needn't wait that long."""
+        self.rig.membership.has_agreed = True
+        self.assertEqual(self._deny_all(now=0.5), [])
+        self.assertEqual(self.rig.steering.retry(now=0.9, draw=self.rig.draw), [])
+        actions = self.rig.steering.retry(now=1.1, draw=self.rig.draw)
+        self.assertEqual(resets(actions), ["nobody holds the flow"])
 
     def test_no_reset_without_configuration(self) -> None:
         """A balancer without a configuration can't tell what has no route."""
@@ -169,6 +180,14 @@
         sent = packet(address=OTHER_ADDRESS)
         self.assertEqual(resets(self.rig.caller(sent)), [])
 
+    def test_all_are_tried_without_configuration(self) -> None:
+        """Without configuration an open flow's packet still finds its holder."""
+        rig = SteeringRig(version=0, targets=3)
+        actions = rig.caller(packet())
+        self.assertEqual(rig.names(actions), ["maps-1", "maps-2", "maps-3"])
+        rig.agent(held("maps-2", packet()))
+        self.assertEqual(rig.names(rig.caller(packet())), ["maps-2"])
+
     def test_denied_by_the_remembered_holder(self) -> None:
         """When the remembered holder denies a flow, the others are asked."""
         self.rig.agent(held("maps-2", packet()))
