--- a/monsoonpier/platform/configuration.py
+++ b/monsoonpier/platform/configuration.py
@@ -4,13 +4,12 @@
 
 import msgspec
 
+from monsoonpier.balancer.member import ConfigurationFormat
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 
 __all__ = ["PLATFORM_FORMAT"]
 
-from monsoonpier.balancer.member import ConfigurationFormat
-
 
 class _Route(msgspec.Struct, frozen=True, kw_only=True):
     """A route: ``host`` is an IP number, ``prefix`` a port between slashes."""
@@ -39,16 +38,14 @@
 def _configuration(value: bytes) -> Configuration:
     try:
         stored = _decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        routes = {_address(route): _route(route) for route in stored.routes}
+    except (msgspec.MsgspecError, ValueError) as error:
         raise ValueError(f"not a configuration of the operator: {error}") from error
-    return Configuration(
-        version=stored.version,
-        routes_by_address={_address(route): _route(route) for route in stored.routes},
-    )
+    return Configuration(version=stored.version, routes_by_address=routes)
 
 
 def _address(route: _Route) -> Address:
-    return Address(ip=route.host, port=int(route.prefix.strip("/")))
+    return Address.parse(f"{route.host}:{route.prefix.strip('/')}")
 
 
 def _route(route: _Route) -> PacketRoute:
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,227 @@
+"""The adapter's translations: packets, configuration, settings, targets' calls."""
+
+import random
+import re
+import tempfile
+import unittest
+from pathlib import Path
+
+from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft
+from monsoonpier.http import Request
+from monsoonpier.model.address import Address
+from monsoonpier.platform.configuration import PLATFORM_FORMAT
+from monsoonpier.platform.packets import PlatformPackets
+from monsoonpier.platform.settings import load_platform_settings
+from monsoonpier.platform.targets import TargetCalls
+from monsoonpier.wire.codec import Dropped
+from monsoonpier.wire.packet import Packet
+from standins.packets.wire import ACK, BOUNCED, RST, SYN, Segment
+
+ROOT = Path(__file__).parent.parent.parent
+CALLER = ("100.64.0.7", 40_001)
+SERVICE = ("198.18.0.1", 443)
+PUBLISHED_SYN = bytes.fromhex(
+    "2000000000000011223344000000006440 0007c61200019c4101bba1b2c3d5".replace(" ", "")
+)
+PUBLISHED_RESET = bytes.fromhex(
+    "40000000000000000000000000 0000c6120001644000 0701bb9c4100000000".replace(" ", "")
+)
+
+
+class PacketTests(unittest.TestCase):
+    """The header, against the published example and the stand-ins' own codec."""
+
+    codec = PlatformPackets()
+
+    def test_published_example(self) -> None:
+        """The published SYN and reset are read and written as they stand."""
+        syn = self.codec.decode(PUBLISHED_SYN, from_target=False)
+        self.assertTrue(syn.is_syn)
+        self.assertEqual(syn.caller_ip, CALLER[0])
+        self.assertEqual(syn.service_address, Address(ip=SERVICE[0], port=SERVICE[1]))
+        self.assertEqual(syn.sequence, 0x11223344)
+        self.assertEqual(self.codec.reset(syn.flow, acknowledged=0), PUBLISHED_RESET)
+
+    def test_both_directions_name_one_flow(self) -> None:
+        """A caller's packet and its target's answer have the same flow."""
+        there = Segment(flags=SYN, source=CALLER, destination=SERVICE)
+        back = Segment(flags=SYN | ACK, source=SERVICE, destination=CALLER)
+        one = self.codec.decode(there.encode(), from_target=False)
+        other = self.codec.decode(back.encode(), from_target=True)
+        self.assertEqual(one.flow, other.flow)
+        self.assertEqual(other.caller_ip, CALLER[0])
+
+    def test_returned_packet(self) -> None:
+        """A packet that a target sends back is as its caller wrote it."""
+        sent = Segment(flags=SYN, source=CALLER, destination=SERVICE).encode()
+        back = bytes((sent[0] | BOUNCED,)) + sent[1:]
+        packet = self.codec.decode(back, from_target=True)
+        self.assertTrue(packet.is_returned)
+        self.assertEqual(packet.raw, sent)
+        self.assertEqual(packet.caller_ip, CALLER[0])
+
+    def test_reset_is_near_to_what_the_caller_acknowledged(self) -> None:
+        """A reset carries the caller's last acknowledgement as its sequence."""
+        sent = Segment(
+            flags=ACK, source=CALLER, destination=SERVICE, acknowledged=77_000
+        )
+        packet = self.codec.decode(sent.encode(), from_target=False)
+        raw = self.codec.reset(packet.flow, acknowledged=packet.acknowledged)
+        reset = Segment.decode(raw)
+        self.assertEqual((reset.flags, reset.sequence), (RST, 77_000))
+        self.assertEqual((reset.source, reset.destination), (SERVICE, CALLER))
+
+    def test_any_bytes(self) -> None:
+        """Whatever arrives is a packet or is dropped with a reason."""
+        draw = random.Random(11)
+        for _ in range(5_000):
+            data = draw.randbytes(draw.randint(0, 60))
+            result = self.codec.decode(data, from_target=draw.random() < 0.5)
+            self.assertIsInstance(result, Packet | Dropped)
+
+
+class ConfigurationTests(unittest.TestCase):
+    """The operator's configuration."""
+
+    def test_routes(self) -> None:
+        """A route's host and prefix are an address; its type is not needed."""
+        value = b"""{"version": 7, "routes": [{"name": "r", "host": "198.18.0.1",
+            "prefix": "/8443/", "type": "safe", "timeout_ms": 3000,
+            "target_latency_ms": 225, "priority": 2, "service": "maps",
+            "max_attempts": 2}], "services": [], "limits": {}}"""
+        configuration = PLATFORM_FORMAT.decode(value)
+        address = Address(ip="198.18.0.1", port=8443)
+        route = configuration.routes_by_address[address]
+        self.assertEqual(configuration.version, 7)
+        self.assertEqual((route.service, route.timeout_seconds), ("maps", 3.0))
+
+    def test_unusable(self) -> None:
+        """What is no configuration is a ``ValueError``, never anything else."""
+        route = b'{"host": "%s", "prefix": "%s", "service": "s"}'
+        values = [b"", b"{}", b"[1]", b'{"version": "x", "routes": []}', b"\xff\xfe"]
+        for host, prefix in ((b"h", b"/x/"), (b"198.18.0.1", b"/"), (b"x", b"/1/")):
+            values.append(b'{"version": 1, "routes": [%s]}' % (route % (host, prefix)))
+        for value in values:
+            with self.subTest(value=value), self.assertRaises(ValueError):
+                PLATFORM_FORMAT.decode(value)
+
+
+class SettingsTests(unittest.TestCase):
+    """Settings as the platform writes them."""
+
+    TEXT = """
+node_name = "side-1"
+ip = "10.1.0.12"
+zone = "norte"
+internal_ports = [7720, 7735]
+seeds = ["10.1.0.10:8166"]
+app = "10.1.0.12:8165"
+service = "maps"
+unknown = "ignored"
+[listen]
+datagram_addr = "10.1.0.12:8172"
+outbound = "10.1.0.12:8162"
+ready = "10.1.0.12:8167"
+control = "10.1.0.12:8166"
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+    def load(self, text: str, *, role: str = "agent", key: str = "5f" * 32):
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            environment = {"MONSOONPIER_SETTINGS": file.name, "FRAME_KEY": key}
+            return load_platform_settings(role=role, environment=environment)
+
+    def test_agent(self) -> None:
+        """An agent's settings in the product's terms."""
+        settings = self.load(self.TEXT)
+        self.assertEqual(settings.common.data_centre, "norte")
+        self.assertEqual(settings.common.target.service, "maps")
+        self.assertEqual(settings.common.seeds, (Address(ip="10.1.0.10", port=7720),))
+        self.assertEqual(settings.from_target, Address(ip="10.1.0.12", port=8162))
+
+    def test_wrong(self) -> None:
+        """Wrong settings are one error that names the file and what is wrong."""
+        cases = {
+            "node_name": self.TEXT.replace("node_name", "name"),
+            "app": self.TEXT.replace('app = "10.1.0.12:8165"', ""),
+            "ip:port": self.TEXT.replace("10.200.1.7:8169", "10.200.1.7"),
+            "toml": "= [",
+        }
+        for part, text in cases.items():
+            with self.subTest(part=part), self.assertRaises(ValueError) as caught:
+                self.load(text)
+            self.assertIn(".toml", str(caught.exception))
+        with self.assertRaises(ValueError):
+            self.load(self.TEXT, key="5f")
+        with self.assertRaises(ValueError):
+            load_platform_settings(role="agent", environment={})
+
+
+class TargetCallTests(unittest.TestCase):
+    """What a target tells its agent."""
+
+    def setUp(self) -> None:
+        self.taken: list = []
+        self.calls = TargetCalls(take=self._take)
+
+    def _take(self, message) -> bool:
+        self.taken.append(message)
+        return True
+
+    def _post(self, path: str, body: bytes = b"") -> int:
+        request = Request(method="POST", path="/monsoonpier/" + path, body=body)
+        return self.calls.answer(request).status
+
+    def test_heartbeat_and_leave(self) -> None:
+        """A heartbeat and a farewell become typed messages."""
+        body = b"""{"service": "maps", "address": "10.1.0.12:8165", "zone": "z",
+            "version": "v1", "slots": 3, "state": "draining",
+            "cold_remaining_ms": 1500, "sequence": 4}"""
+        self.assertEqual(self._post("Instances.Heartbeat/i-1", body), 200)
+        self.assertEqual(self._post("Instances.Leave/i-1"), 200)
+        announced, left = self.taken
+        self.assertIsInstance(announced, TargetAnnouncement)
+        self.assertTrue(announced.is_draining)
+        self.assertEqual(announced.cold_seconds, 1.5)
+        self.assertEqual(left, TargetLeft(instance="i-1"))
+
+    def test_bad_calls(self) -> None:
+        """A malformed call gets a 4xx and changes nothing."""
+        for body in (b"", b"{}", b"[]", b"\xff", b'{"service": 1}'):
+            self.assertEqual(self._post("Instances.Heartbeat/i-1", body), 400)
+        self.assertEqual(self._post("Instances.Other/i-1"), 404)
+        get = Request(method="GET", path="/monsoonpier/Instances.Leave/i-1")
+        self.assertEqual(self.calls.answer(get).status, 405)
+        self.assertEqual(self.taken, [])
+
+
+class BoundaryTests(unittest.TestCase):
+    """The platform's words stay in the adapter."""
+
+    WORDS = re.compile(
+        r"kv-(key|range|watch|txn|lease|keep)|Instances\.|op/config|datagram_addr|"
+        r"internal_ports|target_latency_ms|cold_remaining|heartbeat_addr|"
+        r"MONSOONPIER_SETTINGS\b|BOUNCED|allow_stale|current_rev"
+    )
+
+    def test_no_word_outside(self) -> None:
+        """No name of the platform's stands in the product outside its adapter."""
+        found = [
+            f"{file.relative_to(ROOT)}: {match[0]}"
+            for file in sorted((ROOT / "monsoonpier").rglob("*.py"))
+            if "platform" not in file.relative_to(ROOT).parts
+            for match in [self.WORDS.search(file.read_text(encoding="utf-8"))]
+            if match
+        ]
+        self.assertEqual(found, [])
+
+    def test_adapter_is_small(self) -> None:
+        """The adapter only translates; decisions would make it grow."""
+        lines = sum(
+            len(file.read_text(encoding="utf-8").splitlines())
+            for file in (ROOT / "monsoonpier" / "platform").glob("*.py")
+        )
+        self.assertLess(lines, 1_000)
