Outlive a wall clock that was set back between two starts

Cause: records are ordered by the start's wall clock. A process that starts again after its clock was set back looked older than its own earlier run, whose last word may have been that it leaves: nobody took it in. Ruled out: the store's revision as the order (the store may be away at a start). Change: who holds a newer record says so in its answer, and the process takes a later epoch, as in SWIM's refutation.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -94,6 +94,11 @@
     def acknowledged(self, ack: HeartbeatAck) -> bool:
         """Take a balancer's answer; tell whether the target is allowed."""
         self._witnesses.acknowledged(ack, now=_now())
+        epoch = self._witnesses.epoch_beyond(ack, epoch=self.record.epoch)
+        if epoch is not None:
+            _log.warning("clock was set back", epoch=self.record.epoch, held=epoch - 1)
+            self.record = msgspec.structs.replace(self.record, epoch=epoch)
+            self.announce(self.record.condition)
         record = self._witnesses.record(ack.balancer)
         if ack.version > self.configuration.version and record is not None:
             self._fetch_from(record)
--- a/monsoonpier/agent/witnesses.py
+++ b/monsoonpier/agent/witnesses.py
@@ -78,6 +78,10 @@
         if ack.leaving:
             del self._known_by_name[ack.balancer]
 
+    def epoch_beyond(self, ack: HeartbeatAck, *, epoch: int) -> int | None:
+        """Return the epoch to take if a later one is held of this agent."""
+        return ack.held_epoch + 1 if ack.held_epoch > epoch else None
+
     def announce_again(self) -> None:
         """Announce to every balancer with the next heartbeats."""
         for known in self._known_by_name.values():
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -66,7 +66,8 @@
     ) -> ToAgent:
         if self.table.learn(record, now=now):
             self._spread(record)
-        return self._ack(record, known=True, introduce=True, sender=sender, now=now)
+        held = self.table.record(record.name) or record
+        return self._ack(held, known=True, introduce=True, sender=sender, now=now)
 
     def _ack(
         self,
@@ -92,6 +93,7 @@
             allowed=allowed,
             leaving=self.peers.own.leaving,
             balancers=near,
+            held_epoch=record.epoch if record is not None else 0,
         )
         return ToAgent(endpoint=sender, frame=ack)
 
@@ -160,6 +162,7 @@
     def _answer(
         self, frame: Gossip, *, sender: tuple[str, int], draw: random.Random
     ) -> ToAgent:
+        self.peers.note_old(frame.sender)
         if frame.digest != self.table.digest:
             return self._gossip_to(sender, is_answer=True, draw=draw)
         answer = self.peers.quiet_answer(
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -4,6 +4,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
+
 from monsoonpier.model.rendezvous import top
 from monsoonpier.model.target import TargetRecord
 from monsoonpier.wire.frames import (
@@ -46,6 +48,7 @@
         self._own = own
         self._peers_by_name: dict[str, _Peer] = {}
         self._news: deque[_News] = deque(maxlen=MAX_NEWS)
+        self._introduced_first: BalancerRecord | None = None
 
     @property
     def own(self) -> BalancerRecord:
@@ -54,14 +57,8 @@
 
     def leave(self) -> None:
         """Mark the own record as leaving, for peers and agents to see."""
-        self._own = BalancerRecord(
-            name=self._own.name,
-            data_centre=self._own.data_centre,
-            ip=self._own.ip,
-            port=self._own.port,
-            control=self._own.control,
-            epoch=self._own.epoch + 1,
-            leaving=True,
+        self._own = msgspec.structs.replace(
+            self._own, epoch=self._own.epoch + 1, leaving=True
         )
 
     @property
@@ -74,6 +71,7 @@
     def learn(self, record: BalancerRecord) -> None:
         """Take a peer's record if it is newer than the one held."""
         if record.name == self._own.name:
+            self._go_beyond(record)
             return
         peer = self._peers_by_name.get(record.name)
         if peer is None:
@@ -83,6 +81,17 @@
             peer.unanswered = 0
             peer.left_out_until = 0.0
 
+    def _go_beyond(self, held: BalancerRecord) -> None:
+        """Take a later epoch than the one that others hold of this balancer."""
+        if held.epoch > self._own.epoch:
+            self._own = msgspec.structs.replace(self._own, epoch=held.epoch + 1)
+
+    def note_old(self, record: BalancerRecord) -> None:
+        """Tell a peer in the next message what is held of it, if that is newer."""
+        peer = self._peers_by_name.get(record.name)
+        is_old = peer is not None and peer.record.epoch > record.epoch
+        self._introduced_first = peer.record if is_old else None
+
     def heard_from(self, record: BalancerRecord) -> None:
         """Note that a peer itself has spoken."""
         self.learn(record)
@@ -165,11 +174,11 @@
     def _message(self, *, draw: random.Random, **content) -> Gossip:
         known = list(self._peers_by_name.values())
         introduced = draw.sample(known, min(INTRODUCED, len(known)))
-        return Gossip(
-            sender=self._own,
-            balancers=tuple(peer.record for peer in introduced),
-            **content,
-        )
+        records = [peer.record for peer in introduced]
+        if self._introduced_first is not None:
+            records.insert(0, self._introduced_first)
+            self._introduced_first = None
+        return Gossip(sender=self._own, balancers=tuple(records), **content)
 
     def is_watcher(self, *, now: float) -> bool:
         """Tell whether this balancer is one of the few that watch the platform."""
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -107,7 +107,11 @@
 
 
 class HeartbeatAck(_Frame, tag=6, kw_only=True, gc=False):
-    """Answers `Heartbeat`: what the balancer knows and holds."""
+    """Answers `Heartbeat`: what the balancer knows and holds.
+
+    ``held_epoch`` is that of the record it holds of the agent: a larger one than
+    the agent's own means that the agent's wall clock was set back.
+    """
 
     balancer: Name
     version: int
@@ -117,6 +121,7 @@
     balancers: Annotated[
         tuple[BalancerRecord, ...], Meta(max_length=MAX_BALANCERS)
     ] = ()
+    held_epoch: int = 0
 
 
 class Announce(_Frame, tag=7, kw_only=True, gc=False):
