Join processes' logs into the story of one flow

Cause: on-call engineers have only logs; a flow's decisions lie in the logs of several balancers and agents.

--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli.py
@@ -297,6 +297,27 @@
     )
 
 
+@app.command
+def explain(
+    flow: str,
+    logs: Annotated[list[Path], Parameter(help="Log files of all processes.")],
+) -> int:
+    """Show what every process decided about one flow, in order.
+
+    Example: monsoonpier explain 100.64.0.7:40001 /var/log/monsoonpier/*.log
+
+    Args:
+        flow: The caller's ip:port, or a flow's whole name as logs have it.
+    """
+    from monsoonpier.operator.explain import explain as join, read_lines, render
+
+    story = join(read_lines(logs), flow=flow)
+    if not story:
+        raise Failure(f"no line about {flow}", Exit.NOT_FOUND)
+    print(render(story))
+    return Exit.OK
+
+
 def _settings(file: Path, role: str):
     """Return loaded settings; end with all findings if there are any."""
     from monsoonpier.documents.settings import load_settings
--- /dev/null
+++ b/tests/operator/test_explain.py
@@ -0,0 +1,60 @@
+"""The story of one flow out of several processes' logs."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from monsoonpier.operator.explain import explain, read_lines, render
+
+FLOW = "100.64.0.7:40001>198.18.0.1:443"
+
+
+def line(seconds: float, process: str, event: str, **fields) -> str:
+    timestamp = f"2026-12-02T20:00:{seconds:09.6f}Z"
+    content = {"timestamp": timestamp, "process": process, "event": event}
+    return json.dumps(content | {"level": "info"} | fields)
+
+
+class ExplainTests(unittest.TestCase):
+    """Lines of a flow, with beliefs about the processes that took part."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def write(self, name: str, *lines: str) -> Path:
+        file = self.folder / name
+        file.write_text("\n".join(lines) + "\n")
+        return file
+
+    def test_story(self) -> None:
+        """Both processes' lines stand in order, other flows' don't."""
+        balancer = self.write(
+            "lb-1.log",
+            "starting up, no JSON here",
+            "  36.1 lb-1 " + line(6, "lb-1", "flow placed", flow=FLOW, target="maps-1"),
+            line(7, "lb-1", "flow placed", flow="100.64.0.8:1>198.18.0.1:443"),
+            line(8, "lb-1", "caller reset", flow=FLOW, reason="nobody holds the flow"),
+            '{"broken": ',
+            '{"event": "no time"}',
+        )
+        agent = self.write(
+            "maps-1.log",
+            line(7.5, "maps-1", "target does not listen", flows=3),
+            line(40, "maps-1", "target started"),
+        )
+        other = self.write("maps-2.log", line(7, "maps-2", "target started"))
+        lines = read_lines([agent, other, balancer])
+        story = explain(lines, flow="100.64.0.7:40001")
+        self.assertEqual(
+            [found.event for found in story],
+            ["flow placed", "target does not listen", "caller reset"],
+        )
+        self.assertIn("reason=nobody holds the flow", render(story))
+
+    def test_unknown_flow(self) -> None:
+        """A flow that no line is about has no story."""
+        file = self.write("lb-1.log", line(1, "lb-1", "started"))
+        self.assertEqual(explain(read_lines([file]), flow="10.0.0.1:5"), [])
