Wait as long as answers are of use, and refuse nobody before targets are known

A wait of 0.4 s is also short where answers are of use for 3 s, and a SYN's copy counted as a first one. Found by the tests: two targets at one address with equal epochs ended each other without end.

--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packet_process.py
@@ -111,12 +111,14 @@
     async def _leave_and_finish(self) -> None:
         await self._life.wait_for_leaving()
         began = _now()
-        await self._member.leave()
+        # A store that doesn't answer must not take the time for callers' packets.
+        leaving = asyncio.create_task(self._member.leave())
         while _now() - began < MAX_LEAVE_SECONDS:
             await asyncio.sleep(0.1)
             is_quiet = _now() - self._last_passed > QUIET_SECONDS
             if is_quiet and _now() - began > MIN_LEAVE_SECONDS:
                 break
+        leaving.cancel()
         self._life.step("finished")
 
     def _configured(self) -> None:
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -134,7 +134,9 @@
             if not self._membership.configuration.version:
                 return []
             return [self._reset(packet, "no route", now=now)]
-        known = KnownFlow(service=route.service, created_at=now, syn=packet)
+        known = KnownFlow(
+            service=route.service, created_at=now - packet.waited, syn=packet
+        )
         self._flows.put(packet.flow, known)
         return self._place(packet, known, now=now, draw=draw)
 
@@ -179,8 +181,8 @@
         ahead = self._waiting_room.ahead(known.service)
         balancers = len(self._membership.peers.records_by_name)
         wait = wait_for_slot(candidates, ahead=ahead * balancers)
-        if wait is None and not self._is_settled(now=now):
-            wait = 0.0  # Targets may just not be known yet.
+        if not self._is_settled(now=now):
+            wait = 0.0  # More targets may just not be known yet.
         if wait is None:
             return self._refuse(packet, "no target serves", now=now)
         if now - known.created_at + wait >= most:
--- a/monsoonpier/balancer/packet_waiting.py
+++ b/monsoonpier/balancer/packet_waiting.py
@@ -12,8 +12,8 @@
 
 __all__ = ["MAX_WAIT_SECONDS", "MAX_WAIT_SHARE", "WaitingRoom"]
 
-MAX_WAITING = 4_096  # 0.4 s of a hundred times the new flows aimed at
-MAX_WAIT_SECONDS = 0.4  # of the 1.4 s after which callers give a SYN up
+MAX_WAITING = 4_096  # a second of fifty times the new flows aimed at
+MAX_WAIT_SECONDS = 1.0  # of the 1.4 s after which callers give a SYN up
 MAX_WAIT_SHARE = 0.3  # of the time after which an answer is of no use
 PRIORITY_SECONDS = 0.1  # what a less urgent flow falls behind per level
 
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -86,7 +86,8 @@
                 entry.sent_since = 0
         self._names_by_service.setdefault(record.service, set()).add(record.name)
         self._toggle(record)
-        self._replace_at_endpoint(record, now=now)
+        if record.condition is not Condition.GONE:
+            self._replace_at_endpoint(record, now=now)
         return True
 
     def _replace_at_endpoint(self, record: TargetRecord, *, now: float) -> None:
--- a/monsoonpier/platform/packets.py
+++ b/monsoonpier/platform/packets.py
@@ -17,6 +17,9 @@
 MAX_DATA_BYTES = 1_200
 MAX_KEPT_ADDRESSES = 4_096
 
+# A SYN's ``ack`` counts copies, which callers send after these seconds.
+_COPY_SECONDS = (0.0, 0.2, 0.6)
+
 _SYN = 32
 _ACK = 1
 _FIN = 16
@@ -54,6 +57,7 @@
             is_fin=bool(flags & _FIN),
             is_reset=bool(flags & _RST),
             is_returned=is_returned,
+            waited=_waited(acknowledged) if flags & _SYN and not flags & _ACK else 0.0,
         )
 
     def reset(self, flow: bytes, *, acknowledged: int) -> bytes:
@@ -66,6 +70,10 @@
         )
 
 
+def _waited(copy: int) -> float:
+    return _COPY_SECONDS[min(copy, len(_COPY_SECONDS) - 1)]
+
+
 @lru_cache(maxsize=MAX_KEPT_ADDRESSES)
 def _ip(raw: bytes) -> str:
     return inet_ntoa(raw)
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -20,8 +20,8 @@
             the same for both directions.
         caller_ip: The caller's end.
         service_address: The service's end.
-        sequence, acknowledged: As in TCP; ``acknowledged`` of a SYN counts
-            its copies.
+        sequence, acknowledged: As in TCP.
+        waited: Seconds since the caller's first SYN, if this is a copy of it.
         size: Bytes of data.
         is_returned: The target sent this packet back: it doesn't accept it.
             ``raw`` is then as it was when it was delivered.
@@ -39,6 +39,7 @@
     is_fin: bool
     is_reset: bool
     is_returned: bool = False
+    waited: float = 0.0
 
 
 class PacketCodec(Protocol):
