Don't reset a SYN whose first copy may wait at another balancer

The time of a run was also measured with the wait for a slot in it, so that estimates grew under load.

--- a/monsoonpier/agent/packet_flows.py
+++ b/monsoonpier/agent/packet_flows.py
@@ -30,6 +30,8 @@
         guessed: The caller's packet, if this agent did not see the flow open and
             the target has yet to tell.
         acknowledged: The caller's last one, which a reset must be near to.
+        is_queued: All slots were taken when its request came: the time to its
+            answer isn't that of a run.
         caller_end: The sequence after the caller's last data.
     """
 
@@ -44,6 +46,7 @@
     is_open: bool = False
     guessed: Packet | None = None
     phase: Phase = Phase.IDLE
+    is_queued: bool = False
     has_caller_fin: bool = False
     has_target_fin: bool = False
 
--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -279,6 +279,7 @@
             flow.caller_end = packet.sequence + packet.size
             if flow.phase is not Phase.RUNNING:
                 self._enter(flow, Phase.RUNNING, now=now)
+                flow.is_queued = self._busy > self.slots
         if packet.is_fin:
             flow.has_caller_fin = True
             self._enter(flow, Phase.IDLE, now=now)
@@ -378,7 +379,7 @@
         return flow
 
     def _answered(self, flow: PacketFlow, *, now: float) -> None:
-        if flow.phase is Phase.RUNNING:
+        if flow.phase is Phase.RUNNING and not flow.is_queued:
             run_ms = max(MIN_RUN_MS, (now - flow.changed_at) * 1000)
             if self._run_ms:
                 self._run_ms += SMOOTHING * (run_ms - self._run_ms)
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -212,6 +212,11 @@
     def _refuse(self, packet: Packet, reason: str, *, now: float) -> list:
         self._flows.drop(packet.flow)
         self.counts_by_result["refused"] += 1
+        if packet.waited:
+            # The first SYN may wait at another balancer, or be placed by now: a
+            # reset would end what that one is about to serve.
+            self._log.note("copy not placed", now=now, flow=packet.flow, reason=reason)
+            return []
         return [self._reset(packet, reason, now=now)]
 
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -69,6 +69,7 @@
             self._entries_by_name[record.name] = _Entry(
                 record=record,
                 load=LoadReport(number=0, condition=record.condition),
+                loaded_at=now,
                 learned_at=now,
             )
         elif record.rank <= entry.record.rank:
@@ -83,6 +84,7 @@
             entry.load = msgspec.structs.replace(entry.load, condition=record.condition)
             if is_new_instance:
                 entry.load = LoadReport(number=0, condition=record.condition)
+                entry.loaded_at = now
                 entry.sent_since = 0
         self._names_by_service.setdefault(record.service, set()).add(record.name)
         self._toggle(record)
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -197,6 +197,15 @@
         self.assertEqual(self.holder.busy, 0)
         self.assertEqual(self.holder.load(now=2.1).service_ms, 50)
 
+    def test_time_of_a_run_leaves_out_waiting(self) -> None:
+        """A request that found all slots taken doesn't make runs look long."""
+        for number in (1, 2, 3):
+            self.open(number)
+            self.bring(packet(number, size=10), now=2.0)
+        for number, seconds in ((1, 2.05), (2, 2.05), (3, 2.4)):
+            self.holder.from_target(answer(number, size=10), now=seconds)
+        self.assertEqual(self.holder.load(now=2.5).service_ms, 50)
+
     def test_retransmission_after_the_answer(self) -> None:
         """A late copy of an answered request doesn't count as another."""
         self.open()
