Let a target's flows last until it has stopped listening

Change: the farewell means leaving; gone is when its address refuses connections, or a second later.

--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -35,6 +35,7 @@
 
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
+LEFT_SECONDS = 1.0  # after its farewell a target has ended, whatever is seen of it
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
 MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
 _log = structlog.get_logger("monsoonpier.agent.packet_process")
@@ -205,10 +206,18 @@
         if instance == self._holder.instance:
             _log.info("target left", instance=instance.decode())
             self._has_left = True
-            self._enter(Condition.GONE)
+            # It still runs for a moment: until it stops listening its flows are
+            # open, and a reset of one would break it.
+            self._enter(Condition.LEAVING)
             self._liveness.check_now()
+            loop = asyncio.get_running_loop()
+            loop.call_later(LEFT_SECONDS, self._gone_after_farewell, instance)
         return True
 
+    def _gone_after_farewell(self, instance: bytes) -> None:
+        if instance == self._holder.instance:
+            self._target_gone()
+
     def _target_up(self) -> None:
         """Serve a target that listens before its first heartbeat has come.
 
@@ -220,11 +229,13 @@
 
     def _target_gone(self) -> None:
         """The target's address refuses connections: its flows have ended."""
+        if self._holder.condition in (Condition.GONE, Condition.UNRESPONSIVE):
+            return
         self._gone_at = _now()
         resets = self._holder.ended()
         _log.warning("target does not listen", flows=len(resets))
-        if not self._has_left:
-            self._enter(Condition.UNRESPONSIVE)
+        gone = Condition.GONE if self._has_left else Condition.UNRESPONSIVE
+        self._enter(gone)
         self._do(resets)
 
     def _enter(self, condition: Condition, *, announce: bool = False) -> None:
--- a/monsoonpier/exits.py
+++ b/monsoonpier/exits.py
@@ -1,4 +1,4 @@
-"""Exit statuses of the program; ``docs/OPERATING.md`` explains each."""
+"""Exit statuses of the program; ``docs/OPERATIONS.md`` explains each."""
 
 from enum import IntEnum
 
