--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -16,6 +16,7 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
+from monsoonpier.process.readings import Histogram
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
 from monsoonpier.wire.packet import Packet, sequence_distance
 
@@ -107,6 +108,9 @@
         self.slots = slots
         self.condition = Condition.STARTING
         self.counts_by_result: Counter[str] = Counter()
+        self.answer_seconds = Histogram(
+            name="answer_seconds", help="From a request's first packet to its answer."
+        )
 
     # What is known of the target
 
@@ -379,6 +383,8 @@
         return flow
 
     def _answered(self, flow: PacketFlow, *, now: float) -> None:
+        if flow.phase is Phase.RUNNING:
+            self.answer_seconds.observe(now - flow.changed_at)
         if flow.phase is Phase.RUNNING and not flow.is_queued:
             run_ms = max(MIN_RUN_MS, (now - flow.changed_at) * 1000)
             if self._run_ms:
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -341,6 +341,7 @@
         yield gauge("uptime_seconds", "Time since start.", _now() - self._started)
         yield gauge("flows", "Flows that the target holds.", self._holder.flows)
         yield gauge("busy", "Requests that the target works on.", self._holder.busy)
+        yield self._holder.answer_seconds
         results = self._holder.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
         drops = self._dropped_by_reason
--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packet_process.py
@@ -82,6 +82,7 @@
         self._socket: UdpSocket | None = None
         self._retry: asyncio.TimerHandle | None = None
         self._last_passed = 0.0
+        self._configured_at = self._started
         self._dropped_by_reason: dict[str, int] = {}
 
     @property
@@ -122,6 +123,7 @@
         self._life.step("finished")
 
     def _configured(self) -> None:
+        self._configured_at = _now()
         self._steering.configured()
         self._life.step("configured")
 
@@ -184,6 +186,11 @@
         yield gauge("flows", "Flows remembered.", self._steering.flows)
         version = membership.configuration.version
         yield gauge("configuration_version", "Version in force.", version)
+        age = _now() - self._configured_at
+        yield gauge("configuration_age_seconds", "Since it came in force.", age)
+        yield self._steering.wait_seconds
+        yield self._steering.load_age_seconds
+        yield self._store.call_seconds
         results = self._steering.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
         drops = self._dropped_by_reason | self._member.dropped_by_reason
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -38,6 +38,7 @@
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
+from monsoonpier.process.readings import Histogram
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
 from monsoonpier.wire.packet import Packet
 
@@ -76,6 +77,12 @@
         self._waiting_room = WaitingRoom()
         self._denied_early: list[bytes] = []
         self.counts_by_result: Counter[str] = Counter()
+        self.wait_seconds = Histogram(
+            name="flow_wait_seconds", help="From a flow's first SYN to a target."
+        )
+        self.load_age_seconds = Histogram(
+            name="load_age_seconds", help="Age of what placed a flow."
+        )
 
     @property
     def flows(self) -> int:
@@ -445,6 +452,9 @@
         now: float,
     ) -> None:
         chosen = next(c for c in candidates if c.record.name == name)
+        load_age = self._membership.table.load_age(name, now=now)
+        self.wait_seconds.observe(now - known.created_at)
+        self.load_age_seconds.observe(load_age)
         self._log.note(
             "flow placed",
             now=now,
@@ -456,7 +466,7 @@
             in_flight=chosen.load.in_flight,
             sent_since=chosen.sent_since,
             load_number=chosen.load.number,
-            load_age=round(self._membership.table.load_age(name, now=now), 3),
+            load_age=round(load_age, 3),
             version=self._membership.configuration.version,
         )
 
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import random
+import time
 from collections.abc import AsyncIterator
 from urllib.parse import urlencode
 
@@ -11,6 +12,7 @@
 
 from monsoonpier.http import HttpClient, HttpError, Response
 from monsoonpier.model.address import Address
+from monsoonpier.process.readings import Histogram
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     CompactedError,
@@ -74,6 +76,9 @@
         self._client = HttpClient(address=address)
         self._draw = draw
         self.calls = 0
+        self.call_seconds = Histogram(
+            name="store_call_seconds", help="Calls to the store, watches too."
+        )
 
     async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
         """Return the key, or all keys that begin with it."""
@@ -198,10 +203,13 @@
         timeout: float = CALL_SECONDS,
     ) -> Response:
         self.calls += 1
+        began = time.monotonic()
         try:
             return await self._client.call(method, path, body=body, timeout=timeout)
         except HttpError as error:
             raise StoreError(str(error)) from error
+        finally:
+            self.call_seconds.observe(time.monotonic() - began)
 
 
 def _outer(key: str) -> str:
