--- /dev/null
+++ b/monsoonpier/balancer/packet_openings.py
@@ -0,0 +1,291 @@
+"""New flows: placed at once, waiting for a slot, or refused."""
+
+import random
+from collections import deque
+
+from monsoonpier.balancer.packet_flows import KnownFlow, LongFlowShare
+from monsoonpier.balancer.packet_placement import (
+    PlacementQuery,
+    place,
+    wait_for_slot,
+)
+from monsoonpier.balancer.packet_scope import PacketScope
+from monsoonpier.balancer.packet_waiting import (
+    MAX_WAIT_SECONDS,
+    MAX_WAIT_SHARE,
+    WaitingRoom,
+)
+from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
+from monsoonpier.model.address import Address
+from monsoonpier.process.readings import Histogram
+from monsoonpier.wire.frames import MAX_TRIED, Held, Turned
+from monsoonpier.wire.packet import Packet
+
+__all__ = ["FlowOpenings"]
+
+HEDGE_SECONDS = 0.06  # twenty times a SYN's way to a target and back
+MOST_PLACEMENTS = 6  # of one SYN in a row; then it waits for news of a free slot
+
+
+class FlowOpenings:
+    """Decides on SYNs and on what targets answer to them. Does no I/O."""
+
+    def __init__(self, *, scope: PacketScope) -> None:
+        self._scope = scope
+        self._long_share_by_address: dict[Address, LongFlowShare] = {}
+        self._unanswered: deque[tuple[float, bytes]] = deque()
+        self._waiting_room = WaitingRoom()
+        self.wait_seconds = Histogram(
+            name="flow_wait_seconds", help="From a flow's first SYN to a target."
+        )
+        self.load_age_seconds = Histogram(
+            name="load_age_seconds", help="Age of what placed a flow."
+        )
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether `retry` has something to look after."""
+        return bool(self._unanswered) or len(self._waiting_room) > 0
+
+    def configured(self) -> None:
+        """Forget what was learned of addresses that have no route any more."""
+        routes = self._scope.membership.configuration.routes_by_address
+        for address in self._long_share_by_address.keys() - routes.keys():
+            del self._long_share_by_address[address]
+
+    def open(
+        self,
+        packet: Packet,
+        known: KnownFlow | None,
+        *,
+        now: float,
+        draw: random.Random,
+    ) -> list:
+        """Decide on a SYN or a copy of one."""
+        if packet.flow in self._waiting_room:
+            return []
+        if known is not None and known.holders:
+            # A copy goes where the flow may be open already; only a target that
+            # has not answered the first one in time is passed over.
+            is_answered = known.is_accepted or known.is_confirmed
+            if is_answered or now - known.sent_at < HEDGE_SECONDS:
+                return self._scope.carry(packet, known, names=known.holders[-1:])
+            return self._place(packet, known, now=now, draw=draw)
+        route = self._scope.route(packet)
+        if route is None:
+            self._scope.counts_by_result["no_route"] += 1
+            if not self._scope.membership.configuration.version:
+                return []
+            return [self._scope.reset(packet, "no route", now=now)]
+        known = KnownFlow(
+            service=route.service, created_at=now - packet.waited, syn=packet
+        )
+        self._scope.flows.put(packet.flow, known)
+        return self._place(packet, known, now=now, draw=draw)
+
+    def accepted(self, frame: Held, *, now: float) -> None:
+        """Note that a target has answered a SYN."""
+        self._scope.membership.table.answered_flow(frame.agent)
+        known = self._scope.flows.get(frame.flow)
+        if known is None:
+            return
+        known.is_accepted = True
+        if frame.agent not in known.holders:
+            known.holders = (*known.holders, frame.agent)[-MAX_TRIED:]
+
+    def turned(
+        self, frame: Turned, packet: Packet, *, now: float, draw: random.Random
+    ) -> list:
+        """Decide on a SYN that a target has turned away."""
+        table = self._scope.membership.table
+        table.heard(frame.agent, frame.load, now=now)
+        table.answered_flow(frame.agent)
+        self._scope.counts_by_result["turned"] += 1
+        self._scope.log.note(
+            "flow turned away",
+            now=now,
+            flow=packet.flow,
+            target=frame.agent,
+            reason=frame.reason,
+            tried=frame.tried,
+            in_flight=frame.load.in_flight,
+        )
+        known = self._scope.flows.get(packet.flow)
+        if known is None or known.is_accepted or known.is_confirmed:
+            return []
+        known.holders = tuple(name for name in known.holders if name != frame.agent)
+        if known.holders or packet.flow in self._waiting_room:
+            return []
+        return self._place(packet, known, now=now, draw=draw)
+
+    def retry(self, *, now: float, draw: random.Random) -> list:
+        """Look after SYNs that wait for a slot or for a target's answer."""
+        actions = self.place_waiting(now=now, draw=draw)
+        return actions + self._retry_unanswered(now=now, draw=draw)
+
+    def _place(
+        self, packet: Packet, known: KnownFlow, *, now: float, draw: random.Random
+    ) -> list:
+        table = self._scope.membership.table
+        candidates = table.candidates_of(known.service, now=now)
+        if len(known.tried) >= MOST_PLACEMENTS:
+            return self._wait(packet, known, candidates, now=now)
+        query = PlacementQuery(
+            tried=known.tried,
+            data_centre=self._scope.membership.peers.own.data_centre,
+            long_share=self._long_share(packet).value,
+        )
+        match place(query, candidates, draw=draw):
+            case NoTarget():
+                return self._wait(packet, known, candidates, now=now)
+            case Chosen(record=record):
+                self._note_placed(packet, known, candidates, record.name, now=now)
+                known.holders = (*known.holders, record.name)[-MAX_TRIED:]
+                known.tried = (*known.tried, record.name)
+                known.sent_at = now
+                table.sent_flow(record.name, now=now)
+                self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
+                self._scope.counts_by_result["placed"] += 1
+                return self._scope.carry(packet, known, names=(record.name,))
+
+    def _wait(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        candidates: list[Candidate],
+        *,
+        now: float,
+    ) -> list:
+        """Keep a SYN until a slot comes free, or refuse it if that is too late."""
+        route = self._scope.route(packet)
+        if known.holders or route is None:
+            return []  # One that was asked earlier may still answer.
+        most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
+        ahead = self._waiting_room.ahead(known.service)
+        balancers = len(self._scope.membership.peers.records_by_name)
+        wait = wait_for_slot(candidates, ahead=ahead * balancers)
+        if not self._scope.is_settled(now=now):
+            wait = 0.0  # More targets may just not be known yet.
+        if wait is None:
+            return self._refuse(packet, "no target serves", now=now)
+        if now - known.created_at + wait >= most:
+            return self._refuse(packet, "would be late", now=now)
+        known.tried = ()
+        has_room = self._waiting_room.add(
+            packet.flow,
+            service=known.service,
+            since=known.created_at,
+            priority=route.priority,
+            most=most,
+        )
+        if not has_room:
+            return self._refuse(packet, "too many wait", now=now)
+        self._scope.counts_by_result["waited"] += 1
+        self._scope.log.note(
+            "flow waits for a slot",
+            now=now,
+            flow=packet.flow,
+            service=known.service,
+            ahead=ahead,
+            expected_seconds=round(wait, 3),
+            at_most_seconds=round(most, 3),
+        )
+        return []
+
+    def _refuse(self, packet: Packet, reason: str, *, now: float) -> list:
+        self._scope.flows.drop(packet.flow)
+        self._scope.counts_by_result["refused"] += 1
+        if packet.waited:
+            # The first SYN may wait at another balancer, or be placed by now: a
+            # reset would end what that one is about to serve.
+            self._scope.log.note(
+                "copy not placed", now=now, flow=packet.flow, reason=reason
+            )
+            return []
+        return [self._scope.reset(packet, reason, now=now)]
+
+    def place_waiting(self, *, now: float, draw: random.Random) -> list:
+        """Place flows for which a slot has come free, refuse those it's late for."""
+        actions: list = []
+        for flow in self._waiting_room.expired(now=now):
+            known = self._scope.flows.get(flow)
+            if known is not None and known.syn is not None:
+                actions += self._refuse(known.syn, "no slot came free", now=now)
+        for service in self._waiting_room.services:
+            actions += self._place_waiting_for(service, now=now, draw=draw)
+        return actions
+
+    def _place_waiting_for(
+        self, service: str, *, now: float, draw: random.Random
+    ) -> list:
+        actions: list = []
+        for _ in range(self._waiting_room.ahead(service)):
+            candidates = self._scope.membership.table.candidates_of(service, now=now)
+            if not any(c.has_free_slot and not c.suspected for c in candidates):
+                break
+            flow = self._waiting_room.pop(service)
+            known = self._scope.flows.get(flow) if flow is not None else None
+            if known is None or known.syn is None:
+                continue
+            actions += self._place(known.syn, known, now=now, draw=draw)
+        return actions
+
+    def _retry_unanswered(self, *, now: float, draw: random.Random) -> list:
+        actions: list = []
+        while self._unanswered and self._unanswered[0][0] <= now:
+            _, flow = self._unanswered.popleft()
+            known = self._scope.flows.get(flow)
+            if known is None or known.is_accepted or known.is_confirmed:
+                continue
+            if not known.holders or now - known.sent_at < HEDGE_SECONDS * 0.9:
+                continue
+            self._scope.counts_by_result["unanswered"] += 1
+            self._scope.log.note(
+                "target did not answer",
+                now=now,
+                flow=flow,
+                target=known.holders[-1],
+                waited_seconds=round(now - known.sent_at, 3),
+            )
+            self._scope.membership.table.not_answered(known.holders[-1])
+            assert known.syn is not None
+            actions += self._place(known.syn, known, now=now, draw=draw)
+        return actions
+
+    def learn_length(self, packet: Packet, known: KnownFlow, *, now: float) -> None:
+        """Learn from a packet how long the flows of its address last."""
+        if known.is_counted or known.syn is None and not known.tried:
+            return  # Flows that were opened elsewhere have an unknown age.
+        self._long_share(packet).count(known, is_fin=packet.is_fin, now=now)
+
+    def _long_share(self, packet: Packet) -> LongFlowShare:
+        shares = self._long_share_by_address
+        return shares.setdefault(packet.service_address, LongFlowShare())
+
+    def _note_placed(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        candidates: list[Candidate],
+        name: str,
+        *,
+        now: float,
+    ) -> None:
+        chosen = next(c for c in candidates if c.record.name == name)
+        load_age = self._scope.membership.table.load_age(name, now=now)
+        self.wait_seconds.observe(now - known.created_at)
+        self.load_age_seconds.observe(load_age)
+        self._scope.log.note(
+            "flow placed",
+            now=now,
+            flow=packet.flow,
+            service=known.service,
+            target=name,
+            of=len(candidates),
+            tried=known.tried,
+            in_flight=chosen.load.in_flight,
+            sent_since=chosen.sent_since,
+            load_number=chosen.load.number,
+            load_age=round(load_age, 3),
+            version=self._scope.membership.configuration.version,
+        )
--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packet_process.py
@@ -9,7 +9,8 @@
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.member import ConfigurationFormat, Member, balancer_record
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_steering import PacketSteering, ResetCaller
+from monsoonpier.balancer.packet_scope import ResetCaller
+from monsoonpier.balancer.packet_steering import PacketSteering
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
@@ -188,8 +189,7 @@
         yield gauge("configuration_version", "Version in force.", version)
         age = _now() - self._configured_at
         yield gauge("configuration_age_seconds", "Since it came in force.", age)
-        yield self._steering.wait_seconds
-        yield self._steering.load_age_seconds
+        yield from self._steering.histograms
         yield self._store.call_seconds
         results = self._steering.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
--- /dev/null
+++ b/monsoonpier/balancer/packet_scope.py
@@ -0,0 +1,89 @@
+"""What all decisions of a balancer on packets share: knowledge and ways to act."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+from monsoonpier.balancer.actions import ToAgent
+from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.packet_flows import FlowTable, KnownFlow
+from monsoonpier.model.service import PacketRoute
+from monsoonpier.process.logs import DecisionLog
+from monsoonpier.wire.frames import MAX_TRIED, Carry
+from monsoonpier.wire.packet import Packet
+
+__all__ = ["PacketScope", "ResetCaller"]
+
+# Until then targets may be unknown to a balancer that has just started. Agents
+# announce themselves five times a second while no balancer answers them, and a
+# peer that has been there for longer hands on its whole table.
+AGREED_SECONDS = 1.0
+ALONE_SECONDS = 4.0
+
+
+class ResetCaller(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Send a packet's caller a reset: nobody holds the flow, or takes it."""
+
+    packet: Packet
+    reason: str
+
+
+class PacketScope:
+    """One balancer's knowledge of targets and flows, and its log of decisions.
+
+    Attributes:
+        membership: Targets, peers and the configuration.
+        flows: The flows seen last.
+        counts_by_result: Decisions, for metrics.
+    """
+
+    def __init__(
+        self, *, membership: Membership, started_at: float, log: DecisionLog
+    ) -> None:
+        self.membership = membership
+        self.flows = FlowTable()
+        self.log = log
+        self.counts_by_result: Counter[str] = Counter()
+        self._started_at = started_at
+
+    def route(self, packet: Packet) -> PacketRoute | None:
+        """Return where the packet's address leads in the present configuration."""
+        routes = self.membership.configuration.routes_by_address
+        return routes.get(packet.service_address)
+
+    def is_settled(self, *, now: float) -> bool:
+        """Tell whether all targets that can be reached are surely known."""
+        needed = AGREED_SECONDS if self.membership.has_agreed else ALONE_SECONDS
+        return now - self._started_at >= needed
+
+    def carry(
+        self, packet: Packet, known: KnownFlow, *, names: Iterable[str]
+    ) -> list[ToAgent]:
+        """Return the frames that bring a packet to the targets of these names."""
+        actions = []
+        for name in names:
+            record = self.membership.table.record(name)
+            if record is None:
+                continue
+            frame = Carry(
+                service=known.service,
+                payload=packet.raw,
+                tried=known.tried[-MAX_TRIED:] if packet.is_syn else (),
+            )
+            endpoint = (record.ip, record.port)
+            actions.append(ToAgent(endpoint=endpoint, frame=frame))
+        return actions
+
+    def reset(self, packet: Packet, reason: str, *, now: float) -> ResetCaller:
+        """Return the reset of a packet's flow, and leave a line why."""
+        self.counts_by_result["reset"] += 1
+        self.log.note(
+            "caller reset",
+            now=now,
+            flow=packet.flow,
+            reason=reason,
+            version=self.membership.configuration.version,
+            targets=len(self.membership.table),
+        )
+        return ResetCaller(packet=packet, reason=reason)
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -7,7 +7,8 @@
 from monsoonpier.agent.packet_holder import PacketHolder
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_steering import PacketSteering, ResetCaller
+from monsoonpier.balancer.packet_scope import ResetCaller
+from monsoonpier.balancer.packet_steering import PacketSteering
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
