--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
+from monsoonpier.agent.packet_load import TargetLoad
 from monsoonpier.model.address import Address
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.process.readings import Histogram
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
 from monsoonpier.wire.packet import Packet, sequence_distance
 
@@ -36,8 +36,6 @@
 MAX_IDLE_SECONDS = 60.0  # flows older than that may be discarded
 RUNNING_SECONDS = 2.5  # fifty runs: a request without an answer by then is lost
 MAX_STREAM_BYTES = 1 << 26  # acknowledgements farther off are another target's
-SMOOTHING = 0.1
-MIN_RUN_MS = 1
 MAX_ADDRESSES = 64  # a service has a few
 INTERESTED_SECONDS = 10.0  # balancers that sent SYNs so lately are told of load
 
@@ -95,22 +93,14 @@
         self._service = service
         self._connections = connections
         self._flows_by_address: dict[bytes, PacketFlow] = {}
-        self._busy = 0
-        self._open = 0
-        self._number = 0
-        self._run_ms = 0.0
-        self._cold_until = 0.0
         self._instance = b""
         self._knows_all = False
         self._served_addresses: set[Address] = set()
         self._seen_by_balancer: dict[tuple[str, int], float] = {}
         self._reported: tuple | None = None
-        self.slots = slots
+        self.target_load = TargetLoad(slots=slots)
         self.condition = Condition.STARTING
         self.counts_by_result: Counter[str] = Counter()
-        self.answer_seconds = Histogram(
-            name="answer_seconds", help="From a request's first packet to its answer."
-        )
 
     # What is known of the target
 
@@ -122,7 +112,7 @@
     @property
     def busy(self) -> int:
         """Requests that the target works on, or that are on their way."""
-        return self._busy
+        return self.target_load.busy
 
     @property
     def flows(self) -> int:
@@ -144,7 +134,6 @@
             self._knows_all = is_first
             return []
         self._knows_all = True
-        self._run_ms = 0.0
         return self.ended()
 
     def ended(self) -> list:
@@ -155,31 +144,18 @@
             if not flow.is_ended
         ]
         self._flows_by_address.clear()
-        self._busy = 0
-        self._open = 0
+        self.target_load.ended()
         self._knows_all = True
         self.counts_by_result["ended_with_target"] += len(resets)
         return resets
 
-    def is_cold_until(self, until: float) -> None:
-        """Note until when the target runs slower than later."""
-        self._cold_until = until
-
     def load(self, *, now: float) -> LoadReport:
         """Return the present load, newer than all reports before."""
-        self._number += 1
-        return LoadReport(
-            number=self._number,
-            in_flight=self._busy,
-            flows=self._open,
-            service_ms=round(self._run_ms),
-            cold_ms=max(0, round((self._cold_until - now) * 1000)),
-            condition=self.condition,
-        )
+        return self.target_load.report(condition=self.condition, now=now)
 
     def load_news(self, *, now: float) -> list[ToBalancer]:
         """Return reports for the balancers that place flows here, if it changed."""
-        state = (self._busy, self._open, self.condition)
+        state = (self.busy, self.target_load.open, self.condition)
         if state == self._reported:
             return []
         self._reported = state
@@ -235,7 +211,7 @@
             tried=frame.tried,
         )
         self._flows_by_address[packet.flow] = flow
-        self._enter(flow, Phase.EXPECTED, now=now)
+        self.target_load.enter(flow, Phase.EXPECTED, now=now)
         return [ToTarget(raw=packet.raw)]
 
     def _refusal(self, frame: Carry) -> str | None:
@@ -245,10 +221,10 @@
             return self.condition.name.lower()
         if len(self._flows_by_address) >= self._connections:
             return "no connection is free"
-        allowed = self.slots
+        allowed = self.target_load.slots
         if len(frame.tried) >= FORCED_TRIES:
             allowed += QUEUE_AHEAD
-        return "no slot is free" if self._busy >= allowed else None
+        return "no slot is free" if self.busy >= allowed else None
 
     def _first_packet(
         self,
@@ -271,22 +247,19 @@
         return [held, *self._deliver(packet, flow, now=now)]
 
     def _opened(self, address: bytes, flow: PacketFlow, *, now: float) -> None:
-        self._log.note("flow opened", now=now, flow=address, busy=self._busy)
-        flow.is_open = True
+        self._log.note("flow opened", now=now, flow=address, busy=self.busy)
         flow.guessed = None
-        self._open += 1
-        self._enter(flow, Phase.EXPECTED, now=now)
+        self.target_load.opened(flow)
+        self.target_load.enter(flow, Phase.EXPECTED, now=now)
 
     def _deliver(self, packet: Packet, flow: PacketFlow, *, now: float) -> list:
         flow.acknowledged = packet.acknowledged
         if packet.size and _is_new_data(packet, flow):
             flow.caller_end = packet.sequence + packet.size
-            if flow.phase is not Phase.RUNNING:
-                self._enter(flow, Phase.RUNNING, now=now)
-                flow.is_queued = self._busy > self.slots
+            self.target_load.asked(flow, now=now)
         if packet.is_fin:
             flow.has_caller_fin = True
-            self._enter(flow, Phase.IDLE, now=now)
+            self.target_load.enter(flow, Phase.IDLE, now=now)
         if packet.is_reset:
             self._drop(packet.flow)
         return [ToTarget(raw=packet.raw)]
@@ -333,7 +306,7 @@
         if packet.is_syn:
             if flow.target_sequence is None:
                 flow.target_sequence = packet.sequence
-                self._enter(flow, Phase.EXPECTED, now=now)
+                self.target_load.enter(flow, Phase.EXPECTED, now=now)
                 actions.append(
                     self._claim(
                         packet.flow, sender=flow.balancer, is_open=False, now=now
@@ -342,12 +315,12 @@
             return actions
         if flow.guessed is not None:
             self._opened(packet.flow, flow, now=now)
-            self._enter(flow, Phase.IDLE, now=now)
+            self.target_load.enter(flow, Phase.IDLE, now=now)
             actions.append(
                 self._claim(packet.flow, sender=flow.balancer, is_open=True, now=now)
             )
         if packet.size:
-            self._answered(flow, now=now)
+            self.target_load.answered(flow, now=now)
         if packet.is_fin:
             flow.has_target_fin = True
         return actions
@@ -378,21 +351,9 @@
             acknowledged=packet.sequence,
         )
         self._flows_by_address[packet.flow] = flow
-        flow.is_open = True
-        self._open += 1
+        self.target_load.opened(flow)
         return flow
 
-    def _answered(self, flow: PacketFlow, *, now: float) -> None:
-        if flow.phase is Phase.RUNNING:
-            self.answer_seconds.observe(now - flow.changed_at)
-        if flow.phase is Phase.RUNNING and not flow.is_queued:
-            run_ms = max(MIN_RUN_MS, (now - flow.changed_at) * 1000)
-            if self._run_ms:
-                self._run_ms += SMOOTHING * (run_ms - self._run_ms)
-            else:
-                self._run_ms = run_ms
-        self._enter(flow, Phase.IDLE, now=now)
-
     def _returned(self, packet: Packet, flow: PacketFlow | None, *, now: float) -> list:
         if flow is None:
             self.counts_by_result["returned_unknown"] += 1
@@ -414,25 +375,19 @@
         """Let go of flows and expectations that have come to nothing."""
         for address, flow in list(self._flows_by_address.items()):
             if flow.phase is Phase.EXPECTED and now - flow.changed_at > EXPECT_SECONDS:
-                self._enter(flow, Phase.IDLE, now=now)
+                self.target_load.enter(flow, Phase.IDLE, now=now)
             if flow.phase is Phase.RUNNING and now - flow.changed_at > RUNNING_SECONDS:
-                self._enter(flow, Phase.IDLE, now=now)
+                self.target_load.enter(flow, Phase.IDLE, now=now)
             if now - flow.seen_at > _keep_seconds(flow):
                 self._drop(address)
 
     # Helpers
 
-    def _enter(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
-        self._busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
-        flow.phase = phase
-        flow.changed_at = now
-
     def _drop(self, address: bytes) -> None:
         flow = self._flows_by_address.pop(address, None)
         if flow is None:
             return
-        self._busy -= int(flow.phase is not Phase.IDLE)
-        self._open -= int(flow.is_open)
+        self.target_load.dropped(flow)
 
     def _claim(
         self, flow: bytes, *, sender: tuple[str, int], is_open: bool, now: float
@@ -466,8 +421,8 @@
             now=now,
             flow=packet.flow,
             reason=reason,
-            busy=self._busy,
-            slots=self.slots,
+            busy=self.busy,
+            slots=self.target_load.slots,
             tried=tried,
         )
         frame = Turned(
--- /dev/null
+++ b/monsoonpier/agent/packet_load.py
@@ -0,0 +1,95 @@
+"""An agent's count of what its target works on, and what it tells of it."""
+
+from monsoonpier.agent.packet_flows import PacketFlow, Phase
+from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.process.readings import Histogram
+
+__all__ = ["TargetLoad"]
+
+SMOOTHING = 0.1
+MIN_RUN_MS = 1
+
+
+class TargetLoad:
+    """Requests under way, open flows, and the time of a run.
+
+    A request is under way from its first packet until its answer's first one; a
+    flow that was opened a moment ago counts like one, since its first request is
+    on its way.
+
+    Attributes:
+        slots: How many requests the target works on at once.
+        busy: Requests under way.
+        open: Open flows.
+    """
+
+    def __init__(self, *, slots: int) -> None:
+        self.slots = slots
+        self.busy = 0
+        self.open = 0
+        self._number = 0
+        self._run_ms = 0.0
+        self._cold_until = 0.0
+        self.answer_seconds = Histogram(
+            name="answer_seconds", help="From a request's first packet to its answer."
+        )
+
+    def enter(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
+        """Move a flow to a phase."""
+        self.busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
+        flow.phase = phase
+        flow.changed_at = now
+
+    def asked(self, flow: PacketFlow, *, now: float) -> None:
+        """Count a request of the flow, unless one is under way."""
+        if flow.phase is Phase.RUNNING:
+            return
+        self.enter(flow, Phase.RUNNING, now=now)
+        flow.is_queued = self.busy > self.slots
+
+    def answered(self, flow: PacketFlow, *, now: float) -> None:
+        """Count the flow's request as done, and learn how long runs take."""
+        if flow.phase is Phase.RUNNING:
+            seconds = now - flow.changed_at
+            self.answer_seconds.observe(seconds)
+            if not flow.is_queued:
+                self._learn(max(MIN_RUN_MS, seconds * 1000))
+        self.enter(flow, Phase.IDLE, now=now)
+
+    def _learn(self, run_ms: float) -> None:
+        if self._run_ms:
+            self._run_ms += SMOOTHING * (run_ms - self._run_ms)
+        else:
+            self._run_ms = run_ms
+
+    def opened(self, flow: PacketFlow) -> None:
+        """Count an open flow."""
+        flow.is_open = True
+        self.open += 1
+
+    def dropped(self, flow: PacketFlow) -> None:
+        """Count a flow no more."""
+        self.busy -= int(flow.phase is not Phase.IDLE)
+        self.open -= int(flow.is_open)
+
+    def ended(self) -> None:
+        """Count nothing more of a run of the target that has ended."""
+        self.busy = 0
+        self.open = 0
+        self._run_ms = 0.0
+
+    def is_cold_until(self, until: float) -> None:
+        """Note until when the target runs slower than later."""
+        self._cold_until = until
+
+    def report(self, *, condition: Condition, now: float) -> LoadReport:
+        """Return the present load, newer than all reports before."""
+        self._number += 1
+        return LoadReport(
+            number=self._number,
+            in_flight=self.busy,
+            flows=self.open,
+            service_ms=round(self._run_ms),
+            cold_ms=max(0, round((self._cold_until - now) * 1000)),
+            condition=condition,
+        )
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -190,8 +190,8 @@
             self._has_left = False
             self._link.identify(instance, slots=heard.slots)
             self._do(holder.started(instance, is_first=heard.sequence <= 1))
-        holder.slots = heard.slots
-        holder.is_cold_until(_now() + heard.cold_seconds)
+        holder.target_load.slots = heard.slots
+        holder.target_load.is_cold_until(_now() + heard.cold_seconds)
         self._life.step("configured")
         is_late = _now() - self._gone_at < LATE_SECONDS
         if not is_new and is_late and holder.condition is Condition.UNRESPONSIVE:
@@ -341,7 +341,7 @@
         yield gauge("uptime_seconds", "Time since start.", _now() - self._started)
         yield gauge("flows", "Flows that the target holds.", self._holder.flows)
         yield gauge("busy", "Requests that the target works on.", self._holder.busy)
-        yield self._holder.answer_seconds
+        yield self._holder.target_load.answer_seconds
         results = self._holder.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
         drops = self._dropped_by_reason
