--- a/bench/demo.py
+++ b/bench/demo.py
@@ -15,6 +15,7 @@
 
 import uvloop
 
+from bench.packet_demo import run_packet_demo
 from standins.deployment import Deployment
 from standins.load import Judgement, Load, judge
 
@@ -86,6 +87,12 @@
 
 
 async def _run() -> bool:
+    _say("flows without a token: stand-ins, balancers and agents start")
+    packets = await run_packet_demo(_say)
+    return await _run_tokens(packets) and packets["is_clean"]
+
+
+async def _run_tokens(packets: dict) -> bool:
     async with Deployment(net=NET) as deployment:
         await _start(deployment)
         _say("targets warm up for their cold start's time")
@@ -119,7 +126,8 @@
             _say(f"{count} x {text}")
         _say(f"callers' counts: {dict(load.counts)}, {judgement.not_run} not run")
         _say(f"longest silence on a stream: {judgement.longest_silence:.2f} s")
-        _show(judgement, _imbalance(deployment.runs(), since, until), seconds)
+        imbalance = _imbalance(deployment.runs(), since, until)
+        _show(judgement, imbalance, seconds, packets)
         return judgement.is_clean and not load.errors
 
 
@@ -133,11 +141,14 @@
     return max(counts.values()) / (sum(counts.values()) / MAPS) if counts else 0.0
 
 
-def _show(judgement: Judgement, imbalance: float, seconds: float) -> None:
+def _show(
+    judgement: Judgement, imbalance: float, seconds: float, packets: dict
+) -> None:
     line = asdict(judgement)
     del line["not_run"], line["longest_silence"]
     line["imbalance"] = round(imbalance, 3)
     line["config_in_force_seconds"] = seconds
+    line["without_tokens"] = packets
     print(json.dumps(line))
 
 
--- /dev/null
+++ b/bench/packet_demo.py
@@ -0,0 +1,81 @@
+"""The demo of flows without a token: all of a deployment is replaced under load."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from dataclasses import asdict
+
+from standins.packets.deployment import PacketDeployment
+from standins.packets.load import PacketLoad
+
+__all__ = ["run_packet_demo"]
+
+NET = "127.81.3"
+BALANCERS = 3
+MAPS = 4
+LOGS = 2
+STEADY_SECONDS = 2.0
+LEAVE_SECONDS = 2.0  # a leaving target's flows close after their next answer
+
+
+async def run_packet_demo(say: Callable[[str], None]) -> dict:
+    """Return what callers and targets saw, by name; all but requests must be 0."""
+    async with PacketDeployment(net=NET, seed=1) as deployment:
+        await _start(deployment)
+        load = PacketLoad(deployment=deployment, seed=2)
+        load.start(readers=20, writers=6, uploaders=2)
+        say("20 callers with long flows, 6 with a flow a request, 2 upload")
+        await asyncio.sleep(STEADY_SECONDS)
+        say("all balancers and all map targets are replaced")
+        await asyncio.gather(_replace_balancers(deployment), _replace_maps(deployment))
+        say("the store goes away, and all agents and balancers are killed but one")
+        await _kill(deployment)
+        await asyncio.sleep(STEADY_SECONDS)
+        verdict = await load.stop()
+        say(f"{dict(load.counts)} {dict(load.reasons)}")
+        return asdict(verdict) | {"is_clean": verdict.is_clean}
+
+
+async def _start(deployment: PacketDeployment) -> None:
+    deployment.configure(routes=100)
+    names = [f"lb-{n}" for n in range(1, BALANCERS + 1)]
+    pairs = [(f"maps-{n}", "maps") for n in range(1, MAPS + 1)]
+    pairs += [(f"logs-{n}", "logs") for n in range(1, LOGS + 1)]
+    for name in names:
+        deployment.ip(name)
+    await asyncio.gather(
+        *(deployment.start_balancer(name) for name in names),
+        *(deployment.start_pair(name, service) for name, service in pairs),
+    )
+
+
+async def _replace_balancers(deployment: PacketDeployment) -> None:
+    for n in range(1, BALANCERS + 1):
+        name = f"lb-{n}"
+        node = deployment.nodes_by_name[name]
+        node.signal(signal.SIGTERM)
+        deployment.rotate(name, out=True)
+        await node.wait()
+        await deployment.start_balancer(name)
+
+
+async def _replace_maps(deployment: PacketDeployment) -> None:
+    for n in range(1, MAPS + 1):
+        await deployment.start_pair(f"maps-{n + MAPS}", "maps")
+        deployment.targets_by_name[f"maps-{n}"].is_draining = True
+        await asyncio.sleep(LEAVE_SECONDS)
+        await deployment.stop_target(f"maps-{n}")
+        await deployment.nodes_by_name[f"maps-{n}"].stop()
+
+
+async def _kill(deployment: PacketDeployment) -> None:
+    deployment.store.faults.is_down = True
+    balancers = [f"lb-{n}" for n in range(2, BALANCERS + 1)]
+    agents = [(f"maps-{n + MAPS}", "maps") for n in range(1, MAPS + 1)]
+    for name in (*balancers, *(name for name, _ in agents)):
+        deployment.nodes_by_name[name].signal(signal.SIGKILL)
+    deployment.rotate(*balancers, out=True)
+    await asyncio.gather(
+        *(deployment.start_balancer(name) for name in balancers),
+        *(deployment.start_agent(name, service) for name, service in agents),
+    )
