Ask agents for many flows at once; bound what is sent again

Change: a question names up to 80 flows and the answer those that are held; only an agent that can't know is sent the packet. At most 0.2 of the SYNs are sent again.

--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,312 @@
+"""A randomized soak: real processes under load, faults from outside, promises checked.
+
+``python -m bench.soak --seeds 50`` runs fresh seeds, ``--replay SEED`` one again. A
+seed fixes the plan; when exactly a signal meets a packet is the machine's doing.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass, field
+from typing import Annotated
+
+import uvloop
+from cyclopts import App, Parameter
+
+from standins.packets.deployment import PacketDeployment
+from standins.packets.load import PacketLoad, Verdict
+
+__all__ = ["Plan", "Report", "make_plan", "run_seed"]
+
+BALANCERS = 3
+MAPS = 4
+LOGS = 2
+RECOVERY_SECONDS = 6.0  # twice the time after which a silent target is suspected
+CONFIG_SECONDS = 3.0  # a new configuration is in force everywhere by then
+NETS = 200  # loopback nets that seeds are spread over
+app = App(name="soak", help=__doc__)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Step:
+    """One fault: when it begins, what it is, whom it meets, how long it lasts."""
+
+    at: float
+    kind: str
+    subject: str
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """What a seed stands for."""
+
+    seed: int
+    steps: tuple[Step, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """What a seed led to; ``broken`` names the promises that were not kept."""
+
+    plan: Plan
+    verdict: Verdict
+    broken: tuple[str, ...]
+    reasons: dict[str, int]
+    timeline: tuple[str, ...]
+
+
+def make_plan(seed: int, *, seconds: float) -> Plan:
+    """Return a seed's faults over that time; some overlap."""
+    draw = random.Random(seed)
+    balancers = [f"lb-{n}" for n in range(1, BALANCERS + 1)]
+    agents = [f"maps-{n}" for n in range(1, MAPS + 1)]
+    agents += [f"logs-{n}" for n in range(1, LOGS + 1)]
+    subjects_by_kind = {
+        "kill": balancers + agents,
+        "restart": balancers + agents,
+        "pause": balancers + agents,
+        "crash_target": agents,
+        "store_down": ["store"],
+        "store_refuses": ["store"],
+        "store_slow": ["store"],
+        "store_loses": ["store"],
+        "configure": ["operator"],
+        "kill_all": ["all"],
+    }
+    steps = []
+    at = 0.0
+    while at < seconds:
+        kind = draw.choice(list(subjects_by_kind))
+        subject = draw.choice(subjects_by_kind[kind])
+        lasts = draw.uniform(0.2, 3.0)
+        steps.append(Step(at=at, kind=kind, subject=subject, seconds=lasts))
+        at += draw.uniform(0.1, 2.0)
+    return Plan(seed=seed, steps=tuple(steps))
+
+
+@dataclass(kw_only=True)
+class _Soak:
+    deployment: PacketDeployment
+    began: float = field(default_factory=time.monotonic)
+    timeline: list[str] = field(default_factory=list)
+    _busy: set[str] = field(default_factory=set)
+
+    async def play(self, plan: Plan) -> None:
+        """Play all steps, each at its time; they may overlap."""
+        async with asyncio.TaskGroup() as group:
+            for step in plan.steps:
+                group.create_task(self._play_step(step))
+
+    async def _play_step(self, step: Step) -> None:
+        await asyncio.sleep(step.at)
+        handlers: dict[str, Callable[[Step], Awaitable[None]]] = {
+            "kill": self._kill,
+            "restart": self._restart,
+            "pause": self._pause,
+            "crash_target": self._crash_target,
+            "configure": self._configure,
+            "kill_all": self._kill_all,
+        }
+        self._say(f"{step.kind} {step.subject} for {step.seconds:.1f} s")
+        await handlers.get(step.kind, self._store_fault)(step)
+        self._say(f"{step.kind} {step.subject} over")
+
+    def _say(self, text: str) -> None:
+        self.timeline.append(f"{time.monotonic() - self.began:7.2f} {text}")
+
+    def _claim(self, name: str) -> bool:
+        """Tell whether no other step is at work on the process."""
+        if name in self._busy:
+            return False
+        self._busy.add(name)
+        return True
+
+    async def _kill(self, step: Step) -> None:
+        if not self._claim(step.subject):
+            return
+        node = self.deployment.nodes_by_name[step.subject]
+        node.signal(signal.SIGKILL)
+        await node.wait()
+        await asyncio.sleep(step.seconds)
+        await self._start(step.subject)
+
+    async def _restart(self, step: Step) -> None:
+        if not self._claim(step.subject):
+            return
+        node = self.deployment.nodes_by_name[step.subject]
+        node.signal(signal.SIGTERM)
+        if step.subject.startswith("lb-"):
+            await asyncio.sleep(0.5)  # the fabric sees the probe fail
+            self.deployment.rotate(step.subject, out=True)
+        await node.wait()
+        await self._start(step.subject)
+
+    async def _start(self, name: str) -> None:
+        if name.startswith("lb-"):
+            self.deployment.rotate(name, out=True)
+            await self.deployment.start_balancer(name)
+        else:
+            await self.deployment.start_agent(name, name.split("-")[0])
+        self._busy.discard(name)
+
+    async def _pause(self, step: Step) -> None:
+        if not self._claim(step.subject):
+            return
+        node = self.deployment.nodes_by_name[step.subject]
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(step.seconds)
+        node.signal(signal.SIGCONT)
+        self._busy.discard(step.subject)
+
+    async def _crash_target(self, step: Step) -> None:
+        if not self._claim(f"target {step.subject}"):
+            return
+        await self.deployment.stop_target(step.subject)
+        await asyncio.sleep(step.seconds)
+        self.deployment.start_target(step.subject, step.subject.split("-")[0])
+        self._busy.discard(f"target {step.subject}")
+
+    async def _kill_all(self, step: Step) -> None:
+        names = [n for n in self.deployment.nodes_by_name if self._claim(n)]
+        nodes = [self.deployment.nodes_by_name[name] for name in names]
+        for node in nodes:
+            node.signal(signal.SIGKILL)
+        await asyncio.gather(*(node.wait() for node in nodes))
+        if self.deployment.store.faults.is_down or self.deployment.store.faults.status:
+            self._say("the store is away too: it comes back")
+            _mend(self.deployment.store.faults)
+        await asyncio.gather(*(self._start(name) for name in names))
+
+    async def _configure(self, step: Step) -> None:
+        self.deployment.configure(routes=int(step.seconds * 100))
+
+    async def _store_fault(self, step: Step) -> None:
+        faults = self.deployment.store.faults
+        match step.kind:
+            case "store_down":
+                faults.is_down = True
+            case "store_refuses":
+                faults.status = 503
+            case "store_slow":
+                faults.slow_seconds = 0.5
+            case "store_loses":
+                faults.lost_share = 0.5
+        await asyncio.sleep(step.seconds)
+        _mend(faults)
+
+
+def _mend(faults) -> None:
+    faults.is_down = False
+    faults.status = 0
+    faults.slow_seconds = 0.0
+    faults.lost_share = 0.0
+
+
+async def run_seed(seed: int, *, seconds: float) -> Report:
+    """Run one seed and return what came of it."""
+    plan = make_plan(seed, seconds=seconds)
+    net = f"127.90.{seed % NETS}"
+    async with PacketDeployment(net=net, seed=seed) as deployment:
+        await _start_all(deployment)
+        load = PacketLoad(deployment=deployment, seed=seed)
+        load.start(readers=8, writers=4, uploaders=2)
+        await asyncio.sleep(1.0)
+        soak = _Soak(deployment=deployment)
+        await soak.play(plan)
+        _mend(deployment.store.faults)
+        broken = await _recovers(deployment, load)
+        verdict = await load.stop()
+        broken += [name for name, count in _never(verdict).items() if count]
+        if broken:
+            soak.timeline += _log_ends(deployment)
+        return Report(
+            plan=plan,
+            verdict=verdict,
+            broken=tuple(broken),
+            reasons=dict(load.reasons),
+            timeline=tuple(soak.timeline),
+        )
+
+
+async def _start_all(deployment: PacketDeployment) -> None:
+    deployment.configure()
+    balancers = [f"lb-{n}" for n in range(1, BALANCERS + 1)]
+    pairs = [(f"maps-{n}", "maps") for n in range(1, MAPS + 1)]
+    pairs += [(f"logs-{n}", "logs") for n in range(1, LOGS + 1)]
+    for name in balancers:
+        deployment.ip(name)
+    await asyncio.gather(
+        *(deployment.start_balancer(name) for name in balancers),
+        *(deployment.start_pair(name, service) for name, service in pairs),
+    )
+
+
+async def _recovers(deployment: PacketDeployment, load: PacketLoad) -> list[str]:
+    """After the last fault all serves again, under the newest configuration."""
+    await asyncio.sleep(RECOVERY_SECONDS)
+    before = load.counts.copy()
+    await asyncio.sleep(1.0)
+    broken = []
+    if load.counts["answered"] - before["answered"] < 20:
+        broken.append("does not serve after the last fault")
+    if load.counts["failed"] > before["failed"]:
+        broken.append("requests fail after the last fault")
+    version = deployment.configure()
+    await asyncio.sleep(CONFIG_SECONDS)
+    for name in (f"lb-{n}" for n in range(1, BALANCERS + 1)):
+        held = await deployment.metric(name, "monsoonpier_configuration_version")
+        if held != version:
+            broken.append(f"{name} has version {held} in place of {version}")
+    return broken
+
+
+def _never(verdict: Verdict) -> dict[str, int]:
+    fields = asdict(verdict)
+    return {k: v for k, v in fields.items() if k not in ("requests", "failed")}
+
+
+def _log_ends(deployment: PacketDeployment) -> list[str]:
+    return [
+        f"{name}: {line}"
+        for name, node in deployment.nodes_by_name.items()
+        for line in node.log.read_text().splitlines()[-40:]
+    ]
+
+
+@app.default
+def soak(
+    *,
+    seeds: Annotated[int, Parameter(help="How many fresh seeds to run.")] = 10,
+    seconds: Annotated[float, Parameter(help="How long faults go on.")] = 10.0,
+    replay: Annotated[int | None, Parameter(help="Run this seed only.")] = None,
+) -> int:
+    """Run seeds and print a line for each; a broken promise prints its report."""
+    chosen = [replay] if replay is not None else _fresh(seeds)
+    failed = 0
+    for number, seed in enumerate(chosen, start=1):
+        report = uvloop.run(run_seed(seed, seconds=seconds))
+        state = ", ".join(report.broken) or "clean"
+        print(
+            f"[{number}/{len(chosen)}] seed {seed}: {len(report.plan.steps)} faults,"
+            f" {report.verdict.requests} answered, {report.verdict.failed} failed:"
+            f" {state}",
+            flush=True,
+        )
+        if report.broken:
+            failed += 1
+            print(json.dumps(asdict(report), indent=1))
+    return 1 if failed else 0
+
+
+def _fresh(count: int) -> list[int]:
+    draw = random.SystemRandom()
+    return [draw.randrange(1_000_000) for _ in range(count)]
+
+
+if __name__ == "__main__":
+    sys.exit(app(result_action="return_value"))
--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -17,7 +17,16 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import MAX_TRIED, Carry, Held, Load, NotHeld, Turned
+from monsoonpier.wire.frames import (
+    MAX_TRIED,
+    Carry,
+    Held,
+    Holds,
+    Load,
+    NotHeld,
+    Turned,
+    Whose,
+)
 from monsoonpier.wire.packet import Packet, sequence_distance
 
 __all__ = [
@@ -172,6 +181,27 @@
 
     # Packets of callers
 
+    def answer(self, question: Whose) -> Holds:
+        """Return which of the flows the target holds."""
+        held = tuple(flow for flow in question.flows if self._holds(flow))
+        # Flows of another service can't be here, whatever the target does.
+        is_sure = (
+            self._knows_all
+            or self.condition is Condition.GONE
+            or question.service != self._service
+        )
+        return Holds(
+            question=question.question, agent=self._name, held=held, is_sure=is_sure
+        )
+
+    def _holds(self, address: bytes) -> bool:
+        flow = self._flows_by_address.get(address)
+        if flow is None:
+            return False
+        # One whose SYN is answered opens with the packet that is asked for; if
+        # that is another target's, its acknowledgement will tell.
+        return flow.is_open or flow.target_sequence is not None
+
     def from_balancer(
         self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
     ) -> list:
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -28,7 +28,7 @@
 from monsoonpier.store.interface import Store
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import AskDrain, AskStatus, DrainReply, StatusReply
-from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck
+from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck, Whose
 from monsoonpier.wire.packet import PacketCodec
 
 __all__ = ["PacketAgentProcess"]
@@ -261,6 +261,9 @@
                     frame, packet, sender=sender, now=_now()
                 )
                 self._do(actions)
+            case Whose():
+                answer = self._holder.answer(frame)
+                self._internal.send(self._frames.encode(answer), sender)
             case HeartbeatAck():
                 self._link.acknowledged(frame)
             case Dropped(reason=reason):
--- a/monsoonpier/balancer/packet_flows.py
+++ b/monsoonpier/balancer/packet_flows.py
@@ -22,6 +22,7 @@
         packets: What has come meanwhile, the oldest first, for the holder.
         keepers_left: How many keepers may still answer.
         asks_agents: The keepers didn't know; the agents were asked.
+        tried: The packet that agents were asked to try on their targets.
         denied: Agents that have answered no.
     """
 
@@ -29,6 +30,7 @@
     packets: list[Packet]
     keepers_left: int = 0
     asks_agents: bool = False
+    tried: Packet | None = None
     denied: set[str] = field(default_factory=set)
 
     def keep(self, packet: Packet) -> None:
--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packet_inquiries.py
@@ -1,18 +1,28 @@
 """Flows that this balancer doesn't know: who holds them, or that nobody does."""
 
-from collections import deque
+from collections import OrderedDict, deque
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packet_directory import HolderDirectory
 from monsoonpier.balancer.packet_flows import Inquiry, KnownFlow
 from monsoonpier.balancer.packet_scope import PacketScope
-from monsoonpier.wire.frames import Find, Found, NotHeld, Register
+from monsoonpier.wire.frames import (
+    MAX_ASKED,
+    Find,
+    Found,
+    Holds,
+    NotHeld,
+    Register,
+    Whose,
+)
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["HolderInquiries"]
 
 KEEPER_SECONDS = 0.03  # ten ways to a balancer of the same data centre and back
 ASK_AGAIN_SECONDS = 0.1  # half of the time after which callers send again
+QUESTION_SECONDS = 0.02  # flows that come up in this time go into one question
+MAX_QUESTIONS = 256  # of the last ten seconds, at one in 40 ms
 MAX_DENIED_EARLY = 8_192  # half the open flows of a balancer aimed at
 ANY_SERVICE = "*"  # names the service while no configuration says which it is
 
@@ -20,7 +30,9 @@
 class HolderInquiries:
     """Asks the flow's keepers, then all agents of its service. Does no I/O.
 
-    Agents are asked by the packet itself, so that the holder's delivers it.
+    Agents are asked for many flows at once: after everything has lost power all
+    flows are dead, and a question a flow and agent was more than the links of
+    small entry VMs carry.
     """
 
     def __init__(self, *, scope: PacketScope) -> None:
@@ -28,11 +40,15 @@
         self._directory = HolderDirectory(membership=scope.membership)
         self._asked: deque[tuple[float, bytes]] = deque()
         self._denied_early: list[bytes] = []
+        self._to_ask_by_service: dict[str, list[bytes]] = {}
+        self._flows_by_question: OrderedDict[int, tuple[bytes, ...]] = OrderedDict()
+        self._last_question = 0
+        self._sent_at = 0.0
 
     @property
     def is_waiting(self) -> bool:
         """Whether `retry` has something to look after."""
-        waits = self._asked or self._denied_early
+        waits = self._asked or self._denied_early or self._to_ask_by_service
         return bool(waits) or self._directory.is_waiting
 
     # Asking
@@ -68,15 +84,52 @@
         return self._ask_agents(known, inquiry, now=now)
 
     def _ask_agents(self, known: KnownFlow, inquiry: Inquiry, *, now: float) -> list:
+        """Put the flow on the next question to all agents of its service."""
         inquiry.asks_agents = True
         inquiry.asked_at = now
-        names = sorted(self._undenied(known, inquiry))
-        packet = inquiry.packets[-1]
+        flow = inquiry.packets[-1].flow
+        self._to_ask_by_service.setdefault(known.service, []).append(flow)
         self._scope.counts_by_result["asked"] += 1
-        self._scope.log.note(
-            "holder asked for", now=now, flow=packet.flow, agents=len(names)
-        )
-        return self._scope.carry(packet, known, names=names, asks=True)
+        if now - self._sent_at < QUESTION_SECONDS:
+            return []
+        return self._send_questions(now=now)
+
+    def _send_questions(self, *, now: float) -> list:
+        """Return the questions for all flows that have come up since the last."""
+        asked, self._to_ask_by_service = self._to_ask_by_service, {}
+        self._sent_at = now
+        actions: list = []
+        for service, flows in asked.items():
+            for start in range(0, len(flows), MAX_ASKED):
+                chunk = tuple(flows[start : start + MAX_ASKED])
+                names = self._askable(service, chunk)
+                actions += self._question(service, chunk, names, now=now)
+        return actions
+
+    def _askable(self, service: str, flows: tuple[bytes, ...]) -> list[str]:
+        """Return the agents that have not denied all of these flows."""
+        known_flows = [self._scope.flows.get(flow) for flow in flows]
+        denied = [
+            known.inquiry.denied
+            for known in known_flows
+            if known is not None and known.inquiry is not None
+        ]
+        by_all = set.intersection(*denied) if denied else set()
+        return sorted(self._scope.membership.table.names_of(service) - by_all)
+
+    def _question(
+        self, service: str, flows: tuple[bytes, ...], names: list[str], *, now: float
+    ) -> list:
+        self._last_question += 1
+        self._flows_by_question[self._last_question] = flows
+        if len(self._flows_by_question) > MAX_QUESTIONS:
+            self._flows_by_question.popitem(last=False)
+        for flow in flows:
+            self._scope.log.note(
+                "holder asked for", now=now, flow=flow, agents=len(names)
+            )
+        frame = Whose(question=self._last_question, service=service, flows=flows)
+        return self._scope.tell(frame, names=names)
 
     def _undenied(self, known: KnownFlow, inquiry: Inquiry) -> set[str]:
         return self._scope.membership.table.names_of(known.service) - inquiry.denied
@@ -135,27 +188,60 @@
         inquiry, known.inquiry = known.inquiry, None
         if inquiry is None:
             return []
-        # The packet that asked the agents has been delivered by the holder's.
-        kept = inquiry.packets[:-1] if inquiry.asks_agents else inquiry.packets
+        # A packet that agents tried on their targets has reached the holder.
         return [
             action
-            for packet in kept
+            for packet in inquiry.packets
+            if packet is not inquiry.tried
             for action in self._scope.carry(packet, known, names=known.holders)
         ]
 
     # Answers of agents
 
+    def answered(self, frame: Holds, *, now: float) -> list:
+        """Decide on an agent's answer to a question for many flows."""
+        actions: list = []
+        for flow in self._flows_by_question.get(frame.question, ()):
+            known = self._scope.flows.get(flow)
+            if known is None or known.inquiry is None:
+                continue
+            if flow in frame.held:
+                self._scope.log.note(
+                    "holder found", now=now, flow=flow, target=frame.agent
+                )
+                known.holders = (frame.agent,)
+                self.opened(flow, frame.agent, now=now)
+                actions += self.settle(known)
+            elif frame.is_sure:
+                actions += self._note_denial(known, flow, frame.agent, now=now)
+            else:
+                actions += self._try_on(known, frame.agent)
+        return actions
+
+    def _try_on(self, known: KnownFlow, agent: str) -> list:
+        """Let an agent that can't know try the flow's packet on its target."""
+        inquiry = known.inquiry
+        assert inquiry is not None
+        if inquiry.tried is None:
+            inquiry.tried = inquiry.packets[-1]
+        return self._scope.carry(inquiry.tried, known, names=(agent,), asks=True)
+
+    def _note_denial(
+        self, known: KnownFlow, flow: bytes, agent: str, *, now: float
+    ) -> list:
+        self._scope.log.note("holder denies flow", now=now, flow=flow, target=agent)
+        inquiry = known.inquiry
+        assert inquiry is not None
+        inquiry.denied.add(agent)
+        return self._conclude(known, now=now)
+
     def denied(self, frame: NotHeld, packet: Packet | None, *, now: float) -> list:
         """Decide on an agent's word that its target doesn't hold a flow."""
         known = self._scope.flows.get(frame.flow)
         if known is None:
             return []
-        self._scope.log.note(
-            "holder denies flow", now=now, flow=frame.flow, target=frame.agent
-        )
         if known.inquiry is not None:
-            known.inquiry.denied.add(frame.agent)
-            return self._conclude(known, now=now)
+            return self._note_denial(known, frame.flow, frame.agent, now=now)
         if frame.agent not in known.holders or packet is None:
             return []
         known.holders = tuple(name for name in known.holders if name != frame.agent)
@@ -192,6 +278,8 @@
     def retry(self, *, now: float) -> list:
         """Register flows, go on without keepers, look at early denials again."""
         actions = self._register(now=now) + self._go_on(now=now)
+        if self._to_ask_by_service and now - self._sent_at >= QUESTION_SECONDS:
+            actions += self._send_questions(now=now)
         if self._denied_early and self._scope.is_settled(now=now):
             actions += self._conclude_early(now=now)
         return actions
--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -24,6 +24,10 @@
 __all__ = ["FlowOpenings"]
 
 HEDGE_SECONDS = 0.06  # twenty times a SYN's way to a target and back
+# Answers that are late because a link is full must not fill it further: at most
+# this share of SYNs is sent again, as retry budgets do.
+HEDGE_SHARE = 0.2
+MAX_HEDGES = 10.0
 MOST_PLACEMENTS = 6  # of one SYN in a row; then it waits for news of a free slot
 
 
@@ -35,6 +39,7 @@
         self._long_share_by_address: dict[Address, LongFlowShare] = {}
         self._unanswered: deque[tuple[float, bytes]] = deque()
         self._waiting_room = WaitingRoom()
+        self._hedges_left = MAX_HEDGES
         self.wait_seconds = Histogram(
             name="flow_wait_seconds", help="From a flow's first SYN to a target."
         )
@@ -145,6 +150,7 @@
                 known.sent_at = now
                 table.sent_flow(record.name, now=now)
                 self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
+                self._hedges_left = min(MAX_HEDGES, self._hedges_left + HEDGE_SHARE)
                 self._scope.counts_by_result["placed"] += 1
                 return self._scope.carry(packet, known, names=(record.name,))
 
@@ -248,6 +254,9 @@
                 waited_seconds=round(now - known.sent_at, 3),
             )
             self._scope.membership.table.not_answered(known.holders[-1])
+            if self._hedges_left < 1:
+                continue
+            self._hedges_left -= 1
             assert known.syn is not None
             actions += self._place(known.syn, known, now=now, draw=draw)
         return actions
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packet_scope.py
@@ -66,20 +66,22 @@
         asks: bool = False,
     ) -> list[ToAgent]:
         """Return the frames that bring a packet to the targets of these names."""
-        actions = []
-        for name in names:
-            record = self.membership.table.record(name)
-            if record is None:
-                continue
-            frame = Carry(
-                service=known.service,
-                payload=packet.raw,
-                tried=known.tried[-MAX_TRIED:] if packet.is_syn else (),
-                asks=asks,
-            )
-            endpoint = (record.ip, record.port)
-            actions.append(ToAgent(endpoint=endpoint, frame=frame))
-        return actions
+        frame = Carry(
+            service=known.service,
+            payload=packet.raw,
+            tried=known.tried[-MAX_TRIED:] if packet.is_syn else (),
+            asks=asks,
+        )
+        return self.tell(frame, names=names)
+
+    def tell(self, frame, *, names: Iterable[str]) -> list[ToAgent]:
+        """Return a frame to the agents of these targets, as far as they're known."""
+        records = [self.membership.table.record(name) for name in names]
+        return [
+            ToAgent(endpoint=(record.ip, record.port), frame=frame)
+            for record in records
+            if record is not None
+        ]
 
     def reset(self, packet: Packet, reason: str, *, now: float) -> ResetCaller:
         """Return the reset of a packet's flow, and leave a line why."""
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -21,7 +21,7 @@
 from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
-from monsoonpier.wire.frames import Held, Load, NotHeld, Turned
+from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Turned
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketSteering"]
@@ -108,6 +108,8 @@
                 return self._held(frame, now=now)
             case NotHeld():
                 return self._inquiries.denied(frame, packet, now=now)
+            case Holds():
+                return self._inquiries.answered(frame, now=now)
             case Turned() if packet is not None:
                 return self._openings.turned(frame, packet, now=now, draw=draw)
         return self._inquiries.from_balancer(frame, sender=sender, now=now)
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -21,10 +21,12 @@
     "Gossip",
     "Heartbeat",
     "Held",
+    "Holds",
     "Load",
     "NotHeld",
     "Register",
     "Turned",
+    "Whose",
     "HeartbeatAck",
     "Return",
     "Silence",
@@ -35,6 +37,7 @@
 MAX_RECORDS = 8  # per gossip datagram
 MAX_SILENCES = 16
 MAX_BALANCERS = 16
+MAX_ASKED = 80  # of 14 bytes
 MAX_ENTRIES = 32  # of 36 bytes, with names as they are usual
 
 Ip = Annotated[str, Meta(max_length=15)]
@@ -234,6 +237,27 @@
     holder: Annotated[str, Meta(max_length=64)]
 
 
+class Whose(_Frame, tag=17, kw_only=True, gc=False):
+    """Asks an agent which of these flows its target holds."""
+
+    question: int
+    service: Name
+    flows: Annotated[tuple[FlowAddress, ...], Meta(max_length=MAX_ASKED)]
+
+
+class Holds(_Frame, tag=18, kw_only=True, gc=False):
+    """Answers `Whose`: those that are held.
+
+    ``is_sure`` says that the others are not; an agent that was started beside a
+    running target can't know.
+    """
+
+    question: int
+    agent: Name
+    held: Annotated[tuple[FlowAddress, ...], Meta(max_length=MAX_ASKED)]
+    is_sure: bool
+
+
 Frame = (
     Forward
     | Return
@@ -251,6 +275,8 @@
     | Register
     | Find
     | Found
+    | Whose
+    | Holds
 )
 
 
--- a/standins/packets/deployment.py
+++ b/standins/packets/deployment.py
@@ -26,6 +26,7 @@
 PACKET_PORT = 8172
 OUTBOUND_PORT = 8162
 APP_PORT = 8165
+METRICS_PORT = 9464
 FIRST_INTERNAL_PORT = 7720
 START_SECONDS = 15.0
 SERVICES = {"maps": ("198.18.0.1", 8443), "logs": ("198.18.0.2", 8443)}
@@ -189,6 +190,17 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
 
+    async def metric(self, name: str, metric: str) -> float | None:
+        """Return one of a process's metrics, if it has it and answers."""
+        url = f"http://{self.ip(name)}:{METRICS_PORT}/metrics"
+        try:
+            async with self._http.get(url) as response:
+                text = await response.text()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+        values = dict(line.rsplit(" ", 1) for line in text.splitlines() if line)
+        return float(values[metric]) if metric in values else None
+
     def ip(self, name: str) -> str:
         """Return a process's address, the same each time it starts."""
         if name not in self._ips_by_name:
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -9,7 +9,7 @@
     ToTarget,
 )
 from monsoonpier.model.target import Condition
-from monsoonpier.wire.frames import Held, Load, NotHeld, Turned
+from monsoonpier.wire.frames import Held, Load, NotHeld, Turned, Whose
 from tests.packets.rig import (
     BALANCER,
     OTHER_BALANCER,
@@ -193,6 +193,30 @@
         self.holder.from_target(answer(7, size=10), now=1.0)
         self.assertEqual(delivered(self.bring(packet(size=10), service="*")), 1)
 
+    def test_question(self) -> None:
+        """An agent says what it holds, and whether it can know the rest."""
+        self.holder.from_target(answer(7, size=10), now=1.0)
+        flows = (packet(7).flow, packet(8).flow)
+        said = self.holder.answer(Whose(question=4, service="maps", flows=flows))
+        self.assertEqual((said.question, said.held), (4, flows[:1]))
+        self.assertFalse(said.is_sure)
+        other = self.holder.answer(Whose(question=5, service="logs", flows=flows))
+        self.assertTrue(other.is_sure)
+        sure = holder().answer(Whose(question=6, service="maps", flows=flows))
+        self.assertEqual((sure.held, sure.is_sure), ((), True))
+
+
+    def test_question_for_a_flow_that_is_just_opening(self) -> None:
+        """The packet that opens a flow may come through another balancer."""
+        made = holder()
+        self.holder = made
+        self.bring(packet(syn=True))
+        flows = (packet().flow,)
+        question = Whose(question=1, service="maps", flows=flows)
+        self.assertEqual(made.answer(question).held, ())
+        made.from_target(answer(syn=True), now=1.0)
+        self.assertEqual(made.answer(question).held, flows)
+
 
 class LoadTests(HolderCase):
     """The agent's count of requests under way."""
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -4,7 +4,7 @@
 
 from monsoonpier.model.address import Address
 from monsoonpier.model.target import Condition
-from monsoonpier.wire.frames import Held, Load, NotHeld, Turned
+from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Turned, Whose
 from tests.packets.rig import (
     SETTLED,
     SteeringRig,
@@ -174,6 +174,36 @@
         self.rig.agent(held("maps-2", packet()))
         self.assertEqual(self.rig.names(self.rig.caller(packet())), ["maps-2"])
 
+    def _answers(self, *, held=(), sure: bool = True, name="maps-1", now=SETTLED):
+        frame = Holds(question=1, agent=name, held=held, is_sure=sure)
+        return self.rig.agent(frame, now=now)
+
+    def test_question_is_answered_for_many_flows(self) -> None:
+        """One answer settles what is held; the others need all agents' word."""
+        self.rig.caller(packet(1), now=SETTLED)
+        for number in (2, 3):
+            self.assertEqual(self.rig.caller(packet(number), now=100.001), [])
+        actions = self.rig.steering.retry(now=100.03, draw=self.rig.draw)
+        asked = [a.frame.flows for a in actions if isinstance(a.frame, Whose)]
+        flows = (packet(2).flow, packet(3).flow)
+        self.assertEqual(asked, [flows] * 3)
+        held = Holds(question=2, agent="maps-1", held=flows[:1], is_sure=True)
+        self.assertEqual(self.rig.names(self.rig.agent(held)), ["maps-1"])
+        for name in ("maps-2", "maps-3"):
+            none = Holds(question=2, agent=name, held=(), is_sure=True)
+            actions = self.rig.agent(none)
+        self.assertEqual(resets(actions), ["nobody holds the flow"])
+
+    def test_agent_that_cannot_know(self) -> None:
+        """An agent that can't know gets the packet itself; its word is awaited."""
+        self.rig.caller(packet(size=10))
+        for name in ("maps-2", "maps-3"):
+            self.assertEqual(self._answers(name=name), [])
+        actions = self._answers(sure=False)
+        self.assertEqual(self.rig.names(actions), ["maps-1"])
+        self.assertTrue(actions[0].frame.asks)
+        self.assertEqual(self.rig.agent(held("maps-1", packet())), [])
+
     def test_reset_when_all_deny(self) -> None:
         """The caller is reset when, and only when, every agent has denied."""
         self.rig.caller(packet())
