--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 SOURCES := monsoonpier standins bench tests
 
-.PHONY: demo test format bench capacity mutations plots binary clean
+.PHONY: demo test format bench capacity mutations plots soak binary clean
 
 $(VENV)/.ready: requirements.lock
 	$(PYTHON) -m venv $(VENV)
@@ -32,6 +32,9 @@
 mutations: $(VENV)/.ready
 	@$(BIN)/python -m bench.mutate
 
+soak: $(VENV)/.ready
+	@$(BIN)/python -m bench.soak --seeds 10
+
 plots: $(VENV)/.ready
 	@$(BIN)/python -m bench.plots
 
