--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -215,9 +215,11 @@
     def test_no_reset_while_one_is_silent(self) -> None:
         """A target that can't be reached may hold the flow."""
         for n in range(50):
-            self.assertEqual(resets(self.rig.caller(packet(), now=100 + n / 10)), [])
-            self.rig.agent(denied("maps-1", packet()), packet())
-            self.rig.agent(denied("maps-3", packet()), packet())
+            now = SETTLED + n / 10
+            actions = self.rig.caller(packet(), now=now)
+            for name in ("maps-1", "maps-3"):
+                actions += self.rig.agent(denied(name, packet()), packet(), now=now)
+            self.assertEqual(resets(actions), [])
 
     def _deny_all(self, *, now: float) -> list:
         actions = self.rig.caller(packet(), now=now)
