Keep a target's flows until its VM is given up

Ruled out: a wait of 1 s after the farewell (nothing says how long it runs on). Change: after a farewell only the agent's own stop, which follows the target's end, ends its flows. A refused connection without a farewell still means a crash.

--- a/monsoonpier/agent/liveness.py
+++ b/monsoonpier/agent/liveness.py
@@ -35,11 +35,6 @@
         self._on_gone = on_gone
         self._was_up = False
         self._refusals = 0
-        self._check = asyncio.Event()
-
-    def check_now(self) -> None:
-        """Look at once, without waiting for the connection's end."""
-        self._check.set()
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -63,22 +58,12 @@
             self._was_up = True
             self._on_up()
         try:
-            await self._wait_for_end(reader)
+            await reader.read(1)
+        except OSError as error:
+            _log.info("connection to target cut", reason=repr(error))
         finally:
             writer.close()
 
-    async def _wait_for_end(self, reader: asyncio.StreamReader) -> None:
-        ended = asyncio.ensure_future(reader.read(1))
-        checked = asyncio.ensure_future(self._check.wait())
-        try:
-            await asyncio.wait((ended, checked), return_when=asyncio.FIRST_COMPLETED)
-            if ended.done() and not ended.cancelled():
-                ended.exception()
-        finally:
-            ended.cancel()
-            checked.cancel()
-            self._check.clear()
-
     def _refused(self) -> None:
         self._refusals += 1
         if self._was_up and self._refusals >= REFUSALS_NEEDED:
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -35,7 +35,8 @@
 
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
-LEFT_SECONDS = 1.0  # after its farewell a target has ended, whatever is seen of it
+FAREWELLS = 2  # more, since datagrams get lost
+FAREWELL_SECONDS = 0.05
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
 MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
 _log = structlog.get_logger("monsoonpier.agent.packet_process")
@@ -160,7 +161,14 @@
     async def _leave_and_finish(self) -> None:
         await self._life.wait_for_leaving()
         began = _now()
-        if self._holder.condition is not Condition.GONE:
+        if self._has_left:
+            # The agent is stopped after its target has ended.
+            self._do(self._holder.ended())
+            self._enter(Condition.GONE)
+            for _ in range(FAREWELLS):
+                await asyncio.sleep(FAREWELL_SECONDS)
+                self._link.announce(Condition.GONE)
+        else:
             # The target may live on and an agent may start beside it again.
             self._enter(Condition.SHEDDING)
         while self._holder.busy and _now() - began < MAX_LEAVE_SECONDS:
@@ -206,18 +214,11 @@
         if instance == self._holder.instance:
             _log.info("target left", instance=instance.decode())
             self._has_left = True
-            # It still runs for a moment: until it stops listening its flows are
-            # open, and a reset of one would break it.
+            # It still runs for a moment, even after it has stopped listening;
+            # until its VM is given up its flows may be open.
             self._enter(Condition.LEAVING)
-            self._liveness.check_now()
-            loop = asyncio.get_running_loop()
-            loop.call_later(LEFT_SECONDS, self._gone_after_farewell, instance)
         return True
 
-    def _gone_after_farewell(self, instance: bytes) -> None:
-        if instance == self._holder.instance:
-            self._target_gone()
-
     def _target_up(self) -> None:
         """Serve a target that listens before its first heartbeat has come.
 
@@ -229,13 +230,12 @@
 
     def _target_gone(self) -> None:
         """The target's address refuses connections: its flows have ended."""
-        if self._holder.condition in (Condition.GONE, Condition.UNRESPONSIVE):
+        if self._has_left or self._holder.condition is Condition.UNRESPONSIVE:
             return
         self._gone_at = _now()
         resets = self._holder.ended()
         _log.warning("target does not listen", flows=len(resets))
-        gone = Condition.GONE if self._has_left else Condition.UNRESPONSIVE
-        self._enter(gone)
+        self._enter(Condition.UNRESPONSIVE)
         self._do(resets)
 
     def _enter(self, condition: Condition, *, announce: bool = False) -> None:
