Ask again when a thought holder has ended

Cause: read in the code: a keeper's word for a target that had ended sent packets nowhere, without an answer; so did a record that was forgotten 30 s later. Change: such a holder is passed over and the agents are asked; only a holder that has confirmed the flow leads to a reset when it ends. Two tests, which failed before.

--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packet_inquiries.py
@@ -61,7 +61,7 @@
         known = KnownFlow(service=route.service, created_at=now)
         self._scope.flows.put(packet.flow, known)
         holder = self._directory.holder(packet.flow)
-        if holder is not None:
+        if holder is not None and self._scope.may_hold(holder):
             known.holders = (holder,)
             return self._scope.carry(packet, known, names=known.holders)
         questions = self._directory.find(packet.flow)
@@ -171,8 +171,8 @@
             return []
         inquiry = known.inquiry
         inquiry.keepers_left -= 1
-        record = self._scope.membership.table.record(frame.holder)
-        if record is not None and frame.holder not in inquiry.denied:
+        may_hold = self._scope.may_hold(frame.holder)
+        if may_hold and frame.holder not in inquiry.denied:
             self._scope.counts_by_result["found"] += 1
             self._scope.log.note(
                 "holder found", now=now, flow=frame.flow, target=frame.holder
--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -241,7 +241,7 @@
         while self._unanswered and self._unanswered[0][0] <= now:
             _, flow = self._unanswered.popleft()
             known = self._scope.flows.get(flow)
-            if known is None or known.is_accepted or known.is_confirmed:
+            if known is None or known.syn is None or known.is_accepted:
                 continue
             if not known.holders or now - known.sent_at < HEDGE_SECONDS * 0.9:
                 continue
@@ -257,7 +257,6 @@
             if self._hedges_left < 1:
                 continue
             self._hedges_left -= 1
-            assert known.syn is not None
             actions += self._place(known.syn, known, now=now, draw=draw)
         return actions
 
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packet_scope.py
@@ -9,6 +9,7 @@
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packet_flows import FlowTable, KnownFlow
 from monsoonpier.model.service import PacketRoute
+from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry
 from monsoonpier.wire.packet import Packet
@@ -57,6 +58,11 @@
         needed = AGREED_SECONDS if self.membership.has_agreed else ALONE_SECONDS
         return now - self._started_at >= needed
 
+    def may_hold(self, name: str) -> bool:
+        """Tell whether a target of that name is known and has not ended."""
+        record = self.membership.table.record(name)
+        return record is not None and record.condition is not Condition.GONE
+
     def carry(
         self,
         packet: Packet,
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -18,7 +18,6 @@
 from monsoonpier.balancer.packet_inquiries import HolderInquiries
 from monsoonpier.balancer.packet_openings import FlowOpenings
 from monsoonpier.balancer.packet_scope import PacketScope
-from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
 from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Turned
@@ -76,9 +75,8 @@
         self._openings.learn_length(packet, known, now=now)
         if known.inquiry is not None:
             return self._inquiries.ask_again(packet, known, now=now)
-        if self._is_over(known):
-            self._scope.flows.drop(packet.flow)
-            return [self._scope.reset(packet, "target gone", now=now)]
+        if not any(self._scope.may_hold(name) for name in known.holders):
+            return self._holders_ended(packet, known, now=now)
         return self._scope.carry(packet, known, names=known.holders)
 
     def from_process(
@@ -144,9 +142,9 @@
         self._inquiries.opened(frame.flow, frame.agent, now=now)
         return self._inquiries.settle(known)
 
-    def _is_over(self, known: KnownFlow) -> bool:
-        """Tell whether the flow's only holder is known to have ended."""
-        if not known.is_confirmed or len(known.holders) != 1:
-            return False
-        record = self._scope.membership.table.record(known.holders[0])
-        return record is not None and record.condition is Condition.GONE
+    def _holders_ended(self, packet: Packet, known: KnownFlow, *, now: float) -> list:
+        """Reset a flow whose holder has ended; ask if it was only thought to be."""
+        self._scope.flows.drop(packet.flow)
+        if not known.is_confirmed:
+            return self._inquiries.ask(packet, now=now)
+        return [self._scope.reset(packet, "target gone", now=now)]
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -4,8 +4,9 @@
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packet_directory import MAX_HOLDERS, HolderDirectory
+from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import BalancerRecord, Carry, Find, Held, NotHeld, Register
-from tests.packets.rig import SETTLED, SteeringRig, load, packet
+from tests.packets.rig import SETTLED, SteeringRig, load, packet, record as target
 
 
 def record(number: int, *, data_centre: str = "dc-1") -> BalancerRecord:
@@ -121,6 +122,15 @@
             rig.names(rig.agent(denial, sent, now=200.1)), ["maps-1", "maps-3"]
         )
 
+    def test_kept_holder_has_ended(self) -> None:
+        """A keeper's word for a target that has ended leads to the agents."""
+        self.group.opened(self.first, 1, now=SETTLED)
+        for endpoint in self.others:
+            gone = target("maps-2", host=2, epoch=2, condition=Condition.GONE)
+            self.group.rigs[endpoint].learn(gone)
+            names = self.carried(endpoint, packet(1, size=10), now=200.0)
+            self.assertEqual(names, ["maps-1", "maps-3"])
+
     def test_short_flows_are_not_registered(self) -> None:
         """A flow that its caller has closed is nobody's business any more."""
         rig = self.group.rigs[self.first]
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -270,6 +270,17 @@
         self.rig.learn(record("maps-2", host=2, epoch=2, condition=Condition.GONE))
         self.assertEqual(resets(self.rig.caller(packet())), ["target gone"])
 
+    def test_thought_holder_has_ended(self) -> None:
+        """A target that only a SYN went to is no reason for a reset when it ends."""
+        placed = self.rig.names(self.rig.caller(packet(syn=True)))
+        number = int(placed[0][-1])
+        gone = record(placed[0], host=number, epoch=2, condition=Condition.GONE)
+        self.rig.learn(gone)
+        actions = self.rig.caller(packet(size=10), now=101.0)
+        self.assertEqual(resets(actions), [])
+        others = sorted({"maps-1", "maps-2", "maps-3"} - set(placed))
+        self.assertEqual(self.rig.names(actions), others)
+
     def test_copy_opened_elsewhere(self) -> None:
         """A SYN's copy placed by another balancer doesn't move an open flow."""
         placed = self.rig.names(self.rig.caller(packet(syn=True)))
