Wait for late agents where targets have lived on

Ruled out: going back to 4 s for all: after a loss of power, where agents see their targets start anew, a second is right and serves a request of each long flow. Change: one agent that has started beside a running target makes it 4 s.

--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packet_inquiries.py
@@ -262,7 +262,8 @@
         if not inquiry.asks_agents or self._undenied(known, inquiry):
             return []
         packet = inquiry.packets[-1]
-        if not self._scope.is_settled(now=now):
+        lived_on = inquiry.tried is not None
+        if not self._scope.is_settled(now=now, targets_lived_on=lived_on):
             if len(self._denied_early) < MAX_DENIED_EARLY:
                 self._denied_early.append(packet.flow)
             return []
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packet_scope.py
@@ -53,9 +53,16 @@
         routes = self.membership.configuration.routes_by_address
         return routes.get(packet.service_address)
 
-    def is_settled(self, *, now: float) -> bool:
-        """Tell whether all targets that can be reached are surely known."""
-        needed = AGREED_SECONDS if self.membership.has_agreed else ALONE_SECONDS
+    def is_settled(self, *, now: float, targets_lived_on: bool = False) -> bool:
+        """Tell whether all targets that can be reached are surely known.
+
+        Args:
+            now: The present time.
+            targets_lived_on: Agents have started beside running targets. Then an
+                agent that isn't back yet may stand beside one that holds flows.
+        """
+        is_soon = self.membership.has_agreed and not targets_lived_on
+        needed = AGREED_SECONDS if is_soon else ALONE_SECONDS
         return now - self._started_at >= needed
 
     def may_hold(self, name: str) -> bool:
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -250,6 +250,24 @@
         sent = packet(address=OTHER_ADDRESS)
         self.assertEqual(resets(self.rig.caller(sent)), [])
 
+    def test_no_reset_soon_after_agents_were_killed_too(self) -> None:
+        """An agent that isn't back yet may stand beside a living target.
+
+        Found by the soak, seed 376882: everything was killed, and one agent came
+        back three seconds after the others; its target's flows had been reset.
+        """
+        self.rig.membership.has_agreed = True
+        self.rig.caller(packet(size=10), now=0.9)
+        self._answers(sure=False, now=1.0)
+        actions = []
+        for name in ("maps-1", "maps-2", "maps-3"):
+            sent = packet(size=10)
+            actions += self.rig.agent(denied(name, sent), sent, now=1.1)
+        actions += self.rig.steering.retry(now=3.9, draw=self.rig.draw)
+        self.assertEqual(resets(actions), [])
+        late = self.rig.steering.retry(now=4.1, draw=self.rig.draw)
+        self.assertEqual(resets(late), ["nobody holds the flow"])
+
     def test_all_are_tried_without_configuration(self) -> None:
         """Without configuration an open flow's packet still finds its holder."""
         rig = SteeringRig(version=0, targets=3)
