Report all that is wrong with the platform's settings, with places

Cause: bad settings gave the first error only, without a line. The other settings of the product report all findings with line and column. Change: looked for only once the file can't be used; a good start is as it was. QUEUE_AHEAD stood in balancer and agent, which must agree on it: once, in model/.

--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -15,7 +15,7 @@
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
 from monsoonpier.agent.packet_load import TargetLoad
 from monsoonpier.model.address import Address
-from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
     MAX_TRIED,
@@ -38,7 +38,6 @@
 ]
 
 FORCED_TRIES = 3  # a SYN turned away so often may wait for one run
-QUEUE_AHEAD = 1  # the next run starts without the way to a balancer and back
 EXPECT_SECONDS = 0.1  # ten ways to a caller and back: it took another target
 ENDED_SECONDS = 5.0  # an ended flow's last packets still go to the target
 HALF_OPEN_SECONDS = 3.0  # twice the time after which callers give a SYN up
--- a/monsoonpier/balancer/packet_placement.py
+++ b/monsoonpier/balancer/packet_placement.py
@@ -12,11 +12,10 @@
 from dataclasses import dataclass
 
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
-from monsoonpier.model.target import Condition
+from monsoonpier.model.target import QUEUE_AHEAD, Condition
 
-__all__ = ["QUEUE_AHEAD", "PlacementQuery", "place", "wait_for_slot"]
+__all__ = ["PlacementQuery", "place", "wait_for_slot"]
 
-QUEUE_AHEAD = 1  # a target's next run starts without the way from here and back
 RETRY_AFTER_SECONDS = 0.2  # about four runs: by then a slot has come free
 BUSY_WEIGHT = 0.5  # of taken slots below the last one, against waiting
 FLOW_WEIGHT = 1.0  # of a long flow's later requests, against those under way
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -6,7 +6,11 @@
 
 from monsoonpier.model.address import Address
 
-__all__ = ["Condition", "LoadReport", "TargetRecord"]
+__all__ = ["QUEUE_AHEAD", "Condition", "LoadReport", "TargetRecord"]
+
+# New flows beyond its slots that a target may have: its next run then starts
+# without the way to a balancer and back. Balancers and agents must agree on it.
+QUEUE_AHEAD = 1
 
 
 class Condition(IntEnum):
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -82,11 +82,25 @@
     if not path:
         raise ValueError(f"{SETTINGS_VARIABLE} names no settings file")
     try:
-        content = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        text = Path(path).read_text(encoding="utf-8")
+        content = tomllib.loads(text)
+    except (OSError, ValueError) as error:
+        raise ValueError(f"{path}: {error}") from error
+    try:
         file = msgspec.convert(content, _File)
         return _settings(file, role=role, keys=_keys(environment))
-    except (OSError, ValueError, msgspec.ValidationError) as error:
-        raise ValueError(f"{path}: {error}") from error
+    except (ValueError, msgspec.ValidationError) as error:
+        raise ValueError(_report(content, text, path, role, error)) from error
+
+
+def _report(content: dict, text: str, path: str, role: str, error: Exception) -> str:
+    """Return all findings, one a line; the error itself if there are none."""
+    # Imported when needed: a process that starts well does without.
+    from monsoonpier.model.findings import report
+    from monsoonpier.platform.settings_check import check_fields
+
+    findings = check_fields(content, _File, text=text, file=path, role=role)
+    return report(tuple(findings)) if findings else f"{path}: {error}"
 
 
 def _settings(file: _File, *, role: str, keys: KeyRing) -> PlatformSettings:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -142,6 +142,19 @@
         self.assertEqual(settings.common.seeds, (Address(ip="10.1.0.10", port=7720),))
         self.assertEqual(settings.from_target, Address(ip="10.1.0.12", port=8162))
 
+    def test_all_findings_with_their_places(self) -> None:
+        """Everything that is wrong is reported at once, with line and column."""
+        text = self.TEXT.replace('zone = "norte"\n', "")
+        text = text.replace("[7720, 7735]", '"7720"')
+        text = text.replace("10.200.1.7:8169", "10.200.1.7")
+        with self.assertRaises(ValueError) as caught:
+            self.load(text)
+        lines = str(caught.exception).splitlines()
+        self.assertEqual(len(lines), 3, lines)
+        self.assertIn("'zone' is missing", lines[0])
+        self.assertRegex(lines[1], r"\.toml:4:18: 'internal_ports': ")
+        self.assertRegex(lines[2], r"\.toml:15:11: '10.200.1.7' is not an ip:port")
+
     def test_wrong(self) -> None:
         """Wrong settings are one error that names the file and what is wrong."""
         cases = {
