Don't take an answer to the last run's question for one to this run's

Cause: found in reading: an agent that was frozen while a balancer restarted answers the earlier run's question; with the same number it would count as a denial of flows that the agent was never asked for, and a false denial can end in a false reset. Change: numbers begin at the start's steady time. One test, which failed before.

--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packet_inquiries.py
@@ -22,6 +22,7 @@
 KEEPER_SECONDS = 0.03  # ten ways to a balancer of the same data centre and back
 ASK_AGAIN_SECONDS = 0.1  # half of the time after which callers send again
 QUESTION_SECONDS = 0.02  # flows that come up in this time go into one question
+MICROSECONDS = 1_000_000
 MAX_QUESTIONS = 256  # of the last ten seconds, at one in 40 ms
 MAX_DENIED_EARLY = 8_192  # half the open flows of a balancer aimed at
 ANY_SERVICE = "*"  # names the service while no configuration says which it is
@@ -42,7 +43,9 @@
         self._denied_early: list[bytes] = []
         self._to_ask_by_service: dict[str, list[bytes]] = {}
         self._flows_by_question: OrderedDict[int, tuple[bytes, ...]] = OrderedDict()
-        self._last_question = 0
+        # An agent that was frozen may answer a question of this balancer's last
+        # run; its number must not be one of this run's.
+        self._last_question = int(scope.started_at * MICROSECONDS)
         self._sent_at = 0.0
 
     @property
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packet_scope.py
@@ -37,6 +37,7 @@
         membership: Targets, peers and the configuration.
         flows: The flows seen last.
         counts_by_result: Decisions, for metrics.
+        started_at: When this balancer started, by its steady clock.
     """
 
     def __init__(
@@ -46,7 +47,7 @@
         self.flows = FlowTable()
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
-        self._started_at = started_at
+        self.started_at = started_at
 
     def route(self, packet: Packet) -> PacketRoute | None:
         """Return where the packet's address leads in the present configuration."""
@@ -63,7 +64,7 @@
         """
         is_soon = self.membership.has_agreed and not targets_lived_on
         needed = AGREED_SECONDS if is_soon else ALONE_SECONDS
-        return now - self._started_at >= needed
+        return now - self.started_at >= needed
 
     def may_hold(self, name: str) -> bool:
         """Tell whether a target of that name is known and has not ended."""
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -98,11 +98,12 @@
         targets: int = 2,
         version: int = 1,
         own: BalancerRecord | None = None,
+        started_at: float = 0.0,
     ) -> None:
         self.membership = Membership(own=own or OWN)
         self.draw = random.Random(7)
         self.steering = PacketSteering(
-            membership=self.membership, started_at=0.0, log=LOG
+            membership=self.membership, started_at=started_at, log=LOG
         )
         if version:
             self.configure(version=version)
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -194,6 +194,13 @@
             actions = self.rig.agent(none)
         self.assertEqual(resets(actions), ["nobody holds the flow"])
 
+    def test_answer_to_the_last_run(self) -> None:
+        """An agent that wakes up may answer a balancer that has restarted since."""
+        rig = SteeringRig(targets=1, started_at=50.0)
+        rig.caller(packet())
+        old = Holds(question=1, agent="maps-1", held=(), is_sure=True)
+        self.assertEqual(rig.agent(old), [])
+
     def test_agent_that_cannot_know(self) -> None:
         """An agent that can't know gets the packet itself; its word is awaited."""
         self.rig.caller(packet(size=10))
