Don't go back to a target's earlier run by a late heartbeat

Cause: found in reading: a heartbeat of a run whose place was taken made it the present one again, and the living run's flows would have been reset. Change: earlier runs are remembered, 16 of them. One test, which failed before.

--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections import deque
 
 import structlog
 
@@ -35,6 +36,7 @@
 
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
+MAX_PAST_INSTANCES = 16  # runs whose late heartbeats may still be on their way
 FAREWELLS = 2  # more, since datagrams get lost
 FAREWELL_SECONDS = 0.05
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
@@ -118,6 +120,7 @@
         self._outbound: UdpSocket | None = None
         self._reporting: asyncio.TimerHandle | None = None
         self._sequence = -1
+        self._past_instances: deque[bytes] = deque(maxlen=MAX_PAST_INSTANCES)
         self._has_left = False
         self._gone_at = 0.0
         self._dropped_by_reason: dict[str, int] = {}
@@ -189,6 +192,8 @@
     def _announced(self, heard: TargetAnnouncement) -> bool:
         instance = heard.instance.encode()
         holder = self._holder
+        if instance in self._past_instances:
+            return True  # late: another run has taken this one's place
         if instance == holder.instance and heard.sequence <= self._sequence:
             return True  # late: something newer was taken already
         self._sequence = heard.sequence
@@ -196,6 +201,7 @@
         if is_new:
             _log.info("target started", instance=heard.instance, slots=heard.slots)
             self._has_left = False
+            self._past_instances.append(holder.instance)
             self._link.identify(instance, slots=heard.slots)
             self._do(holder.started(instance, is_first=heard.sequence <= 1))
         holder.target_load.slots = heard.slots
--- a/tests/packets/test_agent_process.py
+++ b/tests/packets/test_agent_process.py
@@ -86,6 +86,13 @@
         self.assertTrue(self.process.take(heartbeat(sequence=4)))
         self.assertIs(self.holder.condition, Condition.LEAVING)
 
+    async def test_late_heartbeat_of_an_earlier_run(self) -> None:
+        """A run whose place was taken doesn't come back by a late heartbeat."""
+        self.process.take(heartbeat())
+        self.process.take(heartbeat(instance="i-2"))
+        self.assertTrue(self.process.take(heartbeat(sequence=9)))
+        self.assertEqual(self.holder.instance, b"i-2")
+
     async def test_farewell_of_an_earlier_run(self) -> None:
         """A late farewell doesn't end the run that has taken its place."""
         self.process.take(heartbeat())
