Write the drain's answer and a target's record once

Cause: read again as a whole: three processes answered a drain request alike, two agents built the same record, a method had one caller, placement scored a condition that takes no flow (so never reached it), and a page of documentation in packet_steering told of a way to ask that has been replaced. Ruled out: one base for the two agents' processes: what they share is these two. Change: process.control.answer_drain, agent.balancer_link.target_record; the rest is taken out. The token agent now asks its life whether it is leaving, as the others do. Conclusion: behaviour as it was.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -26,7 +26,7 @@
     HeartbeatAck,
 )
 
-__all__ = ["BalancerLink"]
+__all__ = ["BalancerLink", "target_record"]
 
 HEARTBEAT_SECONDS = 1.0
 INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
@@ -36,6 +36,23 @@
 _log = structlog.get_logger("monsoonpier.agent.balancer_link")
 
 
+def target_record(settings: Settings, *, instance: bytes) -> TargetRecord:
+    """Return what an agent that starts now announces of its target."""
+    assert settings.target and settings.internal and settings.control
+    return TargetRecord(
+        name=settings.name,
+        service=settings.target.service,
+        data_centre=settings.data_centre,
+        ip=settings.internal.ip,
+        port=settings.internal.port,
+        control=str(settings.control),
+        instance=instance,
+        epoch=int(time.time() * 1000),
+        slots=settings.target.slots,
+        connections=settings.target.connections,
+    )
+
+
 class BalancerLink:
     """Keeps balancers informed of the target, and the agent of configuration.
 
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -8,7 +8,7 @@
 import structlog
 
 from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft
-from monsoonpier.agent.balancer_link import BalancerLink
+from monsoonpier.agent.balancer_link import BalancerLink, target_record
 from monsoonpier.agent.liveness import TargetLiveness
 from monsoonpier.agent.packet_holder import (
     PacketHolder,
@@ -19,8 +19,8 @@
 )
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
-from monsoonpier.model.target import Condition, TargetRecord
-from monsoonpier.process.control import ControlServer
+from monsoonpier.model.target import Condition
+from monsoonpier.process.control import ControlServer, answer_drain
 from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.logs import DecisionLog, flow_name
 from monsoonpier.process.readings import counter, gauge
@@ -28,7 +28,7 @@
 from monsoonpier.process.web import WebServer
 from monsoonpier.store.interface import Store
 from monsoonpier.wire.codec import Dropped
-from monsoonpier.wire.control import AskDrain, AskStatus, DrainReply, StatusReply
+from monsoonpier.wire.control import AskDrain, AskStatus, StatusReply
 from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck, Whose
 from monsoonpier.wire.packet import PacketCodec
 
@@ -84,22 +84,10 @@
             connections=settings.target.connections,
             log=DecisionLog("monsoonpier.agent.packet_holder"),
         )
-        record = TargetRecord(
-            name=settings.name,
-            service=settings.target.service,
-            data_centre=settings.data_centre,
-            ip=settings.internal.ip,
-            port=settings.internal.port,
-            control=str(settings.control),
-            instance=b"",
-            epoch=int(time.time() * 1000),
-            slots=settings.target.slots,
-            connections=settings.target.connections,
-        )
         self._link = BalancerLink(
             settings=settings,
             store=store,
-            record=record,
+            record=target_record(settings, instance=b""),
             send=self._send_frame_bytes,
             read_load=lambda: self._holder.load(now=_now()),
             configure=None,
@@ -340,12 +328,9 @@
                     version=0,
                     uptime=_now() - self._started,
                 )
-            case AskDrain(name=name):
-                if name != self._settings.name:
-                    return DrainReply(accepted=False, reason="not this process")
-                if self._life.state != "leaving":
-                    self._life.step("terminate")
-                return DrainReply(accepted=True)
+            case AskDrain():
+                name = self._settings.name
+                return answer_drain(message, name=name, life=self._life)
         return None
 
     def _metrics(self):
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/process.py
@@ -17,15 +17,15 @@
     Run,
     StartStream,
 )
-from monsoonpier.agent.balancer_link import BalancerLink
+from monsoonpier.agent.balancer_link import BalancerLink, target_record
 from monsoonpier.agent.holder import Holder
 from monsoonpier.agent.runner import Event, ItemRead, RunEnded, Runner, StreamClosed
 from monsoonpier.agent.target_client import HealthHint, TargetClient
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
-from monsoonpier.model.target import Condition, TargetRecord
+from monsoonpier.model.target import Condition
 from monsoonpier.model.token import HolderToken
-from monsoonpier.process.control import ControlServer
+from monsoonpier.process.control import ControlServer, answer_drain
 from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
@@ -36,7 +36,6 @@
 from monsoonpier.wire.control import (
     AskDrain,
     AskStatus,
-    DrainReply,
     StatusReply,
 )
 from monsoonpier.wire.datagrams import Opened, reply_codec
@@ -68,18 +67,6 @@
         self._life = ProcessLife()
         self._started = time.monotonic()
         instance = os.urandom(INSTANCE_BYTES)
-        record = TargetRecord(
-            name=settings.name,
-            service=settings.target.service,
-            data_centre=settings.data_centre,
-            ip=settings.internal.ip,
-            port=settings.internal.port,
-            control=str(settings.control),
-            instance=instance,
-            epoch=int(time.time() * 1000),
-            slots=settings.target.slots,
-            connections=settings.target.connections,
-        )
         token = HolderToken(
             service=settings.target.service,
             ip=settings.internal.ip,
@@ -96,7 +83,7 @@
         self._link = BalancerLink(
             settings=settings,
             store=EtcdStore(addresses=settings.platform, draw=self._draw),
-            record=record,
+            record=target_record(settings, instance=instance),
             send=self._send_control,
             read_load=lambda: self._holder.load(now=_now()),
             configure=self._configure,
@@ -307,12 +294,9 @@
                     version=self._link.configuration.version,
                     uptime=_now() - self._started,
                 )
-            case AskDrain(name=name):
-                if name != self._settings.name:
-                    return DrainReply(accepted=False, reason="not this process")
-                if not self._wants_to_leave:
-                    self._life.step("terminate")
-                return DrainReply(accepted=True)
+            case AskDrain():
+                name = self._settings.name
+                return answer_drain(message, name=name, life=self._life)
         return None
 
     def _metrics(self):
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -14,7 +14,7 @@
 from monsoonpier.documents.stored import pack, unpack, unstore
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
-from monsoonpier.process.control import ControlServer, NoAnswer, ask
+from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.store.interface import Store
@@ -25,7 +25,6 @@
     AskStatus,
     AskTable,
     ConfigurationReply,
-    DrainReply,
     StatusReply,
     TableReply,
     TargetStatus,
@@ -168,10 +167,6 @@
             self._bytes_by_direction["out"] += len(data)
         self._socket.send(data, endpoint)
 
-    def count_control(self, size: int) -> None:
-        """Count a received frame of ``size`` bytes as control traffic."""
-        self._bytes_by_direction["in"] += size
-
     def do(self, action) -> None:
         """Carry out one of the membership's actions."""
         match action:
@@ -192,7 +187,7 @@
         if actions is None:
             self._take_frame(frame, sender)
             return
-        self.count_control(len(data))
+        self._bytes_by_direction["in"] += len(data)
         for action in actions:
             self.do(action)
 
@@ -306,12 +301,9 @@
                 return TableReply(records=records, balancers=balancers)
             case AskStatus():
                 return self._status()
-            case AskDrain(name=name):
-                if name != self._settings.name:
-                    return DrainReply(accepted=False, reason="not this process")
-                if self._life.state != "leaving":
-                    self._life.step("terminate")
-                return DrainReply(accepted=True)
+            case AskDrain():
+                name = self._settings.name
+                return answer_drain(message, name=name, life=self._life)
         return None
 
     def _status(self) -> StatusReply:
--- a/monsoonpier/balancer/packet_placement.py
+++ b/monsoonpier/balancer/packet_placement.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
-from monsoonpier.model.target import QUEUE_AHEAD, Condition
+from monsoonpier.model.target import QUEUE_AHEAD
 
 __all__ = ["PlacementQuery", "place", "wait_for_slot"]
 
@@ -112,6 +112,4 @@
         cost += FLOW_WEIGHT * query.long_share * flows
         if candidate.record.data_centre != query.data_centre:
             cost += REMOTE_WEIGHT
-        if candidate.load.condition is Condition.SHEDDING:
-            cost += MAX_SPEED_RATIO
         return cost + draw.random() * JITTER
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -3,11 +3,10 @@
 A packet names its flow by addresses and ports only. The agent beside a target
 sees all of the target's packets, so it alone knows what the target holds, and
 it delivers nothing else. A balancer remembers holders as a bounded cache that
-may be lost at any time: what it doesn't remember it asks of the agents of the
-service by sending them the packet itself, and the holder's agent delivers it
-and answers. Only when every agent has denied a flow is its caller sent a reset;
-while one of them can't be reached the flow may live there, and a reset would
-break it.
+may be lost at any time: what it doesn't remember it asks of the flow's keepers,
+then of all agents of the service. Only when every agent has denied a flow is its
+caller sent a reset; while one of them can't be reached the flow may live there,
+and a reset would break it.
 """
 
 import random
--- a/monsoonpier/process/control.py
+++ b/monsoonpier/process/control.py
@@ -10,10 +10,16 @@
 
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import KeyRing
+from monsoonpier.process.life import ProcessLife
 from monsoonpier.wire.codec import Dropped
-from monsoonpier.wire.control import MAX_CONTROL_BYTES, ControlCodec
+from monsoonpier.wire.control import (
+    MAX_CONTROL_BYTES,
+    AskDrain,
+    ControlCodec,
+    DrainReply,
+)
 
-__all__ = ["ControlServer", "NoAnswer", "ask"]
+__all__ = ["ControlServer", "NoAnswer", "answer_drain", "ask"]
 
 ASK_SECONDS = 2.0
 HIGH_WATER_MARK = 100
@@ -81,6 +87,22 @@
         self._context.term()
 
 
+def answer_drain(question: AskDrain, *, name: str, life: ProcessLife) -> DrainReply:
+    """Let the process leave if it is the one that is meant, once.
+
+    Args:
+        question: The operator's request.
+        name: This process's name.
+        life: This process's life.
+    """
+    if question.name != name:
+        return DrainReply(accepted=False, reason="not this process")
+    # A second termination would end a leaving process at once.
+    if life.state != "leaving":
+        life.step("terminate")
+    return DrainReply(accepted=True)
+
+
 async def ask(
     address: str,
     message: msgspec.Struct,
