--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -14,6 +14,7 @@
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.process.control import NoAnswer, ask
+from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import Store, StoreError
 from monsoonpier.store.keys import BALANCERS
@@ -176,10 +177,8 @@
         except StoreError as error:
             _log.info("platform unreachable", reason=str(error))
             return
-        for value in found.values_by_key.values():
-            record = self._codec.decode(value.value)
-            if isinstance(record, BalancerRecord):
-                self._witnesses.learn(record)
+        for record in registered_balancers(found, codec=self._codec):
+            self._witnesses.learn(record)
 
     def _fetch_from(self, balancer: BalancerRecord) -> None:
         if self._take_configuration is None:
--- a/monsoonpier/agent/packet_evidence.py
+++ b/monsoonpier/agent/packet_evidence.py
@@ -25,25 +25,34 @@
     def __init__(self) -> None:
         self._failed = 0.0
         self._counted = 0.0
+        self._ends = 0.0
         self._faded_at = 0.0
 
-    def count(self, *, is_failure: bool, now: float, weight: float = 1.0) -> None:
-        """Count requests that have ended."""
+    def count(self, *, is_failure: bool, now: float) -> None:
+        """Count a request that has ended."""
         self._fade(now=now)
-        self._counted += weight
-        self._failed += weight * is_failure
+        self._counted += 1
+        self._failed += is_failure
 
-    def target_ended(self, *, now: float) -> None:
-        """Count an end of the target that nobody had planned."""
-        self.count(is_failure=True, now=now, weight=END_WEIGHT)
+    def run_ended(self, *, is_planned: bool, now: float) -> None:
+        """Forget the requests of a run of the target that has ended.
+
+        That it ended though nobody had planned it says something of the next run
+        too: targets that go down and up by turns do so again.
+        """
+        self._fade(now=now)
+        self._counted = 0.0
+        self._failed = 0.0
+        self._ends += 0.0 if is_planned else END_WEIGHT
 
     def value(self, *, now: float) -> float:
         """Return the share, 0 to 1; low while there is little evidence."""
         self._fade(now=now)
-        return self._failed / (self._counted + DOUBT)
+        return (self._failed + self._ends) / (self._counted + self._ends + DOUBT)
 
     def _fade(self, *, now: float) -> None:
         kept = math.exp(min(0.0, self._faded_at - now) / FADE_SECONDS)
         self._failed *= kept
         self._counted *= kept
+        self._ends *= kept
         self._faded_at = now
--- a/monsoonpier/agent/packet_load.py
+++ b/monsoonpier/agent/packet_load.py
@@ -104,8 +104,7 @@
 
     def ended(self, *, is_planned: bool, now: float) -> None:
         """Count nothing more of a run of the target that has ended."""
-        if not is_planned:
-            self._failures.target_ended(now=now)
+        self._failures.run_ended(is_planned=is_planned, now=now)
         self.busy = 0
         self.open = 0
         self._run_ms = 0.0
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections import deque
 
 import structlog
 
@@ -17,6 +16,7 @@
     ToTarget,
 )
 from monsoonpier.agent.packet_holder import PacketHolder
+from monsoonpier.agent.target_run import LateHeartbeat, NewRun, RunHistory
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition
@@ -36,7 +36,6 @@
 
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
-MAX_PAST_INSTANCES = 16  # runs whose late heartbeats may still be on their way
 FAREWELLS = 2  # more, since datagrams get lost
 FAREWELL_SECONDS = 0.05
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
@@ -107,8 +106,7 @@
         self._internal: UdpSocket | None = None
         self._outbound: UdpSocket | None = None
         self._reporting: asyncio.TimerHandle | None = None
-        self._sequence = -1
-        self._past_instances: deque[bytes] = deque(maxlen=MAX_PAST_INSTANCES)
+        self._runs = RunHistory()
         self._has_left = False
         self._gone_at = 0.0
         self._dropped_by_reason: dict[str, int] = {}
@@ -173,38 +171,26 @@
         match message:
             case TargetAnnouncement():
                 return self._announced(message)
-            case TargetLeft(instance=instance):
-                return self._left(instance.encode())
+            case TargetLeft():
+                return self._left(message)
         return False
 
     def _announced(self, heard: TargetAnnouncement) -> bool:
-        instance = heard.instance.encode()
         holder = self._holder
-        if instance in self._past_instances:
-            return True  # late: another run has taken this one's place
-        if instance == holder.instance and heard.sequence <= self._sequence:
-            return True  # late: something newer was taken already
-        self._sequence = heard.sequence
-        is_new = instance != holder.instance
-        if is_new:
-            _log.info(
-                "target started",
-                instance=heard.instance,
-                slots=heard.slots,
-                sequence=heard.sequence,
-                cold_seconds=heard.cold_seconds,
-            )
-            self._has_left = False
-            self._past_instances.append(holder.instance)
-            self._link.identify(instance, slots=heard.slots)
-            resets = holder.started(
-                instance,
-                is_first=heard.sequence <= 1,
-                is_young=heard.cold_seconds > 0,
-                now=_now(),
-            )
-            self._do(resets)
-            self._do(holder.answer_kept(now=_now()))
+        match self._runs.take(heard, has_ended=self._has_target_ended):
+            case LateHeartbeat():
+                _log.info(
+                    "late heartbeat",
+                    instance=heard.run.instance.decode(),
+                    sequence=heard.sequence,
+                    served=holder.instance.decode(),
+                )
+                return True
+            case NewRun():
+                self._begin_run(heard)
+                is_new = True
+            case _:
+                is_new = False
         holder.target_load.slots = heard.slots
         holder.target_load.is_cold_until(_now() + heard.cold_seconds)
         self._life.step("configured")
@@ -217,13 +203,41 @@
         self._enter(condition, announce=is_new)
         return True
 
-    def _left(self, instance: bytes) -> bool:
-        if instance == self._holder.instance:
-            _log.info("target left", instance=instance.decode())
+    @property
+    def _has_target_ended(self) -> bool:
+        return self._has_left or self._holder.condition is Condition.UNRESPONSIVE
+
+    def _begin_run(self, heard: TargetAnnouncement) -> None:
+        """Serve another run of the target; nothing of the one before stays."""
+        instance = heard.run.instance
+        _log.info(
+            "target started",
+            instance=instance.decode(),
+            slots=heard.slots,
+            sequence=heard.sequence,
+            cold_seconds=heard.cold_seconds,
+        )
+        self._has_left = False
+        self._link.identify(instance, slots=heard.slots)
+        resets = self._holder.started(
+            instance,
+            is_first=heard.sequence <= 1,
+            is_young=heard.cold_seconds > 0,
+            now=_now(),
+        )
+        self._do(resets)
+        self._do(self._holder.answer_kept(now=_now()))
+
+    def _left(self, farewell: TargetLeft) -> bool:
+        instance = farewell.run.instance.decode()
+        if self._runs.is_current(farewell.run):
+            _log.info("target left", instance=instance)
             self._has_left = True
             # It still runs for a moment, even after it has stopped listening;
             # until its VM is given up its flows may be open.
             self._enter(Condition.LEAVING)
+        else:
+            _log.info("another run's farewell", instance=instance)
         return True
 
     def _target_up(self) -> None:
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -8,6 +8,7 @@
 import structlog
 
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     CompactedError,
@@ -18,7 +19,7 @@
 )
 from monsoonpier.store.keys import BALANCERS, CONFIGURATION
 from monsoonpier.store.lease import Lease
-from monsoonpier.wire.frames import BalancerRecord, FrameCodec
+from monsoonpier.wire.frames import FrameCodec
 
 __all__ = ["StoreLink"]
 
@@ -156,10 +157,8 @@
     async def _read(self) -> int:
         """Read balancers and configuration; return the revision."""
         found = await self._store.read(BALANCERS, prefix=True)
-        for value in found.values_by_key.values():
-            record = self._codec.decode(value.value)
-            if isinstance(record, BalancerRecord):
-                self._peers.learn(record)
+        for record in registered_balancers(found, codec=self._codec):
+            self._peers.learn(record)
         stored = await self._store.read(CONFIGURATION)
         for value in stored.values_by_key.values():
             self._configure(value.value)
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -81,22 +81,30 @@
             return False
         else:
             self._unlist(entry.record)
-            is_new_instance = record.epoch != entry.record.epoch
+            earlier = entry.record
             entry.record = record
             entry.learned_at = now
             entry.silent_witnesses.clear()
             # What the agent announces is newer than its last report.
             entry.load = msgspec.structs.replace(entry.load, condition=record.condition)
-            if is_new_instance:
-                entry.load = LoadReport(number=0, condition=record.condition)
-                entry.loaded_at = now
-                entry.sent_since = 0
+            if record.epoch != earlier.epoch:
+                self._forget_load(entry, number=0, now=now)
+            elif record.instance != earlier.instance and earlier.instance:
+                # The same agent goes on counting its reports.
+                self._forget_load(entry, number=entry.load.number, now=now)
         self._names_by_service.setdefault(record.service, set()).add(record.name)
         self._toggle(record)
         if record.condition is not Condition.GONE:
             self._replace_at_endpoint(record, now=now)
         return True
 
+    def _forget_load(self, entry: _Entry, *, number: int, now: float) -> None:
+        """Start anew with a run of the target of which nothing is known yet."""
+        entry.load = LoadReport(number=number, condition=entry.record.condition)
+        entry.loaded_at = now
+        entry.sent_since = 0
+        entry.unanswered = 0
+
     def _replace_at_endpoint(self, record: TargetRecord, *, now: float) -> None:
         """End the earlier target of an address that now belongs to another."""
         endpoint = (record.ip, record.port)
--- a/monsoonpier/platform/daemons.py
+++ b/monsoonpier/platform/daemons.py
@@ -82,7 +82,9 @@
     )
     ready = HttpServer(address=settings.ready, handler=_ready_handler(process))
     await ready.start()
-    calls = TargetCalls(take=process.take)
+    assert settings.common.target
+    service = settings.common.target.service
+    calls = TargetCalls(service=service, take=process.take)
     await HttpServer(address=settings.heartbeats, handler=calls.answer).start()
     await process.run()
 
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -98,7 +98,7 @@
         values = [_key_value(item) for item in items if prefix or item.key == wanted]
         return Snapshot(
             revision=found.current_rev,
-            values_by_key={value.key: value for value in values},
+            values_by_key={value.key: value for value in values if value},
         )
 
     async def transact(
@@ -170,7 +170,9 @@
             after = max(after, watched.current_rev)
             for item in watched.events:
                 if prefix or item.key == wanted:
-                    yield _watch_event(item)
+                    event = _watch_event(item)
+                    if event is not None:
+                        yield event
 
     async def close(self) -> None:
         """Let go of connections."""
@@ -237,25 +239,29 @@
         raise StoreError(f"the store's answer is not usable: {error}") from error
 
 
-def _value(item: _Item) -> bytes:
+def _value(item: _Item) -> bytes | None:
+    """Return an item's bytes; ``None`` if another writer left what can't be read."""
     try:
         return base64.b64decode(item.value, validate=True)
     except ValueError as error:
-        raise StoreError(f"the value of {item.key} is not base64") from error
+        _log.warning("item not usable", key=item.key, reason=str(error))
+        return None
 
 
-def _key_value(item: _Item) -> KeyValue:
+def _key_value(item: _Item) -> KeyValue | None:
+    value = _value(item)
+    if value is None:
+        return None
     return KeyValue(
         key=_inner(item.key),
-        value=_value(item),
+        value=value,
         mod_revision=item.revision,
         lease=item.lease,
     )
 
 
-def _watch_event(item: _Item) -> WatchEvent:
-    return WatchEvent(
-        key=_inner(item.key),
-        value=None if item.deleted else _value(item),
-        mod_revision=item.revision,
-    )
+def _watch_event(item: _Item) -> WatchEvent | None:
+    value = None if item.deleted else _value(item)
+    if value is None and not item.deleted:
+        return None
+    return WatchEvent(key=_inner(item.key), value=value, mod_revision=item.revision)
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -3,11 +3,13 @@
 import random
 import unittest
 
+from structlog.testing import capture_logs
+
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_link import LEASE_TTL_SECONDS, StoreLink
 from monsoonpier.store.interface import LeaseNotFoundError, Put, StoreError
 from monsoonpier.store.keys import BALANCERS
-from monsoonpier.wire.frames import FrameCodec
+from monsoonpier.wire.frames import Found, FrameCodec
 from standins.fake_store import FakeStore
 from tests.rig import KEYS, balancer
 
@@ -90,6 +92,28 @@
         await self.link._keep_registered()
         self.assertTrue(self.link._lease.may_act(now=self.now))
 
+    async def test_other_writers(self):
+        """Entries that no balancer of ours wrote name nobody; the others hold."""
+        mine = balancer("b2", host=2).peers.own
+        codec = FrameCodec(keys=KEYS)
+        values_by_name = {
+            "b2": codec.encode(mine),
+            "b3": b"\xff\x00",
+            "b4": b"",
+            "b5": codec.encode(mine),  # under a key that isn't its own
+            "b6": codec.encode(Found(flow=b"f", holder="b6")),
+        }
+        puts = tuple(
+            Put(key=BALANCERS + name, value=value, lease=0)
+            for name, value in values_by_name.items()
+        )
+        await self.platform.transact(compares=(), puts=puts)
+        with capture_logs() as lines:
+            await self.link._read()
+        self.assertEqual(set(self.peers.records_by_name), {"b1", "b2"})
+        refused = [line for line in lines if line["event"] == "entries not usable"]
+        self.assertEqual([line["count"] for line in refused], [4])
+
     def test_few_watch(self):
         """However many balancers a data centre has, two of them watch."""
         nodes = [balancer(f"b{n}", host=n) for n in range(1, 60)]
--- a/tests/packets/test_agent_process.py
+++ b/tests/packets/test_agent_process.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft
+from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft, TargetRun
 from monsoonpier.agent.packet_process import PacketAgentProcess
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
@@ -40,10 +40,11 @@
     )
 
 
-def heartbeat(**fields) -> TargetAnnouncement:
+def heartbeat(
+    *, instance: str = "i-1", born: int | None = None, **fields
+) -> TargetAnnouncement:
     defaults = {
-        "instance": "i-1",
-        "service": "maps",
+        "run": TargetRun(identity=instance, born_ms=born),
         "is_draining": False,
         "slots": 3,
         "cold_seconds": 0.0,
@@ -52,6 +53,10 @@
     return TargetAnnouncement(**defaults | fields)
 
 
+def farewell(instance: str, *, born: int | None = None) -> TargetLeft:
+    return TargetLeft(run=TargetRun(identity=instance, born_ms=born))
+
+
 class TargetsWordTests(unittest.IsolatedAsyncioTestCase):
     """Heartbeats and the farewell."""
 
@@ -67,7 +72,7 @@
         no longer listened, and still held its flows.
         """
         self.process.take(heartbeat())
-        self.process.take(TargetLeft(instance="i-1"))
+        self.process.take(farewell("i-1"))
         self.process._target_gone()
         self.assertIs(self.holder.condition, Condition.LEAVING)
         self.process._life.step("terminate")
@@ -113,7 +118,7 @@
         """A late farewell doesn't end the run that has taken its place."""
         self.process.take(heartbeat())
         self.process.take(heartbeat(instance="i-2"))
-        self.process.take(TargetLeft(instance="i-1"))
+        self.process.take(farewell("i-1"))
         self.assertIs(self.holder.condition, Condition.SERVING)
 
     async def test_crash_and_new_run(self) -> None:
@@ -125,3 +130,83 @@
         self.assertIs(self.holder.condition, Condition.UNRESPONSIVE)
         self.process.take(heartbeat(instance="i-2"))
         self.assertIs(self.holder.condition, Condition.SERVING)
+
+
+class RebornTargetTests(unittest.IsolatedAsyncioTestCase):
+    """A target that starts again under the identity that it had."""
+
+    def setUp(self) -> None:
+        self.process = process()
+        self.holder = self.process._holder
+
+    def hear(self, **fields) -> None:
+        self.assertTrue(self.process.take(heartbeat(**fields)))
+
+    async def test_counts_start_anew(self) -> None:
+        """The first heartbeat of the new run is taken, though its count is low."""
+        self.hear(born=1_000, sequence=70, is_draining=True)
+        self.hear(born=9_000, sequence=1)
+        self.assertIs(self.holder.condition, Condition.SERVING)
+        self.assertEqual(self.holder.instance, b"i-1@9000")
+
+    async def test_late_heartbeat_of_the_run_before(self) -> None:
+        """A higher count doesn't bring the earlier run back, seen or unseen."""
+        self.hear(born=9_000, sequence=1)
+        self.hear(born=1_000, sequence=70, is_draining=True)
+        self.assertIs(self.holder.condition, Condition.SERVING)
+        self.hear(born=9_000, sequence=2)
+        self.hear(born=1_000, sequence=71, is_draining=True)
+        self.assertIs(self.holder.condition, Condition.SERVING)
+
+    async def test_flows_of_the_run_before_are_dead(self) -> None:
+        """Callers of flows that the earlier run held are reset at once."""
+        self.hear(born=1_000, sequence=70)
+        ended: list = []
+        self.holder.ended = lambda *, now: ended.append(now) or []
+        self.hear(born=9_000, sequence=1)
+        self.assertEqual(len(ended), 1)
+
+    async def test_clock_set_back_between_two_runs(self) -> None:
+        """A run that looks older is served when it goes on speaking."""
+        self.hear(born=9_000, sequence=70)
+        self.hear(born=1_000, sequence=1)
+        self.assertEqual(self.holder.instance, b"i-1@9000")
+        self.hear(born=1_000, sequence=2)
+        self.assertEqual(self.holder.instance, b"i-1@1000")
+        self.hear(born=9_000, sequence=71)
+        self.assertEqual(self.holder.instance, b"i-1@1000")
+
+    async def test_clock_set_back_after_an_end_that_was_seen(self) -> None:
+        """Where the earlier run is known to have ended one heartbeat is enough."""
+        self.hear(born=9_000, sequence=70)
+        self.process._target_gone()
+        self.hear(born=1_000, sequence=1)
+        self.assertIs(self.holder.condition, Condition.SERVING)
+
+    async def test_farewell_of_the_run_before(self) -> None:
+        """A late farewell doesn't take the new run out of use."""
+        self.hear(born=1_000, sequence=70)
+        self.hear(born=9_000, sequence=1)
+        self.process.take(farewell("i-1", born=1_000))
+        self.process.take(farewell("i-1"))
+        self.assertIs(self.holder.condition, Condition.SERVING)
+        self.process.take(farewell("i-1", born=9_000))
+        self.assertIs(self.holder.condition, Condition.LEAVING)
+
+    async def test_failures_of_the_run_before(self) -> None:
+        """Requests that the earlier run failed don't count against the new one.
+
+        Only an end that nobody had planned does, for targets that go up and down.
+        """
+        self.hear(born=1_000, sequence=70, is_draining=True)
+        load = self.holder.target_load
+        for number in range(20):
+            load._failures.count(is_failure=True, now=number / 1e6)
+        self.hear(born=9_000, sequence=1)
+        self.assertEqual(load.failed_percent(now=0.1), 0)
+
+    async def test_without_birth(self) -> None:
+        """A target that tells no birth is served by its identity alone."""
+        self.hear(sequence=5)
+        self.hear(instance="i-2", sequence=1)
+        self.assertEqual(self.holder.instance, b"i-2")
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -11,7 +11,10 @@
 from pathlib import Path
 from unittest import mock
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft
+import msgspec
+from hypothesis import given, settings, strategies as st
+
+from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft, TargetRun
 from monsoonpier.exits import Exit
 from monsoonpier.http import Request
 from monsoonpier.model.address import Address
@@ -35,6 +38,18 @@
 )
 
 
+HEARTBEAT = {
+    "service": "maps",
+    "address": "10.1.0.12:8165",
+    "zone": "z",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+}
+
+
 class PacketTests(unittest.TestCase):
     """The header, against the published example and the stand-ins' own codec."""
 
@@ -185,7 +200,7 @@
 
     def setUp(self) -> None:
         self.taken: list = []
-        self.calls = TargetCalls(take=self._take)
+        self.calls = TargetCalls(service="maps", take=self._take)
 
     def _take(self, message) -> bool:
         self.taken.append(message)
@@ -206,7 +221,71 @@
         self.assertIsInstance(announced, TargetAnnouncement)
         self.assertTrue(announced.is_draining)
         self.assertEqual(announced.cold_seconds, 1.5)
-        self.assertEqual(left, TargetLeft(instance="i-1"))
+        self.assertEqual(left, TargetLeft(run=TargetRun(identity="i-1")))
+
+    def test_birth(self) -> None:
+        """The moment of its start names the target's run, in farewells too."""
+        body = HEARTBEAT | {"born": 1_780_000_000_123}
+        self._post("Instances.Heartbeat/i-1", msgspec.json.encode(body))
+        self._post("Instances.Leave/i-1", b'{"born": 1780000000123}')
+        run = TargetRun(identity="i-1", born_ms=1_780_000_000_123)
+        self.assertEqual([message.run for message in self.taken], [run, run])
+
+    def test_other_writers(self) -> None:
+        """A heartbeat that isn't whole and right names no target."""
+        wrong = [
+            {name: value}
+            for name, value in HEARTBEAT.items()
+            for value in (None, [], {}, True, -1 if name != "state" else "ended")
+        ]
+        wrong += [{"slots": 0}, {"slots": 10**9}, {"sequence": 2**60}]
+        wrong += [{"cold_remaining_ms": 1e300}, {"born": "1"}, {"born": 1.5}]
+        wrong += [{"born": -1}, {"state": "leaving"}, {"service": "log"}]
+        for fields in wrong:
+            with self.subTest(**fields):
+                body = msgspec.json.encode(HEARTBEAT | fields)
+                self.assertEqual(self._post("Instances.Heartbeat/i-1", body), 400)
+        for name in HEARTBEAT:
+            with self.subTest(missing=name):
+                rest = {k: v for k, v in HEARTBEAT.items() if k != name}
+                body = msgspec.json.encode(rest)
+                self.assertEqual(self._post("Instances.Heartbeat/i-1", body), 400)
+        body = msgspec.json.encode(HEARTBEAT)
+        self.assertEqual(self._post("Instances.Heartbeat/", body), 400)
+        self.assertEqual(self._post("Instances.Leave/i-1", b"\xff"), 400)
+        self.assertEqual(self.taken, [])
+        counted = sum(self.calls.refused_by_reason.values())
+        self.assertEqual(counted, len(wrong) + len(HEARTBEAT) + 2)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        body=st.one_of(
+            st.binary(max_size=200),
+            st.dictionaries(
+                st.sampled_from([*HEARTBEAT, "born", "other"]),
+                st.one_of(
+                    st.none(),
+                    st.booleans(),
+                    st.integers(),
+                    st.floats(allow_nan=False, allow_infinity=False),
+                    st.text(max_size=9),
+                    st.sampled_from(["maps", "ready", "draining"]),
+                ),
+            ).map(msgspec.json.encode),
+        ),
+        identity=st.text(max_size=9),
+    )
+    def test_any_call(self, body, identity) -> None:
+        """Whatever is called leads to a typed message or a counted refusal."""
+        self.taken.clear()
+        self.calls.refused_by_reason.clear()
+        for call in ("Heartbeat", "Leave"):
+            status = self._post(f"Instances.{call}/{identity}", body)
+            self.assertIn(status, (200, 400))
+        refused = sum(self.calls.refused_by_reason.values())
+        self.assertEqual(len(self.taken) + refused, 2)
+        for message in self.taken:
+            self.assertIsInstance(message, TargetAnnouncement | TargetLeft)
 
     def test_bad_calls(self) -> None:
         """A malformed call gets a 4xx and changes nothing."""
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
@@ -20,6 +21,7 @@
 )
 from monsoonpier.store.keys import CONFIGURATION
 from standins.fake_store import FakeStore
+from standins.packets import store as packet_store
 from standins.packets.store import StoreStandIn
 from standins.platform import PlatformStandIn
 
@@ -219,6 +221,23 @@
             with self.assertRaises(StoreError):
                 await self.platform.read(KEY)
 
+    async def test_other_writers(self) -> None:
+        """An item whose bytes can't be read hides none of the others."""
+        revision = self.stand_in.put("a/1", b"one")
+        item = packet_store._item
+
+        def garbled(value):
+            return item(value) | ({"value": "%%"} if value.key == "a/2" else {})
+
+        watch = self.platform.watch("/a/", prefix=True, from_revision=revision)
+        with mock.patch.object(packet_store, "_item", garbled):
+            self.stand_in.put("a/2", b"two")
+            self.stand_in.put("a/3", b"three")
+            found = await self.platform.read("/a/", prefix=True)
+            first, second = await anext(watch), await anext(watch)
+        self.assertEqual(set(found.values_by_key), {"/a/1", "/a/3"})
+        self.assertEqual((first.key, second.key), ("/a/1", "/a/3"))
+
     async def test_more_than_a_page(self) -> None:
         """A prefix with more items than a page holds is read in whole."""
         for number in range(1_100):
