--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -16,6 +16,7 @@
     ToProcess,
     ToTarget,
 )
+from monsoonpier.agent.packet_admission import AdmissionQueue, QueuedSyn
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
 from monsoonpier.agent.packet_load import TargetLoad
 from monsoonpier.agent.packet_news import LoadNews
@@ -29,6 +30,7 @@
     Holds,
     NotHeld,
     PassOn,
+    Queued,
     Turned,
     Whose,
 )
@@ -36,6 +38,7 @@
 
 __all__ = ["PacketHolder"]
 
+NO_SLOT = "no slot is free"
 FORCED_TRIES = 3  # a SYN turned away so often may wait for one run
 EXPECT_SECONDS = 0.1  # ten ways to a caller and back: it took another target
 ENDED_SECONDS = 5.0  # an ended flow's last packets still go to the target
@@ -212,6 +215,12 @@
         self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
     ) -> list:
         """Decide on a caller's packet that a balancer brings."""
+        actions = self._carried(frame, packet, sender=sender, now=now)
+        return actions + self._admit(now=now)
+
+    def _carried(
+        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> list:
         flow = self._flows_by_address.get(packet.flow)
         if packet.is_syn:
             self._news.placed_by(sender, now=now)
@@ -251,21 +260,95 @@
         if flow is not None and not flow.is_ended:
             flow.balancer = sender
             return [ToTarget(raw=packet.raw)]
+        if packet.flow in self._admission:
+            return [self._queued(packet, sender=sender, now=now)]
         reason = self._refusal(frame)
+        if reason == NO_SLOT and frame.wait_ms:
+            return self._enqueue(frame, packet, sender=sender, now=now)
         if reason is not None:
             return [self._turn(packet, frame.tried, reason, sender=sender, now=now)]
         if flow is not None:
             self._drop(packet.flow)
+        syn = QueuedSyn(packet=packet, tried=frame.tried, balancer=sender)
+        return [self._deliver_syn(syn, now=now)]
+
+    def _deliver_syn(self, syn: QueuedSyn, *, now: float) -> ToTarget:
+        packet = syn.packet
         flow = PacketFlow(
             caller_ip=packet.caller_ip,
-            balancer=sender,
+            balancer=syn.balancer,
             seen_at=now,
             changed_at=now,
-            tried=frame.tried,
+            tried=syn.tried,
         )
         self._flows_by_address[packet.flow] = flow
         self.target_load.enter(flow, Phase.EXPECTED, now=now)
-        return [ToTarget(raw=packet.raw)]
+        return ToTarget(raw=packet.raw)
+
+    # SYNs that wait for a slot
+
+    @property
+    def _admission(self) -> AdmissionQueue:
+        return self.target_load.admission
+
+    def _enqueue(
+        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> list:
+        """Let a SYN wait here; the one that has no room then goes elsewhere."""
+        load = self.target_load
+        displaced = self._admission.offer(
+            frame,
+            packet,
+            balancer=sender,
+            slots=load.slots,
+            run_seconds=load.run_seconds,
+            now=now,
+        )
+        actions: list = []
+        if displaced is not None:
+            actions.append(self._turn_queued(displaced, NO_SLOT, now=now))
+        if packet.flow in self._admission:
+            actions.append(self._queued(packet, sender=sender, now=now))
+        return actions
+
+    def _queued(
+        self, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> ToProcess:
+        self.counts_by_result["queued"] += 1
+        self._log.note(
+            "flow queued",
+            now=now,
+            flow=packet.flow,
+            busy=self.busy,
+            queued=len(self._admission),
+        )
+        frame = Queued(flow=packet.flow, agent=self._name, load=self.load(now=now))
+        return ToProcess(endpoint=sender, frame=frame)
+
+    def _turn_queued(self, syn: QueuedSyn, reason: str, *, now: float) -> ToProcess:
+        return self._turn(syn.packet, syn.tried, reason, sender=syn.balancer, now=now)
+
+    def _admit(self, *, now: float) -> list:
+        """Deliver SYNs that have waited while a slot is free."""
+        if not len(self._admission):
+            return []
+        if self.condition is not Condition.SERVING:
+            reason = self.condition.name.lower()
+            return [
+                self._turn_queued(syn, reason, now=now)
+                for syn in self._admission.pop_all()
+            ]
+        actions: list = [
+            self._turn_queued(syn, "no slot came free", now=now)
+            for syn in self._admission.pop_expired(now=now)
+        ]
+        run_seconds = self.target_load.run_seconds
+        while self.busy < self.target_load.slots:
+            syn = self._admission.pop(run_seconds=run_seconds, now=now)
+            if syn is None:
+                break
+            actions.append(self._deliver_syn(syn, now=now))
+        return actions
 
     def _refusal(self, frame: Carry) -> str | None:
         if frame.service != self._service:
@@ -277,7 +360,7 @@
         allowed = self.target_load.slots
         if len(frame.tried) >= FORCED_TRIES:
             allowed += QUEUE_AHEAD
-        return "no slot is free" if self.busy >= allowed else None
+        return NO_SLOT if self.busy >= allowed else None
 
     def _first_packet(
         self,
@@ -344,6 +427,9 @@
 
     def from_target(self, packet: Packet, *, now: float) -> list:
         """Decide on a packet that the target sent."""
+        return self._sent(packet, now=now) + self._admit(now=now)
+
+    def _sent(self, packet: Packet, *, now: float) -> list:
         flow = self._flows_by_address.get(packet.flow)
         if packet.is_returned:
             return self._returned(packet, flow, now=now)
@@ -429,7 +515,7 @@
 
     # Time
 
-    def tick(self, *, now: float) -> None:
+    def tick(self, *, now: float) -> list:
         """Let go of flows and expectations that have come to nothing."""
         for address, flow in list(self._flows_by_address.items()):
             if flow.phase is Phase.EXPECTED and now - flow.changed_at > EXPECT_SECONDS:
@@ -438,6 +524,7 @@
                 self._check_run(flow, now=now)
             if now - flow.seen_at > _keep_seconds(flow):
                 self._drop(address)
+        return self._admit(now=now)
 
     def _check_run(self, flow: PacketFlow, *, now: float) -> None:
         if now - flow.seen_at > SILENT_SECONDS:
--- a/monsoonpier/agent/packet_load.py
+++ b/monsoonpier/agent/packet_load.py
@@ -1,5 +1,6 @@
 """An agent's count of what its target works on, and what it tells of it."""
 
+from monsoonpier.agent.packet_admission import AdmissionQueue
 from monsoonpier.agent.packet_evidence import FailureShare
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
 from monsoonpier.model.target import Condition, LoadReport
@@ -25,12 +26,14 @@
         slots: How many requests the target works on at once.
         busy: Requests under way.
         open: Open flows.
+        admission: New flows that wait for a slot.
     """
 
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.busy = 0
         self.open = 0
+        self.admission = AdmissionQueue()
         self._number = 0
         self._run_ms = 0.0
         self._cold_until = 0.0
@@ -40,10 +43,11 @@
         )
 
     @property
-    def level(self) -> tuple[bool, int, int]:
+    def level(self) -> tuple[bool, int, int, int, int]:
         """What balancers need to know: whether a slot is free, and roughly the rest."""
         steps = (self.busy // BUSY_STEP, self.open // OPEN_STEP)
-        return (self.busy >= self.slots, *steps)
+        queued = (len(self.admission), self.admission.timely)
+        return (self.busy >= self.slots, *steps, *queued)
 
     def failure_level(self, *, now: float) -> int:
         """Return roughly which share of requests fails."""
@@ -113,12 +117,19 @@
         """Note until when the target runs slower than later."""
         self._cold_until = until
 
+    @property
+    def run_seconds(self) -> float:
+        """How long a run takes here; 0 before the first one was timed."""
+        return self._run_ms / 1000
+
     def report(self, *, condition: Condition, now: float) -> LoadReport:
         """Return the present load, newer than all reports before."""
         self._number += 1
         return LoadReport(
             number=self._number,
             in_flight=self.busy,
+            queued=self.admission.timely,
+            queued_late=self.admission.late,
             flows=self.open,
             service_ms=round(self._run_ms),
             cold_ms=max(0, round((self._cold_until - now) * 1000)),
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -350,7 +350,7 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            self._holder.tick(now=_now())
+            self._do(self._holder.tick(now=_now()))
             self._do(self._holder.answer_kept(now=_now()))
 
     # Control
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -9,6 +9,7 @@
 import structlog
 
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
+from monsoonpier.balancer.contact import Contact
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.store_link import StoreLink
 from monsoonpier.documents.stored import pack, unpack, unstore
@@ -35,6 +36,8 @@
 
 GOSSIP_SECONDS = 1.0
 NEWS_CHECK_SECONDS = 0.1
+CONTACT_PEERS = 3  # asked for a sign at once; more would be a storm in a large fleet
+CONTACT_CHECK_SECONDS = 0.2
 GREETING_CHECK_SECONDS = 0.2  # a starting process serves nothing until it is answered
 _log = structlog.get_logger("monsoonpier.balancer.member")
 
@@ -120,12 +123,25 @@
         self._fetching_by_kind: dict[type, asyncio.Task] = {}
         self._bytes_by_direction = {"in": 0, "out": 0}
         self._started = time.monotonic()
+        self._contact = Contact(now=self._started)
+        self._was_in_contact = True
         self.dropped_by_reason: dict[str, int] = {}
 
     @property
     def jobs(self) -> tuple[Callable, ...]:
         """What runs until the process ends."""
-        return (self._control.run, self._gossip_forever, self._link.run)
+        return (
+            self._control.run,
+            self._gossip_forever,
+            self._keep_contact_forever,
+            self._link.run,
+        )
+
+    @property
+    def is_in_contact(self) -> bool:
+        """Whether any other process of the system has been heard lately."""
+        has_peers = self._membership.peers.has_peers
+        return self._contact.is_in_contact(has_peers=has_peers, now=_now())
 
     @property
     def bytes_by_direction(self) -> dict[str, int]:
@@ -181,6 +197,8 @@
             dropped = self.dropped_by_reason
             dropped[frame.reason] = dropped.get(frame.reason, 0) + 1
             return
+        has_peers = self._membership.peers.has_peers
+        self._contact.heard(has_peers=has_peers, now=_now())
         actions = self._membership.from_process(
             frame, sender=sender, now=_now(), draw=self._draw
         )
@@ -218,6 +236,22 @@
             if seed != self._settings.internal:
                 self.do(self._membership.greeting(seed.endpoint, draw=self._draw))
 
+    async def _keep_contact_forever(self) -> None:
+        """Ask peers out of turn when nobody is heard, and note what comes of it."""
+        while True:
+            await asyncio.sleep(CONTACT_CHECK_SECONDS)
+            is_in_contact = self.is_in_contact
+            if is_in_contact != self._was_in_contact:
+                self._was_in_contact = is_in_contact
+                event = "contact regained" if is_in_contact else "contact lost"
+                balancers = len(self._membership.peers.records_by_name)
+                _log.warning(event, balancers=balancers)
+            if not self._contact.should_ask(now=_now()):
+                continue
+            peers = self._membership.peers.sample(CONTACT_PEERS, draw=self._draw)
+            for peer in peers:
+                self.do(self._membership.greeting(peer.endpoint, draw=self._draw))
+
     # Asking peers
 
     def _fetch(self, action: FetchConfiguration | FetchTable) -> None:
--- a/monsoonpier/balancer/packet_flows.py
+++ b/monsoonpier/balancer/packet_flows.py
@@ -18,6 +18,7 @@
     """A flow whose holder isn't known yet.
 
     Attributes:
+        began_at: When the first packet came that nobody was known to take.
         asked_at: When the keepers, and later the agents, were asked last.
         packets: What has come meanwhile, the oldest first, for the holder.
         keepers_left: How many keepers may still answer.
@@ -29,6 +30,7 @@
         doubtful: Agents that can't know, of targets that have just started.
     """
 
+    began_at: float
     asked_at: float
     packets: list[Packet]
     keepers_left: int = 0
@@ -52,14 +54,18 @@
     """One flow as this balancer last saw it.
 
     ``holders`` names the targets that may hold it: several while copies of its
-    SYN are on their way, one after its agent has said so.
+    SYN are on their way, one after its agent has said so. ``is_queued`` says that
+    the SYN waits at the last of them for a slot. ``asked_at`` is when its caller
+    asked first, on this flow or on one that it was refused before.
     """
 
     service: str
     created_at: float
+    asked_at: float = 0.0
     holders: tuple[str, ...] = ()
     is_confirmed: bool = False
     is_accepted: bool = False
+    is_queued: bool = False
     syn: Packet | None = None
     sent_at: float = 0.0
     tried: tuple[str, ...] = ()
--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packet_inquiries.py
@@ -75,7 +75,9 @@
             known.holders = (holder,)
             return self._scope.carry(packet, known, names=known.holders)
         questions = self._directory.find(packet.flow)
-        inquiry = Inquiry(asked_at=now, packets=[packet], keepers_left=len(questions))
+        inquiry = Inquiry(
+            began_at=now, asked_at=now, packets=[packet], keepers_left=len(questions)
+        )
         known.inquiry = inquiry
         if not questions:
             return self._ask_agents(known, inquiry, now=now)
@@ -290,7 +292,9 @@
         if known.holders:
             return []
         self._directory.forget(frame.flow)
-        inquiry = Inquiry(asked_at=now, packets=[packet], denied={frame.agent})
+        inquiry = Inquiry(
+            began_at=now, asked_at=now, packets=[packet], denied={frame.agent}
+        )
         known.inquiry = inquiry
         if not self._undenied(known, inquiry):
             inquiry.asks_agents = True
@@ -312,7 +316,8 @@
     def _nobody_holds(self, known: KnownFlow, inquiry: Inquiry, *, now: float) -> list:
         packet = inquiry.packets[-1]
         self._scope.flows.drop(packet.flow)
-        return [self._scope.reset(packet, "nobody holds the flow", now=now)]
+        reason = "nobody holds the flow"
+        return [self._scope.reset(packet, reason, asked_at=inquiry.began_at, now=now)]
 
     # Time
 
--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -6,20 +6,20 @@
 from monsoonpier.balancer.packet_flows import KnownFlow, LongFlowShare
 from monsoonpier.balancer.packet_placement import (
     PlacementQuery,
+    has_room,
     place,
     reliable,
+    run_seconds,
     wait_for_slot,
 )
 from monsoonpier.balancer.packet_scope import PacketScope
-from monsoonpier.balancer.packet_waiting import (
-    MAX_WAIT_SECONDS,
-    MAX_WAIT_SHARE,
-    WaitingRoom,
-)
+from monsoonpier.balancer.packet_waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
 from monsoonpier.model.address import Address
+from monsoonpier.model.service import PacketRoute
+from monsoonpier.model.waiting import MARGIN_RUNS, WaitingFlow
 from monsoonpier.process.readings import Histogram
-from monsoonpier.wire.frames import MAX_TRIED, Held, Turned
+from monsoonpier.wire.frames import MAX_TRIED, Held, Queued, Turned
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["FlowOpenings"]
@@ -29,6 +29,13 @@
 # this share of SYNs is sent again, as retry budgets do.
 HEDGE_SHARE = 0.2
 MAX_HEDGES = 10.0
+# A SYN that waits at an agent: a flow in time waits for one run there, late ones for
+# longer. After that its agent may have ended.
+QUEUE_SILENCE_SECONDS = 0.7
+MAX_WAIT_SECONDS = 1.3  # of the 1.4 s after which callers give a SYN up
+# Of the time after which an answer is of no use: the rest is for the run, and for
+# one more try elsewhere.
+MAX_WAIT_SHARE = 0.7
 MOST_PLACEMENTS = 6  # of one SYN in a row; then it waits for news of a free slot
 
 
@@ -73,7 +80,7 @@
         if known is not None and known.holders:
             # A copy goes where the flow may be open already; only a target that
             # has not answered the first one in time is passed over.
-            is_answered = known.is_accepted or known.is_confirmed
+            is_answered = known.is_accepted or known.is_confirmed or known.is_queued
             if is_answered or now - known.sent_at < HEDGE_SECONDS:
                 return self._scope.carry(packet, known, names=known.holders[-1:])
             return self._place(packet, known, now=now, draw=draw)
@@ -82,9 +89,12 @@
             self._scope.counts_by_result["no_route"] += 1
             if not self._scope.membership.configuration.version:
                 return []
-            return [self._scope.reset(packet, "no route", now=now)]
+            return [self._scope.reset(packet, "no route", asked_at=now, now=now)]
         known = KnownFlow(
-            service=route.service, created_at=now - packet.waited, syn=packet
+            service=route.service,
+            created_at=now - packet.waited,
+            asked_at=self._scope.returning.asked_at(packet, now=now),
+            syn=packet,
         )
         self._scope.flows.put(packet.flow, known)
         return self._place(packet, known, now=now, draw=draw)
@@ -99,6 +109,20 @@
         if frame.agent not in known.holders:
             known.holders = (*known.holders, frame.agent)[-MAX_TRIED:]
 
+    def queued(self, frame: Queued, *, now: float) -> list:
+        """Note that a SYN waits at an agent for a slot."""
+        table = self._scope.membership.table
+        table.heard(frame.agent, frame.load, now=now)
+        table.answered_flow(frame.agent)
+        self._scope.counts_by_result["queued"] += 1
+        known = self._scope.flows.get(frame.flow)
+        if known is None or known.syn is None or known.holders[-1:] != (frame.agent,):
+            return []
+        known.is_queued = True
+        # An agent that ends while the SYN waits there says nothing more of it.
+        self._unanswered.append((now + QUEUE_SILENCE_SECONDS, frame.flow))
+        return []
+
     def turned(
         self, frame: Turned, packet: Packet, *, now: float, draw: random.Random
     ) -> list:
@@ -119,6 +143,7 @@
         known = self._scope.flows.get(packet.flow)
         if known is None or known.is_accepted or known.is_confirmed:
             return []
+        known.is_queued = False
         known.holders = tuple(name for name in known.holders if name != frame.agent)
         if known.holders or packet.flow in self._waiting_room:
             return []
@@ -136,10 +161,14 @@
         candidates = reliable(table.candidates_of(known.service, now=now))
         if len(known.tried) >= MOST_PLACEMENTS:
             return self._wait(packet, known, candidates, now=now)
+        route = self._scope.route(packet)
+        if route is None:
+            return []
         query = PlacementQuery(
             tried=known.tried,
             data_centre=self._scope.membership.peers.own.data_centre,
             long_share=self._long_share(packet).value,
+            in_time=_is_in_time(known, route, candidates, now=now),
         )
         match place(query, candidates, draw=draw):
             case NoTarget():
@@ -153,7 +182,26 @@
                 self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
                 self._hedges_left = min(MAX_HEDGES, self._hedges_left + HEDGE_SHARE)
                 self._scope.counts_by_result["placed"] += 1
-                return self._scope.carry(packet, known, names=(record.name,))
+                return self._carry_syn(packet, known, route, record.name, now=now)
+
+    def _carry_syn(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        route: PacketRoute,
+        name: str,
+        *,
+        now: float,
+    ) -> list:
+        waited = now - known.created_at
+        return self._scope.carry_syn(
+            packet,
+            known,
+            name=name,
+            in_time_seconds=known.asked_at + route.aim_seconds - now,
+            wait_seconds=_most_wait(route) - waited,
+            priority=route.priority,
+        )
 
     def _wait(
         self,
@@ -167,26 +215,26 @@
         route = self._scope.route(packet)
         if known.holders or route is None:
             return []  # One that was asked earlier may still answer.
-        most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
-        ahead = self._waiting_room.ahead(known.service)
+        most = _most_wait(route)
+        in_time = _is_in_time(known, route, candidates, now=now)
+        ahead = self._waiting_room.ahead(known.service, in_time=in_time)
         balancers = len(self._scope.membership.peers.records_by_name)
         wait = wait_for_slot(candidates, ahead=ahead * balancers)
         if not self._scope.is_settled(now=now):
             wait = 0.0  # More targets may just not be known yet.
         if wait is None:
-            return self._refuse(packet, "no target serves", now=now)
+            return self._refuse(packet, known, "no target serves", now=now)
         if now - known.created_at + wait >= most:
-            return self._refuse(packet, "would be late", now=now)
+            return self._refuse(packet, known, "would be late", now=now)
         known.tried = ()
-        has_room = self._waiting_room.add(
-            packet.flow,
-            service=known.service,
-            since=known.created_at,
+        waiting = WaitingFlow(
+            flow=packet.flow,
+            in_time_until=known.asked_at + route.aim_seconds,
+            expires=known.created_at + most,
             priority=route.priority,
-            most=most,
         )
-        if not has_room:
-            return self._refuse(packet, "too many wait", now=now)
+        if not self._waiting_room.add(waiting, service=known.service):
+            return self._refuse(packet, known, "too many wait", now=now)
         self._scope.counts_by_result["waited"] += 1
         self._scope.log.note(
             "flow waits for a slot",
@@ -194,12 +242,15 @@
             flow=packet.flow,
             service=known.service,
             ahead=ahead,
+            in_time=in_time,
             expected_seconds=round(wait, 3),
             at_most_seconds=round(most, 3),
         )
         return []
 
-    def _refuse(self, packet: Packet, reason: str, *, now: float) -> list:
+    def _refuse(
+        self, packet: Packet, known: KnownFlow, reason: str, *, now: float
+    ) -> list:
         self._scope.flows.drop(packet.flow)
         self._scope.counts_by_result["refused"] += 1
         if packet.waited:
@@ -209,7 +260,7 @@
                 "copy not placed", now=now, flow=packet.flow, reason=reason
             )
             return []
-        return [self._scope.reset(packet, reason, now=now)]
+        return [self._scope.reset(packet, reason, asked_at=known.asked_at, now=now)]
 
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
@@ -217,7 +268,7 @@
         for flow in self._waiting_room.expired(now=now):
             known = self._scope.flows.get(flow)
             if known is not None and known.syn is not None:
-                actions += self._refuse(known.syn, "no slot came free", now=now)
+                actions += self._refuse(known.syn, known, "no slot came free", now=now)
         for service in self._waiting_room.services:
             actions += self._place_waiting_for(service, now=now, draw=draw)
         return actions
@@ -226,13 +277,16 @@
         self, service: str, *, now: float, draw: random.Random
     ) -> list:
         actions: list = []
-        for _ in range(self._waiting_room.ahead(service)):
+        for _ in range(self._waiting_room.ahead(service, in_time=False)):
             candidates = self._scope.membership.table.candidates_of(service, now=now)
-            usable = reliable(candidates)
-            if not any(c.has_free_slot and not c.suspected for c in usable):
+            usable = [c for c in reliable(candidates) if not c.suspected]
+            in_time = self._waiting_room.sort_out(
+                service, now=now, run_seconds=run_seconds(usable)
+            )
+            if not any(has_room(c, in_time=in_time) for c in usable):
                 break
             flow = self._waiting_room.pop(service)
-            known = self._scope.flows.get(flow) if flow is not None else None
+            known = self._scope.flows.get(flow)
             if known is None or known.syn is None:
                 continue
             actions += self._place(known.syn, known, now=now, draw=draw)
@@ -247,6 +301,9 @@
                 continue
             if not known.holders or now - known.sent_at < HEDGE_SECONDS * 0.9:
                 continue
+            if known.is_queued and now - known.sent_at < QUEUE_SILENCE_SECONDS * 0.9:
+                continue
+            known.is_queued = False
             self._scope.counts_by_result["unanswered"] += 1
             self._scope.log.note(
                 "target did not answer",
@@ -299,3 +356,20 @@
             load_age=round(load_age, 3),
             version=self._scope.membership.configuration.version,
         )
+
+
+def _most_wait(route: PacketRoute) -> float:
+    """Return how long a SYN may wait for a slot, in seconds."""
+    return min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
+
+
+def _is_in_time(
+    known: KnownFlow,
+    route: PacketRoute,
+    candidates: list[Candidate],
+    *,
+    now: float,
+) -> bool:
+    """Tell whether a flow that got a slot now would be answered in time."""
+    needed = MARGIN_RUNS * run_seconds(candidates)
+    return now + needed < known.asked_at + route.aim_seconds
--- a/monsoonpier/balancer/packet_placement.py
+++ b/monsoonpier/balancer/packet_placement.py
@@ -14,7 +14,14 @@
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
 from monsoonpier.model.target import QUEUE_AHEAD
 
-__all__ = ["PlacementQuery", "place", "reliable", "wait_for_slot"]
+__all__ = [
+    "PlacementQuery",
+    "has_room",
+    "place",
+    "reliable",
+    "run_seconds",
+    "wait_for_slot",
+]
 
 RETRY_AFTER_SECONDS = 0.2  # about four runs: by then a slot has come free
 BUSY_WEIGHT = 0.5  # of taken slots below the last one, against waiting
@@ -41,11 +48,13 @@
         tried: Names of targets that have turned it away or not answered.
         data_centre: Where the balancer is.
         long_share: How likely the flow is to carry many requests, 0 to 1.
+        in_time: It can still be answered in time, and so goes before late ones.
     """
 
     tried: tuple[str, ...] = ()
     data_centre: str
     long_share: float
+    in_time: bool = True
 
 
 def reliable(candidates: Sequence[Candidate]) -> list[Candidate]:
@@ -62,7 +71,9 @@
 ) -> Chosen | NoTarget:
     """Return the target that the flow should go to; pure but for the draws."""
     untried = [
-        c for c in candidates if c.record.name not in query.tried and _takes_one(c)
+        c
+        for c in candidates
+        if c.record.name not in query.tried and has_room(c, in_time=query.in_time)
     ]
     # The suspicion may be wrong.
     ready = [c for c in untried if not c.suspected] or untried
@@ -82,23 +93,37 @@
     if not ready:
         return None
     slots = sum(c.record.slots for c in ready)
-    return (ahead + 1) * _View(ready).median_ms / 1000 / slots
+    return (ahead + 1) * run_seconds(ready) / slots
 
 
-def _takes_one(candidate: Candidate) -> bool:
+def run_seconds(candidates: Sequence[Candidate]) -> float:
+    """Return how long a run takes at the middle one of these targets."""
+    return _median_ms(candidates) / 1000
+
+
+def has_room(candidate: Candidate, *, in_time: bool) -> bool:
     """Tell whether a new flow would wait for one run at the most."""
     if not candidate.takes_flows:
         return False
-    taken = candidate.work + candidate.sent_since
-    return taken < candidate.record.slots + QUEUE_AHEAD
+    return _ahead(candidate, in_time=in_time) < candidate.record.slots + QUEUE_AHEAD
+
+
+def _ahead(candidate: Candidate, *, in_time: bool) -> int:
+    """Return how many requests would run before a new flow's."""
+    ahead = candidate.work + candidate.sent_since
+    return ahead if in_time else ahead + candidate.load.queued_late
+
+
+def _median_ms(candidates: Sequence[Candidate]) -> int:
+    timed = sorted(c.load.service_ms for c in candidates if c.load.service_ms)
+    return timed[len(timed) // 2] if timed else DEFAULT_SERVICE_MS
 
 
 class _View:
     """What all ready candidates have in common."""
 
     def __init__(self, ready: Sequence[Candidate]) -> None:
-        timed = sorted(c.load.service_ms for c in ready if c.load.service_ms)
-        self.median_ms = timed[len(timed) // 2] if timed else DEFAULT_SERVICE_MS
+        self._median_ms = _median_ms(ready)
         flows = sum(c.placed for c in ready)
         self._mean_flows = (flows + 1) / sum(c.record.slots for c in ready)
 
@@ -106,13 +131,13 @@
         """Return how long a run takes here against the median."""
         if not candidate.load.service_ms:
             return COLD_SPEED_RATIO if candidate.load.cold_ms else 1.0
-        ratio = candidate.load.service_ms / self.median_ms
+        ratio = candidate.load.service_ms / self._median_ms
         return min(MAX_SPEED_RATIO, max(MIN_SPEED_RATIO, ratio))
 
-    def wait_runs(self, candidate: Candidate) -> float:
+    def wait_runs(self, candidate: Candidate, *, in_time: bool) -> float:
         """Return the expected wait for a slot, in runs."""
         slots = candidate.record.slots
-        ahead = candidate.work + candidate.sent_since + 1 - slots
+        ahead = _ahead(candidate, in_time=in_time) + 1 - slots
         return max(0, ahead) / slots
 
     def score(
@@ -121,7 +146,8 @@
         """Return the cost of placing the flow there; the least is chosen."""
         slots = candidate.record.slots
         taken = (candidate.work + candidate.sent_since) / slots
-        cost = (1 + self.wait_runs(candidate)) * self.speed_ratio(candidate)
+        wait_runs = self.wait_runs(candidate, in_time=query.in_time)
+        cost = (1 + wait_runs) * self.speed_ratio(candidate)
         cost += BUSY_WEIGHT * min(1.0, taken)
         flows = candidate.placed / slots / self._mean_flows
         cost += FLOW_WEIGHT * query.long_share * flows
--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packet_process.py
@@ -90,7 +90,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers' packets should come here."""
-        return self._life.is_ready and len(self._membership.table) > 0
+        knows_targets = len(self._membership.table) > 0
+        return self._life.is_ready and knows_targets and self._member.is_in_contact
 
     async def run(self) -> None:
         """Serve until asked to leave and traffic has moved.
--- /dev/null
+++ b/monsoonpier/balancer/packet_returning.py
@@ -0,0 +1,58 @@
+"""Callers that were refused a moment ago and come back on a new flow.
+
+The load that it answers: more callers than slots for seconds, after an outage. A
+caller whose SYN found no slot in time is reset and opens another flow at once. Taken
+for a new caller it would go before those who can still be answered in time, and be
+late all the same: in simulated time (seven targets of four slots, 1.4 s without
+power) one caller in two that asked while targets were cold was late by that.
+"""
+
+from collections import OrderedDict, deque
+
+from monsoonpier.wire.packet import Packet
+
+__all__ = ["ReturningCallers"]
+
+RETURN_SECONDS = 1.0  # callers open another flow within a few milliseconds
+MAX_CALLERS = 8_192  # as many as may wait, twice
+
+
+class ReturningCallers:
+    """Since when callers that were refused have been asking. Does no I/O."""
+
+    def __init__(self, *, most: int = MAX_CALLERS) -> None:
+        self._most = most
+        self._refusals_by_caller: OrderedDict[tuple, deque[tuple[float, float]]]
+        self._refusals_by_caller = OrderedDict()
+
+    def refused(self, packet: Packet, *, asked_at: float, now: float) -> None:
+        """Note a caller that is told now to try another flow.
+
+        Args:
+            packet: Its packet, which names the caller and the service's address.
+            asked_at: When it asked first, as far as is known here.
+            now: The present time.
+        """
+        refusals = self._refusals_by_caller.setdefault(_key(packet), deque())
+        refusals.append((now, asked_at))
+        self._refusals_by_caller.move_to_end(_key(packet))
+        while len(self._refusals_by_caller) > self._most:
+            self._refusals_by_caller.popitem(last=False)
+
+    def asked_at(self, packet: Packet, *, now: float) -> float:
+        """Return when the caller of a new flow asked first; each refusal counts once.
+
+        That is now, less the time of the SYN's earlier copies, for one that was
+        not refused.
+        """
+        refusals = self._refusals_by_caller.get(_key(packet))
+        while refusals:
+            refused_at, asked_at = refusals.popleft()
+            if now - refused_at <= RETURN_SECONDS:
+                return asked_at
+        self._refusals_by_caller.pop(_key(packet), None)
+        return now - packet.waited
+
+
+def _key(packet: Packet) -> tuple:
+    return (packet.caller_ip, packet.service_address)
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packet_scope.py
@@ -8,11 +8,12 @@
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packet_flows import FlowTable, KnownFlow
+from monsoonpier.balancer.packet_returning import ReturningCallers
 from monsoonpier.balancer.packet_runs import TargetRuns
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import MAX_TRIED, Carry
+from monsoonpier.wire.frames import MAX_MILLISECONDS, MAX_PRIORITY, MAX_TRIED, Carry
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketScope", "ResetCaller"]
@@ -40,6 +41,7 @@
         membership: Targets, peers and the configuration.
         flows: The flows seen last.
         runs: What agents have said of their targets' runs.
+        returning: Callers that were reset and may come back.
         counts_by_result: Decisions, for metrics.
         started_at: When this balancer started, by its steady clock.
     """
@@ -55,6 +57,7 @@
         self.membership = membership
         self.flows = FlowTable()
         self.runs = TargetRuns()
+        self.returning = ReturningCallers()
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
@@ -129,6 +132,27 @@
         )
         return self.tell(frame, names=names)
 
+    def carry_syn(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        *,
+        name: str,
+        in_time_seconds: float,
+        wait_seconds: float,
+        priority: int,
+    ) -> list[ToAgent]:
+        """Return the frame that brings a SYN to a target, and says how it may wait."""
+        frame = Carry(
+            service=known.service,
+            payload=packet.raw,
+            tried=known.tried[-MAX_TRIED:],
+            in_time_ms=_milliseconds(in_time_seconds),
+            wait_ms=_milliseconds(wait_seconds),
+            priority=min(priority, MAX_PRIORITY),
+        )
+        return self.tell(frame, names=(name,))
+
     def tell(self, frame, *, names: Iterable[str]) -> list[ToAgent]:
         """Return a frame to the agents of these targets, as far as they're known."""
         records = [self.membership.table.record(name) for name in names]
@@ -138,8 +162,18 @@
             if record is not None
         ]
 
-    def reset(self, packet: Packet, reason: str, *, now: float) -> ResetCaller:
-        """Return the reset of a packet's flow, and leave a line why."""
+    def reset(
+        self, packet: Packet, reason: str, *, asked_at: float, now: float
+    ) -> ResetCaller:
+        """Return the reset of a packet's flow, and leave a line why.
+
+        Args:
+            packet: The packet that is answered.
+            reason: Why.
+            asked_at: When its caller asked first, as far as is known.
+            now: The present time.
+        """
+        self.returning.refused(packet, asked_at=asked_at, now=now)
         self.counts_by_result["reset"] += 1
         self.log.note(
             "caller reset",
@@ -150,3 +184,7 @@
             targets=len(self.membership.table),
         )
         return ResetCaller(packet=packet, reason=reason)
+
+
+def _milliseconds(seconds: float) -> int:
+    return min(MAX_MILLISECONDS, max(0, round(seconds * 1000)))
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -20,7 +20,7 @@
 from monsoonpier.balancer.packet_scope import PacketScope
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
-from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Turned
+from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Turned
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketSteering"]
@@ -118,6 +118,8 @@
                 return self._inquiries.denied(frame, packet, now=now)
             case Holds():
                 return self._inquiries.answered(frame, now=now)
+            case Queued():
+                return self._openings.queued(frame, now=now)
             case Turned() if packet is not None:
                 return self._openings.turned(frame, packet, now=now, draw=draw)
         return self._inquiries.from_balancer(frame, sender=sender, now=now)
@@ -157,4 +159,4 @@
         self._scope.flows.drop(packet.flow)
         if not known.is_confirmed:
             return self._inquiries.ask(packet, now=now)
-        return [self._scope.reset(packet, "target gone", now=now)]
+        return [self._scope.reset(packet, "target gone", asked_at=now, now=now)]
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -123,6 +123,16 @@
                 peer.unanswered = UNANSWERED_LIMIT
         return [peer.record for peer in picked]
 
+    @property
+    def has_peers(self) -> bool:
+        """Whether any other balancer is known."""
+        return bool(self._peers_by_name)
+
+    def sample(self, count: int, *, draw: random.Random) -> list[BalancerRecord]:
+        """Return some peers, also such as have not answered of late."""
+        peers = list(self._peers_by_name.values())
+        return [peer.record for peer in draw.sample(peers, min(count, len(peers)))]
+
     def is_left_out(self, name: str, *, now: float) -> bool:
         """Tell whether a peer has not answered for several rounds."""
         peer = self._peers_by_name.get(name)
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -30,7 +30,8 @@
     ``number`` grows with each report, so that a late one is known as such.
     ``service_ms`` is the smoothed time of one run, ``age_ms`` the time since
     the target began to serve, ``cold_ms`` how much longer it says it is slow,
-    ``failed_percent`` the share of its latest requests that it failed.
+    ``failed_percent`` the share of its latest requests that it failed,
+    ``queued_late`` counts those beside ``queued`` that can't be answered in time.
     """
 
     number: int
@@ -42,6 +43,7 @@
     condition: Condition = Condition.STARTING
     cold_ms: int = 0
     failed_percent: int = 0
+    queued_late: int = 0
 
 
 class TargetRecord(
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -25,6 +25,7 @@
     "Load",
     "NotHeld",
     "PassOn",
+    "Queued",
     "Register",
     "Turned",
     "Whose",
@@ -40,6 +41,8 @@
 MAX_BALANCERS = 16
 MAX_ASKED = 80  # of 14 bytes
 MAX_PASSED_ON = 36  # agents, of 20 bytes beside a packet of 1,231
+MAX_MILLISECONDS = 3_600_000  # an hour: nobody waits longer for an answer
+MAX_PRIORITY = 255
 MAX_ENTRIES = 32  # of 36 bytes, with names as they are usual
 
 Ip = Annotated[str, Meta(max_length=15)]
@@ -47,6 +50,7 @@
 Payload = Annotated[bytes, Meta(max_length=1_400)]
 Endpoint = tuple[Ip, Port]
 FlowAddress = Annotated[bytes, Meta(min_length=12, max_length=12)]
+Milliseconds = Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)]
 Tried = Annotated[tuple[Name, ...], Meta(max_length=MAX_TRIED)]
 
 
@@ -169,6 +173,8 @@
     ``tried`` names the targets that this SYN has been sent to. ``asks`` wants an
     answer in any case: the balancer doesn't know whether the flow is held there.
     ``reply_to`` names the balancer if the frame comes by way of another agent.
+    With a SYN, ``in_time_ms`` is how much longer an answer would be in time,
+    ``wait_ms`` how long its caller still waits for a slot, ``priority`` its route's.
     """
 
     service: Name
@@ -176,6 +182,9 @@
     tried: Tried = ()
     asks: bool = False
     reply_to: Endpoint | None = None
+    in_time_ms: Milliseconds = 0
+    wait_ms: Milliseconds = 0
+    priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
 
 
 class Held(_Frame, tag=10, kw_only=True, gc=False):
@@ -211,6 +220,14 @@
     load: LoadReport
 
 
+class Queued(_Frame, tag=20, kw_only=True, gc=False):
+    """An agent's word that a SYN waits there for a slot of its target."""
+
+    flow: FlowAddress
+    agent: Name
+    load: LoadReport
+
+
 class Load(_Frame, tag=13, kw_only=True, gc=False):
     """An agent's load as it has just changed, for balancers that send it flows.
 
@@ -296,6 +313,7 @@
     | Whose
     | Holds
     | PassOn
+    | Queued
 )
 
 
