--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -32,6 +32,7 @@
 # A SYN that waits at an agent: a flow in time waits for one run there, late ones for
 # longer. After that its agent may have ended.
 QUEUE_SILENCE_SECONDS = 0.7
+GIVE_UP_SECONDS = 1.4  # after which callers open another flow, by the platform
 MAX_WAIT_SECONDS = 1.3  # of the 1.4 s after which callers give a SYN up
 # Of the time after which an answer is of no use: the rest is for the run, and for
 # one more try elsewhere.
@@ -215,24 +216,26 @@
         route = self._scope.route(packet)
         if known.holders or route is None:
             return []  # One that was asked earlier may still answer.
-        most = _most_wait(route)
-        in_time = _is_in_time(known, route, candidates, now=now)
-        ahead = self._waiting_room.ahead(known.service, in_time=in_time)
-        balancers = len(self._scope.membership.peers.records_by_name)
-        wait = wait_for_slot(candidates, ahead=ahead * balancers)
+        waiting = WaitingFlow(
+            flow=packet.flow,
+            in_time_until=known.asked_at + route.aim_seconds,
+            expires=known.created_at + _most_wait(route),
+            priority=route.priority,
+        )
+        # Others may wait elsewhere too: what waits here is the least.
+        ahead = self._waiting_room.ahead(
+            waiting,
+            service=known.service,
+            in_time=_is_in_time(known, route, candidates, now=now),
+        )
+        wait = wait_for_slot(candidates, ahead=ahead)
         if not self._scope.is_settled(now=now):
             wait = 0.0  # More targets may just not be known yet.
         if wait is None:
             return self._refuse(packet, known, "no target serves", now=now)
-        if now - known.created_at + wait >= most:
+        if now + wait >= waiting.expires:
             return self._refuse(packet, known, "would be late", now=now)
         known.tried = ()
-        waiting = WaitingFlow(
-            flow=packet.flow,
-            in_time_until=known.asked_at + route.aim_seconds,
-            expires=known.created_at + most,
-            priority=route.priority,
-        )
         if not self._waiting_room.add(waiting, service=known.service):
             return self._refuse(packet, known, "too many wait", now=now)
         self._scope.counts_by_result["waited"] += 1
@@ -242,9 +245,8 @@
             flow=packet.flow,
             service=known.service,
             ahead=ahead,
-            in_time=in_time,
             expected_seconds=round(wait, 3),
-            at_most_seconds=round(most, 3),
+            at_most_seconds=round(waiting.expires - now, 3),
         )
         return []
 
@@ -259,6 +261,11 @@
             self._scope.log.note(
                 "copy not placed", now=now, flow=packet.flow, reason=reason
             )
+            self._scope.returning.refused(
+                packet,
+                asked_at=known.asked_at,
+                now=known.created_at + GIVE_UP_SECONDS,
+            )
             return []
         return [self._scope.reset(packet, reason, asked_at=known.asked_at, now=now)]
 
@@ -277,7 +284,7 @@
         self, service: str, *, now: float, draw: random.Random
     ) -> list:
         actions: list = []
-        for _ in range(self._waiting_room.ahead(service, in_time=False)):
+        for _ in range(self._waiting_room.waiting(service)):
             candidates = self._scope.membership.table.candidates_of(service, now=now)
             usable = [c for c in reliable(candidates) if not c.suspected]
             in_time = self._waiting_room.sort_out(
--- a/monsoonpier/balancer/packet_returning.py
+++ b/monsoonpier/balancer/packet_returning.py
@@ -31,7 +31,7 @@
         Args:
             packet: Its packet, which names the caller and the service's address.
             asked_at: When it asked first, as far as is known here.
-            now: The present time.
+            now: When it learns so, or gives up by itself.
         """
         refusals = self._refusals_by_caller.setdefault(_key(packet), deque())
         refusals.append((now, asked_at))
@@ -45,12 +45,11 @@
         That is now, less the time of the SYN's earlier copies, for one that was
         not refused.
         """
-        refusals = self._refusals_by_caller.get(_key(packet))
-        while refusals:
-            refused_at, asked_at = refusals.popleft()
-            if now - refused_at <= RETURN_SECONDS:
-                return asked_at
-        self._refusals_by_caller.pop(_key(packet), None)
+        refusals = self._refusals_by_caller.get(_key(packet), deque())
+        while refusals and now - refusals[0][0] > RETURN_SECONDS:
+            refusals.popleft()
+        if refusals and refusals[0][0] <= now:
+            return refusals.popleft()[1]
         return now - packet.waited
 
 
--- a/monsoonpier/balancer/packet_waiting.py
+++ b/monsoonpier/balancer/packet_waiting.py
@@ -31,17 +31,22 @@
         """Names of services that flows wait for."""
         return [name for name, queue in self._queues_by_service.items() if len(queue)]
 
-    def ahead(self, service: str, *, in_time: bool) -> int:
-        """Return how many flows wait before one more for the service.
+    def ahead(self, waiting: WaitingFlow, *, service: str, in_time: bool) -> int:
+        """Return how many flows wait that would go before one more.
 
         Args:
-            service: The service's name.
-            in_time: The one more can still be answered in time.
+            waiting: The one more.
+            service: What it waits for.
+            in_time: It can still be answered in time.
         """
         queue = self._queues_by_service.get(service)
         if queue is None:
             return 0
-        return queue.timely if in_time else len(queue)
+        return queue.ahead(waiting, in_time=in_time)
+
+    def waiting(self, service: str) -> int:
+        """Return how many flows wait for the service."""
+        return len(self._queues_by_service.get(service, ()))
 
     def add(self, waiting: WaitingFlow, *, service: str) -> bool:
         """Let a flow wait; tell if there is room."""
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -10,7 +10,7 @@
 Replayed on a service that had lost power (`tests/packets/test_recovery.py`).
 """
 
-from bisect import insort
+from bisect import bisect, insort
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from operator import attrgetter
@@ -85,6 +85,18 @@
         for flows in (self._late, *self._timely_by_priority.values()):
             flows[:] = [other for other in flows if other.flow != waiting.flow]
 
+    def ahead(self, waiting: WaitingFlow, *, in_time: bool) -> int:
+        """Return how many would go before one more; late turns aren't counted."""
+        if not in_time:
+            return self.timely + bisect(self._late, waiting.expires, key=_by_end)
+        return sum(
+            bisect(flows, waiting.in_time_until, key=_by_aim)
+            if priority == waiting.priority
+            else len(flows)
+            for priority, flows in self._timely_by_priority.items()
+            if priority <= waiting.priority
+        )
+
     def sort_out(self, *, now: float, run_seconds: float) -> None:
         """Count those as late that can't be answered in time any more.
 
