--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -17,6 +17,7 @@
     ToTarget,
 )
 from monsoonpier.agent.packet_admission import AdmissionQueue, QueuedSyn
+from monsoonpier.agent.packet_expectation import Expectations
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
 from monsoonpier.agent.packet_load import TargetLoad
 from monsoonpier.agent.packet_news import LoadNews
@@ -40,7 +41,6 @@
 
 NO_SLOT = "no slot is free"
 FORCED_TRIES = 3  # a SYN turned away so often may wait for one run
-EXPECT_SECONDS = 0.1  # ten ways to a caller and back: it took another target
 ENDED_SECONDS = 5.0  # an ended flow's last packets still go to the target
 HALF_OPEN_SECONDS = 3.0  # twice the time after which callers give a SYN up
 MAX_IDLE_SECONDS = 60.0  # flows older than that may be discarded
@@ -88,6 +88,7 @@
         )
         self._asked_at = 0.0
         self._served_addresses: set[Address] = set()
+        self._expectations = Expectations()
         self.target_load = TargetLoad(slots=slots)
         self._news = LoadNews(load=self.target_load, log=log)
         self.condition = Condition.STARTING
@@ -282,7 +283,7 @@
             tried=syn.tried,
         )
         self._flows_by_address[packet.flow] = flow
-        self.target_load.enter(flow, Phase.EXPECTED, now=now)
+        self._expect(packet.flow, flow, now=now)
         return ToTarget(raw=packet.raw)
 
     # SYNs that wait for a slot
@@ -379,6 +380,7 @@
             # The SYN's copy opened the flow at another target.
             self._drop(packet.flow)
             return self._deny(packet, sender=sender, now=now, asks=frame.asks)
+        self._expectations.answered(now - flow.changed_at)
         self._opened(packet.flow, flow, now=now)
         held = self._claim(packet.flow, sender=sender, is_open=True, now=now)
         return [held, *self._deliver(packet, flow, now=now)]
@@ -387,7 +389,7 @@
         self._log.note("flow opened", now=now, flow=address, busy=self.busy)
         flow.guessed = None
         self.target_load.opened(flow)
-        self.target_load.enter(flow, Phase.EXPECTED, now=now)
+        self._expect(address, flow, now=now)
 
     def _deliver(self, packet: Packet, flow: PacketFlow, *, now: float) -> list:
         flow.acknowledged = packet.acknowledged
@@ -446,7 +448,7 @@
         if packet.is_syn:
             if flow.target_sequence is None:
                 flow.target_sequence = packet.sequence
-                self.target_load.enter(flow, Phase.EXPECTED, now=now)
+                self._expect(packet.flow, flow, now=now)
                 actions.append(
                     self._claim(
                         packet.flow, sender=flow.balancer, is_open=False, now=now
@@ -518,14 +520,31 @@
     def tick(self, *, now: float) -> list:
         """Let go of flows and expectations that have come to nothing."""
         for address, flow in list(self._flows_by_address.items()):
-            if flow.phase is Phase.EXPECTED and now - flow.changed_at > EXPECT_SECONDS:
-                self.target_load.enter(flow, Phase.IDLE, now=now)
             if flow.phase is Phase.RUNNING:
                 self._check_run(flow, now=now)
             if now - flow.seen_at > _keep_seconds(flow):
                 self._drop(address)
+        return self.expire(now=now)
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether `expire` has something to look after soon."""
+        return len(self._admission) > 0
+
+    def expire(self, *, now: float) -> list:
+        """Give slots that were kept for silent callers to flows that wait."""
+        for address in self._expectations.pop_due(now=now):
+            flow = self._flows_by_address.get(address)
+            if flow is None or flow.phase is not Phase.EXPECTED:
+                continue
+            if now - flow.changed_at >= self._expectations.seconds:
+                self.target_load.enter(flow, Phase.IDLE, now=now)
         return self._admit(now=now)
 
+    def _expect(self, address: bytes, flow: PacketFlow, *, now: float) -> None:
+        self.target_load.enter(flow, Phase.EXPECTED, now=now)
+        self._expectations.expect(address, now=now)
+
     def _check_run(self, flow: PacketFlow, *, now: float) -> None:
         if now - flow.seen_at > SILENT_SECONDS:
             self.target_load.overdue(flow, now=now)
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -35,6 +35,7 @@
 __all__ = ["PacketAgentProcess"]
 
 TICK_SECONDS = 0.1
+LOOK_SECONDS = 0.01  # while new flows wait: a slot kept in vain costs so much at most
 REPORT_SECONDS = 0.003  # changes of load in one turn go out as one report
 FAREWELLS = 2  # more, since datagrams get lost
 FAREWELL_SECONDS = 0.05
@@ -106,6 +107,7 @@
         self._internal: UdpSocket | None = None
         self._outbound: UdpSocket | None = None
         self._reporting: asyncio.TimerHandle | None = None
+        self._looking: asyncio.TimerHandle | None = None
         self._runs = RunHistory()
         self._has_left = False
         self._gone_at = 0.0
@@ -328,6 +330,14 @@
                     )
         self._report_soon()
 
+        if self._looking is None and self._holder.is_waiting:
+            loop = asyncio.get_running_loop()
+            self._looking = loop.call_later(LOOK_SECONDS, self._look_after)
+
+    def _look_after(self) -> None:
+        self._looking = None
+        self._do(self._holder.expire(now=_now()))
+
     def _report_soon(self) -> None:
         if self._reporting is None:
             loop = asyncio.get_running_loop()
--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -194,13 +194,12 @@
         *,
         now: float,
     ) -> list:
-        waited = now - known.created_at
         return self._scope.carry_syn(
             packet,
             known,
             name=name,
             in_time_seconds=known.asked_at + route.aim_seconds - now,
-            wait_seconds=_most_wait(route) - waited,
+            wait_seconds=_gives_up_at(known, route) - now,
             priority=route.priority,
         )
 
@@ -219,7 +218,7 @@
         waiting = WaitingFlow(
             flow=packet.flow,
             in_time_until=known.asked_at + route.aim_seconds,
-            expires=known.created_at + _most_wait(route),
+            expires=_gives_up_at(known, route),
             priority=route.priority,
         )
         # Others may wait elsewhere too: what waits here is the least.
@@ -365,9 +364,13 @@
         )
 
 
-def _most_wait(route: PacketRoute) -> float:
-    """Return how long a SYN may wait for a slot, in seconds."""
-    return min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
+def _gives_up_at(known: KnownFlow, route: PacketRoute) -> float:
+    """Return until when a SYN may wait for a slot.
+
+    A caller that was refused before has less time left for the whole request.
+    """
+    most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
+    return min(known.created_at + most, known.asked_at + route.timeout_seconds)
 
 
 def _is_in_time(
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -38,6 +38,7 @@
 REPORT_SECONDS = 0.003  # as the agent's process waits for further changes
 RETRY_SECONDS = 0.02  # as the balancer's process
 TICK_SECONDS = 0.1  # as the agent's process
+LOOK_SECONDS = 0.01  # as the agent's process
 DATA_CENTRES = 3
 COPY_SECONDS = (0.2, 0.6)
 RESEND_SECONDS = (0.2, 0.6, 1.4)
@@ -129,6 +130,7 @@
     waiting: list = field(default_factory=list)
     held: set = field(default_factory=set)
     is_reporting: bool = False
+    is_looking: bool = False
     up_at: float = 0.0  # its agent, after a loss of power
 
 
@@ -548,6 +550,9 @@
                     )
                 case ResetFlow(flow=flow):
                     self._after(WAY_SECONDS, self._caller_reset, flow)
+        if not target.is_looking and target.holder.is_waiting:
+            target.is_looking = True
+            self._after(LOOK_SECONDS, self._look_after, target)
         if not target.is_reporting:
             target.is_reporting = True
             self._after(REPORT_SECONDS, self._report, target)
@@ -561,6 +566,11 @@
             _, balancer = news.endpoint
             self._after(WAY_SECONDS, self._balancer_hears, balancer, news.frame, sender)
 
+    def _look_after(self, target: _Target) -> None:
+        target.is_looking = False
+        if target in self.targets:
+            self._do_agent(target, target.holder.expire(now=self.now))
+
     def _tick(self, target: _Target) -> None:
         if target not in self.targets:
             return  # it has lost power
--- a/tests/packets/test_admission.py
+++ b/tests/packets/test_admission.py
@@ -2,6 +2,11 @@
 
 import unittest
 
+from monsoonpier.agent.packet_expectation import (
+    MAX_SECONDS,
+    MIN_SECONDS,
+    Expectations,
+)
 from monsoonpier.balancer.packet_returning import RETURN_SECONDS, ReturningCallers
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import Carry, Queued, Turned
@@ -199,3 +204,32 @@
         rig.report("maps-1", now=SETTLED + 1.34, in_flight=2)
         actions = rig.steering.retry(now=SETTLED + 1.34, draw=rig.draw)
         self.assertEqual([a.frame.payload for a in actions], [other.raw])
+
+
+class ExpectationTests(unittest.TestCase):
+    """How long a slot is kept for a caller that may have given up."""
+
+    def test_learnt_from_callers(self) -> None:
+        """Callers that answer at once shorten it, within bounds."""
+        expectations = Expectations()
+        self.assertEqual(expectations.seconds, MAX_SECONDS)
+        for _ in range(50):
+            expectations.answered(0.006)
+        self.assertEqual(expectations.seconds, MIN_SECONDS)
+        for _ in range(50):
+            expectations.answered(0.9)
+        self.assertEqual(expectations.seconds, MAX_SECONDS)
+
+    def test_slot_of_a_silent_caller(self) -> None:
+        """The next flow gets the slot, long before the next tick."""
+        held = holder(slots=1)
+        for number, now in ((1, 1.0), (2, 1.01)):
+            sent = packet(number, syn=True)
+            frame = syn_frame(sent)
+            held.from_balancer(frame, sent, sender=BALANCER, now=now)
+        for _ in range(50):
+            held._expectations.answered(0.006)
+        self.assertTrue(held.is_waiting)
+        self.assertEqual(held.expire(now=1.0 + MIN_SECONDS / 2), [])
+        (delivered,) = held.expire(now=1.0 + MIN_SECONDS + 0.001)
+        self.assertEqual(delivered.raw, packet(2, syn=True).raw)
