--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -33,7 +33,12 @@
 INTRODUCE_EVERY = 30  # heartbeats between two announcements to the same balancer
 FIND_SECONDS = 1.0  # between looks at the platform while no balancer answers
 MAX_FIND_SECONDS = 30.0
-GREET_SECONDS = 0.2  # to seeds while cut off: they may be starting too
+# Between two rounds of announcements while no balancer has answered. After a loss of
+# power balancers start 0.1 to 0.6 s after agents; rounds of 0.2 s and waiting for the
+# seeds alone cost 0.2 to 0.3 s there (first flow placed, logs of two replays).
+FIRST_GREET_SECONDS = 0.03
+GREET_SECONDS = 0.2
+GREETED_BALANCERS = 4  # beside the seeds, which may be the last to start
 _log = structlog.get_logger("monsoonpier.agent.balancer_link")
 
 
@@ -84,6 +89,7 @@
         self._witnesses = Witnesses(target=settings.name)
         self._store = store
         self._fetching: asyncio.Task | None = None
+        self._reading: asyncio.Task | None = None
         self.record = record
         self.configuration = Configuration()
 
@@ -156,24 +162,42 @@
         When a whole fleet is cut off it must not take the store's rates, so the
         store is asked ever more seldom; seeds cost nobody anything.
         """
-        backoff = Backoff(first_seconds=FIND_SECONDS, most_seconds=MAX_FIND_SECONDS)
-        ask_store_at = _now() + GREET_SECONDS
+        reading = Backoff(first_seconds=FIND_SECONDS, most_seconds=MAX_FIND_SECONDS)
+        greeting = Backoff(
+            first_seconds=FIRST_GREET_SECONDS, most_seconds=GREET_SECONDS
+        )
+        # What a store that lives on knows of balancers is mostly true again soon.
+        read_at = _now()
         while True:
             if not self._witnesses.is_cut_off:
-                backoff = backoff.after_success()
+                reading = reading.after_success()
+                greeting = greeting.after_success()
                 await asyncio.sleep(FIND_SECONDS * self._draw.uniform(0.5, 1.0))
                 continue
-            for seed in self._settings.seeds:
-                self._send(self._announcement(), seed.endpoint)
-            if _now() >= ask_store_at:
-                await self._read_store()
-                ask_store_at = _now() + backoff.wait_seconds(draw=self._draw)
-                backoff = backoff.after_failure()
-            await asyncio.sleep(GREET_SECONDS)
+            self._greet()
+            if _now() >= read_at:
+                self._read_store_soon()
+                read_at = _now() + reading.wait_seconds(draw=self._draw)
+                reading = reading.after_failure()
+            await asyncio.sleep(greeting.wait_seconds(draw=self._draw))
+            greeting = greeting.after_failure()
+
+    def _greet(self) -> None:
+        """Announce the target to the seeds and to some balancers that are known."""
+        known = self._witnesses.sample(GREETED_BALANCERS, draw=self._draw)
+        endpoints = {seed.endpoint for seed in self._settings.seeds}
+        endpoints |= {record.endpoint for record in known}
+        for endpoint in sorted(endpoints):
+            self._send(self._announcement(), endpoint)
+
+    def _read_store_soon(self) -> None:
+        """Read the store beside the announcements: it may not answer for long."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.create_task(self._read_store())
 
     async def _read_store(self) -> None:
         try:
-            found = await self._store.read(BALANCERS, prefix=True)
+            found = await self._store.read(BALANCERS, prefix=True, may_be_old=True)
         except StoreError as error:
             _log.info("platform unreachable", reason=str(error))
             return
--- a/monsoonpier/agent/witnesses.py
+++ b/monsoonpier/agent/witnesses.py
@@ -1,5 +1,6 @@
 """Which balancers an agent heartbeats to: a few, however many there are."""
 
+import random
 from dataclasses import dataclass
 
 from monsoonpier.model.rendezvous import top
@@ -55,6 +56,11 @@
         names = top(self._target, ready, count=WITNESSES)
         return [self._known_by_name[name].record for name in names]
 
+    def sample(self, count: int, *, draw: random.Random) -> list[BalancerRecord]:
+        """Return some of the known balancers, also such as have not answered."""
+        known = list(self._known_by_name.values())
+        return [one.record for one in draw.sample(known, min(count, len(known)))]
+
     def beat(self, name: str, *, now: float) -> bool:
         """Count a heartbeat about to be sent; tell if to announce instead."""
         known = self._known_by_name[name]
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -18,6 +18,7 @@
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
+from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import Store
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import (
@@ -36,9 +37,15 @@
 
 GOSSIP_SECONDS = 1.0
 NEWS_CHECK_SECONDS = 0.1
+# A balancer that has just started learns of targets and tells of them sooner: it
+# serves nothing before.
+YOUNG_SECONDS = 3.0
+YOUNG_NEWS_CHECK_SECONDS = 0.03
+YOUNG_GOSSIP_SECONDS = 0.15  # until tables agree no dead flow's caller is answered
 CONTACT_PEERS = 3  # asked for a sign at once; more would be a storm in a large fleet
 CONTACT_CHECK_SECONDS = 0.2
-GREETING_CHECK_SECONDS = 0.2  # a starting process serves nothing until it is answered
+FIRST_GREETING_SECONDS = 0.03  # a starting process serves nothing until it is answered
+GREETING_SECONDS = 0.2
 _log = structlog.get_logger("monsoonpier.balancer.member")
 
 
@@ -213,16 +220,34 @@
 
     async def _gossip_forever(self) -> None:
         """Gossip now and then, and at once when there is news."""
+        greeting = Backoff(
+            first_seconds=FIRST_GREETING_SECONDS, most_seconds=GREETING_SECONDS
+        )
         while True:
             self._send_round(eager=False)
-            knows_targets = bool(len(self._membership.table))
-            seconds = GOSSIP_SECONDS if knows_targets else GREETING_CHECK_SECONDS
-            until = _now() + seconds * self._draw.uniform(0.8, 1.2)
+            if not len(self._membership.table):
+                seconds = greeting.wait_seconds(draw=self._draw)
+                greeting = greeting.after_failure()
+            else:
+                seconds = self._gossip_seconds * self._draw.uniform(0.8, 1.2)
+            until = _now() + seconds
             while _now() < until:
-                await asyncio.sleep(NEWS_CHECK_SECONDS)
+                await asyncio.sleep(min(self._news_check_seconds, seconds))
                 if self._membership.has_news:
                     self._send_round(eager=True)
 
+    @property
+    def _is_young(self) -> bool:
+        return _now() - self._started < YOUNG_SECONDS
+
+    @property
+    def _gossip_seconds(self) -> float:
+        return YOUNG_GOSSIP_SECONDS if self._is_young else GOSSIP_SECONDS
+
+    @property
+    def _news_check_seconds(self) -> float:
+        return YOUNG_NEWS_CHECK_SECONDS if self._is_young else NEWS_CHECK_SECONDS
+
     def _send_round(self, *, eager: bool) -> None:
         membership = self._membership
         for action in membership.round(now=_now(), draw=self._draw, eager=eager):
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -83,13 +83,16 @@
             name="store_call_seconds", help="Calls to the store, watches too."
         )
 
-    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
+    async def read(
+        self, key: str, *, prefix: bool = False, may_be_old: bool = False
+    ) -> Snapshot:
         """Return the key, or all keys that begin with it."""
         wanted = _outer(key)
         items: list[_Item] = []
         after = ""
         for _ in range(MAX_PAGES):
             query = {"prefix": wanted} | ({"after": after} if after else {})
+            query |= {"allow_stale": 1} if may_be_old else {}
             found = _parse(await self._get("kv-range", query), _Found)
             items += found.items
             if not found.truncated or not found.items:
--- a/monsoonpier/store/etcd.py
+++ b/monsoonpier/store/etcd.py
@@ -48,9 +48,12 @@
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
 
-    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
+    async def read(
+        self, key: str, *, prefix: bool = False, may_be_old: bool = False
+    ) -> Snapshot:
         """Return the key, or all keys that begin with it."""
-        answer = await self._call("/v3/kv/range", _selector(key, prefix=prefix))
+        question = _selector(key, prefix=prefix) | {"serializable": may_be_old}
+        answer = await self._call("/v3/kv/range", question)
         values = [_key_value(raw) for raw in answer.get("kvs", [])]
         return Snapshot(
             revision=int(answer["header"]["revision"]),
--- a/monsoonpier/store/interface.py
+++ b/monsoonpier/store/interface.py
@@ -89,8 +89,16 @@
 class Store(Protocol):
     """The operations that the project uses; each may raise `StoreError`."""
 
-    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
-        """Return the key, or all keys that begin with it."""
+    async def read(
+        self, key: str, *, prefix: bool = False, may_be_old: bool = False
+    ) -> Snapshot:
+        """Return the key, or all keys that begin with it.
+
+        Args:
+            key: The key.
+            prefix: Whether all keys are meant that begin with it.
+            may_be_old: An answer that is seconds old will do, and costs less.
+        """
 
     async def transact(
         self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
--- a/standins/fake_store.py
+++ b/standins/fake_store.py
@@ -34,7 +34,9 @@
         self.is_down = False
         self.lost_answers = 0
 
-    async def read(self, key: str, *, prefix: bool = False) -> Snapshot:
+    async def read(
+        self, key: str, *, prefix: bool = False, may_be_old: bool = False
+    ) -> Snapshot:
         """Return the key, or all keys that begin with it."""
         self._check()
         return self.store.read(key, end=end_of(key, prefix=prefix), now=self._clock())
