--- a/monsoonpier/agent/packet_admission.py
+++ b/monsoonpier/agent/packet_admission.py
@@ -1,121 +1,205 @@
-"""SYNs that wait at an agent for a slot of its target.
-
-The load that it answers: all slots are taken and several balancers have flows for
-the next one. Only the agent knows when a slot comes free: a SYN that waits beside it
-is delivered at once, and the one whose answer is worth most goes first, whichever
-balancer it came from. Without it each balancer sent its own flow for each free slot,
-and all but one came back: 4,400 refusals for 780 flows in the four seconds after a
-loss of power (four data centres, eleven targets of four slots, logs of one replay),
-a way there and back each while the slot stood empty.
-
-The queue is short. A flow that waits here can't go to another target that comes free
-earlier, and one in time may take the place of a late one at any moment.
+"""Which new flows without a token an agent lets through to its target, and when.
+
+The load that it answers: several balancers have flows for the same slots. A SYN that
+meets a free slot is delivered, one that doesn't waits in a short queue, and what has
+no room there goes back to its balancer at once, with the target's present load.
 """
 
-from dataclasses import dataclass
+from collections import Counter
 
-from monsoonpier.model.waiting import WaitingFlow, WaitingQueue
-from monsoonpier.wire.frames import Carry
+from monsoonpier.agent.packet_actions import ToProcess, ToTarget
+from monsoonpier.agent.packet_expectation import Expectations
+from monsoonpier.agent.packet_flows import PacketFlow, Phase
+from monsoonpier.agent.packet_load import TargetLoad
+from monsoonpier.agent.packet_queue import AdmissionQueue, QueuedSyn
+from monsoonpier.model.target import QUEUE_AHEAD, Condition
+from monsoonpier.process.logs import DecisionLog
+from monsoonpier.wire.frames import MAX_TRIED, Carry, Queued, Turned
 from monsoonpier.wire.packet import Packet
 
-__all__ = ["AdmissionQueue", "QueuedSyn"]
-
-MAX_SEATS_PER_SLOT = 1  # so that a flow in time waits about one run at the most
-
+__all__ = ["FlowAdmission"]
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class QueuedSyn:
-    """A SYN that waits, and what is needed to deliver it or to send it back."""
+NO_SLOT = "no slot is free"
+NO_SLOT_IN_TIME = "no slot came free"
+FORCED_TRIES = 3  # a SYN turned away so often may wait for one run at the target
 
-    packet: Packet
-    tried: tuple[str, ...]
-    balancer: tuple[str, int]
 
+class FlowAdmission:
+    """Decides on SYNs for one target. Does no I/O.
 
-class AdmissionQueue:
-    """The SYNs that wait for one target's slots. Does no I/O."""
+    Args:
+        name: The target's name, as balancers know it.
+        service: The only service whose flows are let through.
+        connections: How many flows the target holds at the most.
+        load: The count of what the target works on.
+        flows_by_address: The flows that the target holds; new ones are added.
+        counts_by_result: Decisions, for metrics.
+        log: Takes a line for each decision.
 
-    def __init__(self) -> None:
-        self._queue = WaitingQueue()
-        self._syns_by_flow: dict[bytes, QueuedSyn] = {}
+    Attributes:
+        condition: What the target will take.
+    """
 
-    def __len__(self) -> int:
-        return len(self._syns_by_flow)
-
-    def __contains__(self, flow: bytes) -> bool:
-        return flow in self._syns_by_flow
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        connections: int,
+        load: TargetLoad,
+        flows_by_address: dict[bytes, PacketFlow],
+        counts_by_result: Counter[str],
+        log: DecisionLog,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._connections = connections
+        self._load = load
+        self._flows_by_address = flows_by_address
+        self._counts_by_result = counts_by_result
+        self._log = log
+        self._expectations = Expectations()
+        self.condition = Condition.STARTING
 
     @property
-    def timely(self) -> int:
-        """How many can still be answered in time."""
-        return self._queue.timely
+    def is_waiting(self) -> bool:
+        """Whether `expire` has something to look after soon."""
+        return len(self._queue) > 0
 
     @property
-    def late(self) -> int:
-        """How many others there are."""
-        return self._queue.late
-
-    def offer(
-        self,
-        frame: Carry,
-        packet: Packet,
-        *,
-        balancer: tuple[str, int],
-        slots: int,
-        run_seconds: float,
-        now: float,
-    ) -> QueuedSyn | None:
-        """Let a SYN wait; return the one that there is no room for then.
-
-        Args:
-            frame: What brought it; says how long the caller waits.
-            packet: The SYN.
-            balancer: Who sent it.
-            slots: The target's.
-            run_seconds: How long a run takes here.
-            now: The present time.
-        """
-        self._syns_by_flow[packet.flow] = QueuedSyn(
-            packet=packet, tried=frame.tried, balancer=balancer
+    def _queue(self) -> AdmissionQueue:
+        return self._load.queue
+
+    def ask(
+        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> list:
+        """Decide on a SYN of a flow that the target doesn't hold."""
+        if packet.flow in self._queue:
+            return [self._queued(packet, sender=sender, now=now)]
+        reason = self._refusal(frame)
+        if reason == NO_SLOT and frame.wait_ms:
+            return self._enqueue(frame, packet, sender=sender, now=now)
+        syn = QueuedSyn(packet=packet, tried=frame.tried, balancer=sender)
+        if reason is not None:
+            return [self.turn(syn, reason, now=now)]
+        return [self._deliver(syn, now=now)]
+
+    def admit(self, *, now: float) -> list:
+        """Deliver SYNs that have waited while a slot is free."""
+        if not self.is_waiting:
+            return []
+        if self.condition is not Condition.SERVING:
+            reason = self.condition.name.lower()
+            waiting = self._queue.pop_all()
+            return [self.turn(syn, reason, now=now) for syn in waiting]
+        expired = self._queue.pop_expired(now=now)
+        actions: list = [self.turn(syn, NO_SLOT_IN_TIME, now=now) for syn in expired]
+        run_seconds = self._load.run_seconds
+        while self._load.busy < self._load.slots:
+            syn = self._queue.pop(run_seconds=run_seconds, now=now)
+            if syn is None:
+                break
+            actions.append(self._deliver(syn, now=now))
+        return actions
+
+    def expire(self, *, now: float) -> list:
+        """Give slots that were kept for silent callers to flows that wait."""
+        for address in self._expectations.pop_due(now=now):
+            flow = self._flows_by_address.get(address)
+            if flow is None or flow.phase is not Phase.EXPECTED:
+                continue
+            if now - flow.changed_at >= self._expectations.seconds:
+                self._load.enter(flow, Phase.IDLE, now=now)
+        return self.admit(now=now)
+
+    def expect(self, address: bytes, flow: PacketFlow, *, now: float) -> None:
+        """Keep a slot for the next packet of a flow's caller."""
+        self._load.enter(flow, Phase.EXPECTED, now=now)
+        self._expectations.expect(address, now=now)
+
+    def answered(self, seconds: float) -> None:
+        """Learn how long a caller took to answer the target's first packet."""
+        self._expectations.answered(seconds)
+
+    def turn(self, syn: QueuedSyn, reason: str, *, now: float) -> ToProcess:
+        """Send a SYN back to its balancer, for another target."""
+        self._counts_by_result["turned"] += 1
+        self._log.note(
+            "flow turned away",
+            now=now,
+            flow=syn.packet.flow,
+            reason=reason,
+            busy=self._load.busy,
+            slots=self._load.slots,
+            tried=syn.tried,
+        )
+        frame = Turned(
+            agent=self._name,
+            payload=syn.packet.raw,
+            tried=syn.tried[-MAX_TRIED:],
+            reason=reason,
+            load=self._load.report(condition=self.condition, now=now),
+        )
+        return ToProcess(endpoint=syn.balancer, frame=frame)
+
+    def _refusal(self, frame: Carry) -> str | None:
+        if frame.service != self._service:
+            return "another service's"
+        if self.condition is not Condition.SERVING:
+            return self.condition.name.lower()
+        if len(self._flows_by_address) >= self._connections:
+            return "no connection is free"
+        allowed = self._load.slots
+        if len(frame.tried) >= FORCED_TRIES:
+            allowed += QUEUE_AHEAD
+        return NO_SLOT if self._load.busy >= allowed else None
+
+    def _deliver(self, syn: QueuedSyn, *, now: float) -> ToTarget:
+        packet = syn.packet
+        ended = self._flows_by_address.pop(packet.flow, None)
+        if ended is not None:
+            self._load.dropped(ended)
+        flow = PacketFlow(
+            caller_ip=packet.caller_ip,
+            balancer=syn.balancer,
+            seen_at=now,
+            changed_at=now,
+            tried=syn.tried,
+        )
+        self._flows_by_address[packet.flow] = flow
+        self.expect(packet.flow, flow, now=now)
+        return ToTarget(raw=packet.raw)
+
+    def _enqueue(
+        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> list:
+        """Let a SYN wait here; the one that has no room then goes elsewhere."""
+        displaced = self._queue.offer(
+            frame,
+            packet,
+            balancer=sender,
+            slots=self._load.slots,
+            run_seconds=self._load.run_seconds,
+            now=now,
         )
-        waiting = WaitingFlow(
+        actions: list = []
+        if displaced is not None:
+            actions.append(self.turn(displaced, NO_SLOT, now=now))
+        if packet.flow in self._queue:
+            actions.append(self._queued(packet, sender=sender, now=now))
+        return actions
+
+    def _queued(
+        self, packet: Packet, *, sender: tuple[str, int], now: float
+    ) -> ToProcess:
+        self._counts_by_result["queued"] += 1
+        self._log.note(
+            "flow queued",
+            now=now,
             flow=packet.flow,
-            in_time_until=now + frame.in_time_ms / 1000,
-            expires=now + frame.wait_ms / 1000,
-            priority=frame.priority,
+            busy=self._load.busy,
+            queued=len(self._queue),
         )
-        self._queue.add(waiting)
-        self._queue.sort_out(now=now, run_seconds=run_seconds)
-        if len(self._queue) <= MAX_SEATS_PER_SLOT * slots:
-            return None
-        last = self._queue.last
-        assert last is not None
-        self._queue.remove(last)
-        return self._syns_by_flow.pop(last.flow)
-
-    def pop(self, *, run_seconds: float, now: float) -> QueuedSyn | None:
-        """Return the SYN whose turn it is, if one waits."""
-        if not self._syns_by_flow:
-            return None
-        self._queue.sort_out(now=now, run_seconds=run_seconds)
-        return self._syns_by_flow.pop(self._queue.pop().flow)
-
-    def pop_expired(self, *, now: float) -> list[QueuedSyn]:
-        """Return the SYNs whose callers are about to give up."""
-        gone = self._queue.pop_expired(now=now)
-        return [self._syns_by_flow.pop(waiting.flow) for waiting in gone]
-
-    def pop_all(self) -> list[QueuedSyn]:
-        """Return all SYNs: the target takes no new flows any more."""
-        syns = list(self._syns_by_flow.values())
-        self._syns_by_flow.clear()
-        self._queue = WaitingQueue()
-        return syns
-
-    def drop(self, flow: bytes) -> None:
-        """Forget a SYN whose caller has given it up."""
-        if self._syns_by_flow.pop(flow, None) is None:
-            return
-        for waiting in list(self._queue):
-            if waiting.flow == flow:
-                self._queue.remove(waiting)
+        load = self._load.report(condition=self.condition, now=now)
+        frame = Queued(flow=packet.flow, agent=self._name, load=load)
+        return ToProcess(endpoint=sender, frame=frame)
--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -16,31 +16,26 @@
     ToProcess,
     ToTarget,
 )
-from monsoonpier.agent.packet_admission import AdmissionQueue, QueuedSyn
-from monsoonpier.agent.packet_expectation import Expectations
+from monsoonpier.agent.packet_admission import FlowAdmission
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
 from monsoonpier.agent.packet_load import TargetLoad
 from monsoonpier.agent.packet_news import LoadNews
+from monsoonpier.agent.packet_queue import QueuedSyn
 from monsoonpier.model.address import Address
-from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
+from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
-    MAX_TRIED,
     Carry,
     Held,
     Holds,
     NotHeld,
     PassOn,
-    Queued,
-    Turned,
     Whose,
 )
 from monsoonpier.wire.packet import Packet, sequence_distance
 
 __all__ = ["PacketHolder"]
 
-NO_SLOT = "no slot is free"
-FORCED_TRIES = 3  # a SYN turned away so often may wait for one run
 ENDED_SECONDS = 5.0  # an ended flow's last packets still go to the target
 HALF_OPEN_SECONDS = 3.0  # twice the time after which callers give a SYN up
 MAX_IDLE_SECONDS = 60.0  # flows older than that may be discarded
@@ -78,7 +73,6 @@
         self._name = name
         self._log = log
         self._service = service
-        self._connections = connections
         self._flows_by_address: dict[bytes, PacketFlow] = {}
         self._instance = b""
         self._knows_all = False
@@ -88,11 +82,18 @@
         )
         self._asked_at = 0.0
         self._served_addresses: set[Address] = set()
-        self._expectations = Expectations()
         self.target_load = TargetLoad(slots=slots)
         self._news = LoadNews(load=self.target_load, log=log)
-        self.condition = Condition.STARTING
         self.counts_by_result: Counter[str] = Counter()
+        self._admission = FlowAdmission(
+            name=name,
+            service=service,
+            connections=connections,
+            load=self.target_load,
+            flows_by_address=self._flows_by_address,
+            counts_by_result=self.counts_by_result,
+            log=log,
+        )
 
     # What is known of the target
 
@@ -101,6 +102,15 @@
         """The target's present run."""
         return self._instance
 
+    @property
+    def condition(self) -> Condition:
+        """What the target will take."""
+        return self._admission.condition
+
+    @condition.setter
+    def condition(self, condition: Condition) -> None:
+        self._admission.condition = condition
+
     @property
     def busy(self) -> int:
         """Requests that the target works on, or that are on their way."""
@@ -217,7 +227,7 @@
     ) -> list:
         """Decide on a caller's packet that a balancer brings."""
         actions = self._carried(frame, packet, sender=sender, now=now)
-        return actions + self._admit(now=now)
+        return actions + self._admission.admit(now=now)
 
     def _carried(
         self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
@@ -261,107 +271,7 @@
         if flow is not None and not flow.is_ended:
             flow.balancer = sender
             return [ToTarget(raw=packet.raw)]
-        if packet.flow in self._admission:
-            return [self._queued(packet, sender=sender, now=now)]
-        reason = self._refusal(frame)
-        if reason == NO_SLOT and frame.wait_ms:
-            return self._enqueue(frame, packet, sender=sender, now=now)
-        if reason is not None:
-            return [self._turn(packet, frame.tried, reason, sender=sender, now=now)]
-        if flow is not None:
-            self._drop(packet.flow)
-        syn = QueuedSyn(packet=packet, tried=frame.tried, balancer=sender)
-        return [self._deliver_syn(syn, now=now)]
-
-    def _deliver_syn(self, syn: QueuedSyn, *, now: float) -> ToTarget:
-        packet = syn.packet
-        flow = PacketFlow(
-            caller_ip=packet.caller_ip,
-            balancer=syn.balancer,
-            seen_at=now,
-            changed_at=now,
-            tried=syn.tried,
-        )
-        self._flows_by_address[packet.flow] = flow
-        self._expect(packet.flow, flow, now=now)
-        return ToTarget(raw=packet.raw)
-
-    # SYNs that wait for a slot
-
-    @property
-    def _admission(self) -> AdmissionQueue:
-        return self.target_load.admission
-
-    def _enqueue(
-        self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
-    ) -> list:
-        """Let a SYN wait here; the one that has no room then goes elsewhere."""
-        load = self.target_load
-        displaced = self._admission.offer(
-            frame,
-            packet,
-            balancer=sender,
-            slots=load.slots,
-            run_seconds=load.run_seconds,
-            now=now,
-        )
-        actions: list = []
-        if displaced is not None:
-            actions.append(self._turn_queued(displaced, NO_SLOT, now=now))
-        if packet.flow in self._admission:
-            actions.append(self._queued(packet, sender=sender, now=now))
-        return actions
-
-    def _queued(
-        self, packet: Packet, *, sender: tuple[str, int], now: float
-    ) -> ToProcess:
-        self.counts_by_result["queued"] += 1
-        self._log.note(
-            "flow queued",
-            now=now,
-            flow=packet.flow,
-            busy=self.busy,
-            queued=len(self._admission),
-        )
-        frame = Queued(flow=packet.flow, agent=self._name, load=self.load(now=now))
-        return ToProcess(endpoint=sender, frame=frame)
-
-    def _turn_queued(self, syn: QueuedSyn, reason: str, *, now: float) -> ToProcess:
-        return self._turn(syn.packet, syn.tried, reason, sender=syn.balancer, now=now)
-
-    def _admit(self, *, now: float) -> list:
-        """Deliver SYNs that have waited while a slot is free."""
-        if not len(self._admission):
-            return []
-        if self.condition is not Condition.SERVING:
-            reason = self.condition.name.lower()
-            return [
-                self._turn_queued(syn, reason, now=now)
-                for syn in self._admission.pop_all()
-            ]
-        actions: list = [
-            self._turn_queued(syn, "no slot came free", now=now)
-            for syn in self._admission.pop_expired(now=now)
-        ]
-        run_seconds = self.target_load.run_seconds
-        while self.busy < self.target_load.slots:
-            syn = self._admission.pop(run_seconds=run_seconds, now=now)
-            if syn is None:
-                break
-            actions.append(self._deliver_syn(syn, now=now))
-        return actions
-
-    def _refusal(self, frame: Carry) -> str | None:
-        if frame.service != self._service:
-            return "another service's"
-        if self.condition is not Condition.SERVING:
-            return self.condition.name.lower()
-        if len(self._flows_by_address) >= self._connections:
-            return "no connection is free"
-        allowed = self.target_load.slots
-        if len(frame.tried) >= FORCED_TRIES:
-            allowed += QUEUE_AHEAD
-        return NO_SLOT if self.busy >= allowed else None
+        return self._admission.ask(frame, packet, sender=sender, now=now)
 
     def _first_packet(
         self,
@@ -380,7 +290,7 @@
             # The SYN's copy opened the flow at another target.
             self._drop(packet.flow)
             return self._deny(packet, sender=sender, now=now, asks=frame.asks)
-        self._expectations.answered(now - flow.changed_at)
+        self._admission.answered(now - flow.changed_at)
         self._opened(packet.flow, flow, now=now)
         held = self._claim(packet.flow, sender=sender, is_open=True, now=now)
         return [held, *self._deliver(packet, flow, now=now)]
@@ -389,7 +299,7 @@
         self._log.note("flow opened", now=now, flow=address, busy=self.busy)
         flow.guessed = None
         self.target_load.opened(flow)
-        self._expect(address, flow, now=now)
+        self._admission.expect(address, flow, now=now)
 
     def _deliver(self, packet: Packet, flow: PacketFlow, *, now: float) -> list:
         flow.acknowledged = packet.acknowledged
@@ -429,7 +339,7 @@
 
     def from_target(self, packet: Packet, *, now: float) -> list:
         """Decide on a packet that the target sent."""
-        return self._sent(packet, now=now) + self._admit(now=now)
+        return self._sent(packet, now=now) + self._admission.admit(now=now)
 
     def _sent(self, packet: Packet, *, now: float) -> list:
         flow = self._flows_by_address.get(packet.flow)
@@ -448,7 +358,7 @@
         if packet.is_syn:
             if flow.target_sequence is None:
                 flow.target_sequence = packet.sequence
-                self._expect(packet.flow, flow, now=now)
+                self._admission.expect(packet.flow, flow, now=now)
                 actions.append(
                     self._claim(
                         packet.flow, sender=flow.balancer, is_open=False, now=now
@@ -504,16 +414,14 @@
         if flow is None:
             self.counts_by_result["returned_unknown"] += 1
             return []
-        balancer = flow.balancer
-        tried = flow.tried
         if packet.is_syn:
             if flow.is_open or flow.target_sequence is not None:
                 return []  # Only a copy was refused.
             self._drop(packet.flow)
-            reason = "the target refused it"
-            return [self._turn(packet, tried, reason, sender=balancer, now=now)]
+            syn = QueuedSyn(packet=packet, tried=flow.tried, balancer=flow.balancer)
+            return [self._admission.turn(syn, "the target refused it", now=now)]
         self._drop(packet.flow)
-        return self._deny(packet, sender=balancer, now=now, asks=flow.asks)
+        return self._deny(packet, sender=flow.balancer, now=now, asks=flow.asks)
 
     # Time
 
@@ -529,21 +437,11 @@
     @property
     def is_waiting(self) -> bool:
         """Whether `expire` has something to look after soon."""
-        return len(self._admission) > 0
+        return self._admission.is_waiting
 
     def expire(self, *, now: float) -> list:
         """Give slots that were kept for silent callers to flows that wait."""
-        for address in self._expectations.pop_due(now=now):
-            flow = self._flows_by_address.get(address)
-            if flow is None or flow.phase is not Phase.EXPECTED:
-                continue
-            if now - flow.changed_at >= self._expectations.seconds:
-                self.target_load.enter(flow, Phase.IDLE, now=now)
-        return self._admit(now=now)
-
-    def _expect(self, address: bytes, flow: PacketFlow, *, now: float) -> None:
-        self.target_load.enter(flow, Phase.EXPECTED, now=now)
-        self._expectations.expect(address, now=now)
+        return self._admission.expire(now=now)
 
     def _check_run(self, flow: PacketFlow, *, now: float) -> None:
         if now - flow.seen_at > SILENT_SECONDS:
@@ -584,34 +482,6 @@
         frame = NotHeld(agent=self._name, flow=packet.flow, payload=payload)
         return [ToProcess(endpoint=sender, frame=frame)]
 
-    def _turn(
-        self,
-        packet: Packet,
-        tried: tuple[str, ...],
-        reason: str,
-        *,
-        sender: tuple[str, int],
-        now: float,
-    ) -> ToProcess:
-        self.counts_by_result["turned"] += 1
-        self._log.note(
-            "flow turned away",
-            now=now,
-            flow=packet.flow,
-            reason=reason,
-            busy=self.busy,
-            slots=self.target_load.slots,
-            tried=tried,
-        )
-        frame = Turned(
-            agent=self._name,
-            payload=packet.raw,
-            tried=tried[-MAX_TRIED:],
-            reason=reason,
-            load=self.load(now=now),
-        )
-        return ToProcess(endpoint=sender, frame=frame)
-
 
 def _is_new_data(packet: Packet, flow: PacketFlow) -> bool:
     """Tell data from its retransmission, which may follow the answer."""
--- a/monsoonpier/agent/packet_load.py
+++ b/monsoonpier/agent/packet_load.py
@@ -1,8 +1,8 @@
 """An agent's count of what its target works on, and what it tells of it."""
 
-from monsoonpier.agent.packet_admission import AdmissionQueue
 from monsoonpier.agent.packet_evidence import FailureShare
 from monsoonpier.agent.packet_flows import PacketFlow, Phase
+from monsoonpier.agent.packet_queue import AdmissionQueue
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.readings import Histogram
 
@@ -26,14 +26,14 @@
         slots: How many requests the target works on at once.
         busy: Requests under way.
         open: Open flows.
-        admission: New flows that wait for a slot.
+        queue: New flows that wait for a slot.
     """
 
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.busy = 0
         self.open = 0
-        self.admission = AdmissionQueue()
+        self.queue = AdmissionQueue()
         self._number = 0
         self._run_ms = 0.0
         self._cold_until = 0.0
@@ -46,7 +46,7 @@
     def level(self) -> tuple[bool, int, int, int, int]:
         """What balancers need to know: whether a slot is free, and roughly the rest."""
         steps = (self.busy // BUSY_STEP, self.open // OPEN_STEP)
-        queued = (len(self.admission), self.admission.timely)
+        queued = (len(self.queue), self.queue.timely)
         return (self.busy >= self.slots, *steps, *queued)
 
     def failure_level(self, *, now: float) -> int:
@@ -128,8 +128,8 @@
         return LoadReport(
             number=self._number,
             in_flight=self.busy,
-            queued=self.admission.timely,
-            queued_late=self.admission.late,
+            queued=self.queue.timely,
+            queued_late=self.queue.late,
             flows=self.open,
             service_ms=round(self._run_ms),
             cold_ms=max(0, round((self._cold_until - now) * 1000)),
--- a/tests/packets/test_admission.py
+++ b/tests/packets/test_admission.py
@@ -228,7 +228,7 @@
             frame = syn_frame(sent)
             held.from_balancer(frame, sent, sender=BALANCER, now=now)
         for _ in range(50):
-            held._expectations.answered(0.006)
+            held._admission.answered(0.006)
         self.assertTrue(held.is_waiting)
         self.assertEqual(held.expire(now=1.0 + MIN_SECONDS / 2), [])
         (delivered,) = held.expire(now=1.0 + MIN_SECONDS + 0.001)
