--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -3,7 +3,6 @@
 import random
 from collections import deque
 
-from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packet_flows import KnownFlow, LongFlowShare
 from monsoonpier.balancer.packet_placement import (
     PlacementQuery,
@@ -13,7 +12,6 @@
     run_seconds,
     wait_for_slot,
 )
-from monsoonpier.balancer.packet_returning import TOLD_BALANCERS
 from monsoonpier.balancer.packet_scope import PacketScope
 from monsoonpier.balancer.packet_waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
@@ -61,8 +59,7 @@
     @property
     def is_waiting(self) -> bool:
         """Whether `retry` has something to look after."""
-        waits = bool(self._unanswered) or len(self._waiting_room) > 0
-        return waits or self._scope.returning.has_news
+        return bool(self._unanswered) or len(self._waiting_room) > 0
 
     def configured(self) -> None:
         """Forget what was learned of addresses that have no route any more."""
@@ -156,17 +153,7 @@
     def retry(self, *, now: float, draw: random.Random) -> list:
         """Look after SYNs that wait for a slot or for a target's answer."""
         actions = self.place_waiting(now=now, draw=draw)
-        actions += self._retry_unanswered(now=now, draw=draw)
-        return actions + self._tell_refused(now=now, draw=draw)
-
-    def _tell_refused(self, *, now: float, draw: random.Random) -> list[ToAgent]:
-        """Tell neighbours of refused callers: they may come back there."""
-        peers = self._scope.membership.peers
-        return [
-            ToAgent(endpoint=peer.endpoint, frame=frame)
-            for frame in self._scope.returning.news(now=now)
-            for peer in peers.neighbours(TOLD_BALANCERS, draw=draw)
-        ]
+        return actions + self._retry_unanswered(now=now, draw=draw)
 
     def _place(
         self, packet: Packet, known: KnownFlow, *, now: float, draw: random.Random
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packet_steering.py
@@ -20,7 +20,7 @@
 from monsoonpier.balancer.packet_scope import PacketScope
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
-from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Refused, Turned
+from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Turned
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketSteering"]
@@ -118,9 +118,6 @@
                 return self._inquiries.denied(frame, packet, now=now)
             case Holds():
                 return self._inquiries.answered(frame, now=now)
-            case Refused():
-                self._scope.returning.heard(frame, now=now)
-                return []
             case Queued():
                 return self._openings.queued(frame, now=now)
             case Turned() if packet is not None:
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -133,15 +133,6 @@
         peers = list(self._peers_by_name.values())
         return [peer.record for peer in draw.sample(peers, min(count, len(peers)))]
 
-    def neighbours(self, count: int, *, draw: random.Random) -> list[BalancerRecord]:
-        """Return some peers of the own data centre."""
-        near = [
-            peer.record
-            for peer in self._peers_by_name.values()
-            if peer.record.data_centre == self._own.data_centre
-        ]
-        return draw.sample(near, min(count, len(near)))
-
     def is_left_out(self, name: str, *, now: float) -> bool:
         """Tell whether a peer has not answered for several rounds."""
         peer = self._peers_by_name.get(name)
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -26,7 +26,6 @@
     "NotHeld",
     "PassOn",
     "Queued",
-    "Refused",
     "Register",
     "Turned",
     "Whose",
@@ -229,18 +228,6 @@
     load: LoadReport
 
 
-class Refused(_Frame, tag=21, kw_only=True, gc=False):
-    """Callers that a balancer has just refused, for others of its data centre.
-
-    Each entry is the caller's address, the service's address and port, and how many
-    milliseconds ago the caller asked first.
-    """
-
-    entries: Annotated[
-        tuple[tuple[Ip, Ip, Port, Milliseconds], ...], Meta(max_length=MAX_ENTRIES)
-    ]
-
-
 class Load(_Frame, tag=13, kw_only=True, gc=False):
     """An agent's load as it has just changed, for balancers that send it flows.
 
@@ -327,7 +314,6 @@
     | Holds
     | PassOn
     | Queued
-    | Refused
 )
 
 
