--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -49,3 +49,56 @@
     def test_fully_used_service(self) -> None:
         """Cold targets are overloaded for two seconds; the queue doesn't stay."""
         self.assertGreater(self.in_time(FULL_WORLD, BACK + 3, BACK + 5), 0.95)
+
+
+class WaitingTests(unittest.TestCase):
+    """A service of 28 slots that runs at 1.6 times its usual time after an outage.
+
+    Processes come back one after the other, and those who have waited meanwhile are
+    as many as half of those who can still be answered in time.
+    """
+
+    WORLD = World(
+        targets=7,
+        slots=4,
+        run_seconds=0.063,
+        utilisation=0.46,
+        long_share=0.77,
+        long_flows=20,
+        aim_seconds=0.275,
+        timeout_seconds=4.0,
+        outage=(5.0, 6.0),
+        starts=(0.3, 0.6),
+        seconds=12.0,
+    )
+    SEEDS = (1, 2, 3)
+
+    def worth(self, world: World, since: float, until: float) -> float:
+        """Return the mean worth of that time's answers."""
+        worths = []
+        for seed in self.SEEDS:
+            simulation = Simulation(replace(world, seed=seed))
+            simulation.run()
+            worths.append(simulation.worth_between(since, until))
+        return sum(worths) / len(worths)
+
+    def test_backlog_makes_nobody_late(self) -> None:
+        """Who asks while the backlog is worked off is answered in time.
+
+        Worked off oldest first, that time's answers were worth 0.90.
+        """
+        self.assertGreater(self.worth(self.WORLD, 6.96, 8.96), 0.93)
+
+    def test_burst(self) -> None:
+        """Of four times the load, as many as there are slots for are in time.
+
+        Worked off oldest first, that time's answers were worth 0.65.
+        """
+        burst = replace(
+            self.WORLD,
+            long_flows=4,
+            long_share=0.7,
+            outage=(0.0, 0.0),
+            bursts=((5.0, 7.0, 4.0),),
+        )
+        self.assertGreater(self.worth(burst, 5.0, 7.0), 0.66)
