--- a/monsoonpier/balancer/packet_returning.py
+++ b/monsoonpier/balancer/packet_returning.py
@@ -13,7 +13,7 @@
 
 __all__ = ["ReturningCallers"]
 
-RETURN_SECONDS = 1.0  # callers open another flow within a few milliseconds
+RETURN_SECONDS = 1.0  # callers open another flow in 0.1 s, those that time out later
 MAX_CALLERS = 8_192  # as many as may wait, twice
 
 
--- a/monsoonpier/platform/daemons.py
+++ b/monsoonpier/platform/daemons.py
@@ -36,6 +36,7 @@
         return Exit.BAD_INPUT
     common = settings.common
     gc.freeze()  # What was imported lives as long as the process.
+    gc.enable()  # The entry point imports this module without it.
     configure_logs(level="info", descriptor=STDOUT, process=common.name, role=role)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,6 +1,7 @@
 """The adapter's translations: packets, configuration, settings, targets' calls."""
 
 import contextlib
+import gc
 import io
 import random
 import re
@@ -336,6 +337,7 @@
         stood.
         """
         before = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(gc.enable)
         self.addCleanup(signal.signal, signal.SIGHUP, before)
         with (
             mock.patch.object(sys, "argv", ["platform"]),
