--- a/monsoonpier/agent/liveness.py
+++ b/monsoonpier/agent/liveness.py
@@ -18,6 +18,8 @@
 class TargetLiveness:
     """Keeps a connection open; ``on_gone`` is called when it is refused anew.
 
+    ``on_absent`` is called at each further refusal, and where it never stood.
+
     A target that ends closes its connections at once, long before its
     heartbeats are missed. Closing alone proves nothing, since targets close
     idle connections too; only a refused connection means that nobody listens.
@@ -29,10 +31,12 @@
         address: Address,
         on_up: Callable[[], None],
         on_gone: Callable[[], None],
+        on_absent: Callable[[], None],
     ) -> None:
         self._address = address
         self._on_up = on_up
         self._on_gone = on_gone
+        self._on_absent = on_absent
         self._was_up = False
         self._refusals = 0
 
@@ -66,6 +70,10 @@
 
     def _refused(self) -> None:
         self._refusals += 1
-        if self._was_up and self._refusals >= REFUSALS_NEEDED:
+        if self._refusals < REFUSALS_NEEDED:
+            return
+        if self._was_up:
             self._was_up = False
             self._on_gone()
+        else:
+            self._on_absent()
--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packet_holder.py
@@ -22,7 +22,7 @@
 from monsoonpier.agent.packet_news import LoadNews
 from monsoonpier.agent.packet_queue import QueuedSyn
 from monsoonpier.model.address import Address
-from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.model.target import ABSENT_SECONDS, Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
     Carry,
@@ -77,6 +77,7 @@
         self._instance = b""
         self._knows_all = False
         self._began_at: float | None = None
+        self._absent_since: float | None = None
         self._questions: deque[tuple[tuple[str, int], Whose]] = deque(
             maxlen=MAX_QUESTIONS
         )
@@ -142,6 +143,21 @@
             return []
         return self.ended(now=now)
 
+    def absent(self, *, now: float) -> None:
+        """Note that nobody listens at the target's address, nor has before.
+
+        Its VM may stand there without it: VMs whose targets have left start again
+        like others after a loss of power.
+        """
+        if self._instance:
+            return
+        if self._absent_since is None:
+            self._absent_since = now
+            self._log.note("no target listens", now=now)
+        # One that has stopped listening to leave is gone by then, and one that
+        # starts would have announced itself.
+        self._knows_all = now - self._absent_since >= ABSENT_SECONDS
+
     def ended(self, *, now: float) -> list:
         """Reset the open flows: the target that held them is gone.
 
@@ -174,7 +190,7 @@
         self, question: Whose, *, sender: tuple[str, int], now: float
     ) -> list[ToProcess]:
         """Answer a balancer's question, or keep it until the target is met."""
-        if self._instance:
+        if self._instance or self._knows_all:
             return [ToProcess(endpoint=sender, frame=self.answer(question, now=now))]
         if not self._questions:
             self._asked_at = now
@@ -207,8 +223,14 @@
             held=held,
             is_sure=is_sure,
             run_ms=self._run_ms(now=now),
+            is_absent=self._is_absent,
         )
 
+    @property
+    def _is_absent(self) -> bool:
+        is_unknown = self.condition is Condition.STARTING and not self._instance
+        return is_unknown and self._absent_since is not None
+
     def _run_ms(self, *, now: float) -> int | None:
         if self._began_at is None:
             return None
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packet_process.py
@@ -94,7 +94,10 @@
             draw=self._draw,
         )
         self._liveness = TargetLiveness(
-            address=target, on_up=self._target_up, on_gone=self._target_gone
+            address=target,
+            on_up=self._target_up,
+            on_gone=self._target_gone,
+            on_absent=lambda: self._holder.absent(now=_now()),
         )
         self._control = ControlServer(
             address=settings.control, keys=settings.keys, handler=self._answer
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -46,6 +46,7 @@
 CONTACT_CHECK_SECONDS = 0.2
 FIRST_GREETING_SECONDS = 0.03  # a starting process serves nothing until it is answered
 GREETING_SECONDS = 0.2
+GREETED_PEERS = 4  # beside the seeds
 _log = structlog.get_logger("monsoonpier.balancer.member")
 
 
@@ -253,13 +254,20 @@
         for action in membership.round(now=_now(), draw=self._draw, eager=eager):
             self.do(action)
         if not len(membership.table):
-            self._greet_seeds()
+            self._greet()
 
-    def _greet_seeds(self) -> None:
-        """Tell the seeds of this balancer while it knows nothing."""
-        for seed in self._settings.seeds:
-            if seed != self._settings.internal:
-                self.do(self._membership.greeting(seed.endpoint, draw=self._draw))
+    def _greet(self) -> None:
+        """Tell seeds and some peers of this balancer while it knows no target.
+
+        Seeds may be the last to start, and of the peers that the store names any
+        may know all targets already.
+        """
+        peers = self._membership.peers.sample(GREETED_PEERS, draw=self._draw)
+        endpoints = {peer.endpoint for peer in peers}
+        endpoints |= {seed.endpoint for seed in self._settings.seeds}
+        endpoints.discard(self._membership.peers.own.endpoint)
+        for endpoint in sorted(endpoints):
+            self.do(self._membership.greeting(endpoint, draw=self._draw))
 
     async def _keep_contact_forever(self) -> None:
         """Ask peers out of turn when nobody is heard, and note what comes of it."""
--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packet_inquiries.py
@@ -91,7 +91,7 @@
         inquiry.keep(packet)
         if not inquiry.asks_agents or now - inquiry.asked_at < ASK_AGAIN_SECONDS:
             return []
-        if not self._undenied(known, inquiry):
+        if not self._undenied(known, inquiry, now=now):
             return self._all_denied(known, now=now)
         tries = []
         if not self._scope.may_have_lost_power(known.service, now=now):
@@ -148,8 +148,9 @@
         frame = Whose(question=self._last_question, service=service, flows=flows)
         return self._scope.tell(frame, names=names)
 
-    def _undenied(self, known: KnownFlow, inquiry: Inquiry) -> set[str]:
-        return self._scope.membership.table.names_of(known.service) - inquiry.denied
+    def _undenied(self, known: KnownFlow, inquiry: Inquiry, *, now: float) -> set[str]:
+        names = self._scope.membership.table.names_of(known.service) - inquiry.denied
+        return {name for name in names if not self._scope.is_vacant(name, now=now)}
 
     def _try_all(self, packet: Packet) -> list:
         """Pass on a packet whose address has no route that is known here.
@@ -219,7 +220,12 @@
         """Decide on an agent's answer to a question for many flows."""
         actions: list = []
         run_seconds = None if frame.run_ms is None else frame.run_ms / 1000
-        self._scope.runs.told(frame.agent, run_seconds=run_seconds, now=now)
+        self._scope.runs.told(
+            frame.agent,
+            run_seconds=run_seconds,
+            is_absent=frame.is_absent,
+            now=now,
+        )
         for flow in self._flows_by_question.get(frame.question, ()):
             known = self._scope.flows.get(flow)
             if known is None or known.inquiry is None:
@@ -233,7 +239,7 @@
                 actions += self.settle(known)
             elif frame.is_sure:
                 actions += self._note_denial(known, flow, frame.agent, now=now)
-            elif frame.run_ms is not None:
+            elif frame.run_ms is not None or frame.is_absent:
                 actions += self._doubt(known, frame.agent, now=now)
             else:
                 actions += self._tries.try_on(known, frame.agent, now=now)
@@ -248,7 +254,7 @@
         inquiry = known.inquiry
         assert inquiry is not None
         inquiry.doubtful.add(agent)
-        if self._undenied(known, inquiry) - inquiry.doubtful:
+        if self._undenied(known, inquiry, now=now) - inquiry.doubtful:
             return []
         if self._scope.lost_power_everywhere(known.service):
             inquiry.denied |= inquiry.doubtful
@@ -272,7 +278,7 @@
         inquiry = known.inquiry
         assert inquiry is not None
         inquiry.denied.add(agent)
-        left = self._undenied(known, inquiry)
+        left = self._undenied(known, inquiry, now=now)
         if not left:
             return self._all_denied(known, now=now)
         if left <= inquiry.doubtful:
@@ -296,7 +302,7 @@
             began_at=now, asked_at=now, packets=[packet], denied={frame.agent}
         )
         known.inquiry = inquiry
-        if not self._undenied(known, inquiry):
+        if not self._undenied(known, inquiry, now=now):
             inquiry.asks_agents = True
             return self._all_denied(known, now=now)
         return self._ask_agents(known, inquiry, now=now)
@@ -370,6 +376,6 @@
                 knows_by_service[service] = knows
             if not knows_by_service[service]:
                 self._denied_early.append(flow)
-            elif inquiry.asks_agents and not self._undenied(known, inquiry):
+            elif inquiry.asks_agents and not self._undenied(known, inquiry, now=now):
                 actions += self._nobody_holds(known, inquiry, now=now)
         return actions
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packet_scope.py
@@ -110,6 +110,12 @@
         names = self.membership.table.names_of(service)
         return not self.runs.any_began_before(names, started_at=self.started_at)
 
+    def is_vacant(self, name: str, *, now: float) -> bool:
+        """Tell whether an agent has no target: it found none, and none has come."""
+        record = self.membership.table.record(name)
+        has_started = record is not None and record.condition is not Condition.STARTING
+        return not has_started and self.runs.is_absent(name, now=now)
+
     def may_hold(self, name: str) -> bool:
         """Tell whether a target of that name is known and has not ended."""
         record = self.membership.table.record(name)
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -6,11 +6,15 @@
 
 from monsoonpier.model.address import Address
 
-__all__ = ["QUEUE_AHEAD", "Condition", "LoadReport", "TargetRecord"]
+__all__ = ["ABSENT_SECONDS", "QUEUE_AHEAD", "Condition", "LoadReport", "TargetRecord"]
 
 # New flows beyond its slots that a target may have: its next run then starts
 # without the way to a balancer and back. Balancers and agents must agree on it.
 QUEUE_AHEAD = 1
+# Where nobody has listened for so long since an agent's start no target is left that
+# could hold flows: four heartbeats; targets that leave end within a second of their
+# farewell. Balancers and agents must agree on it too.
+ABSENT_SECONDS = 3.0
 
 
 class Condition(IntEnum):
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -272,7 +272,8 @@
 
     ``is_sure`` says that the others are not; an agent that was started beside a
     running target can't know. ``run_ms`` is how long ago the target's run began,
-    ``None`` if the agent can't tell.
+    ``None`` if the agent can't tell; with ``is_absent`` nobody has listened at its
+    target's address since the agent's start.
     """
 
     question: int
@@ -280,6 +281,7 @@
     held: Annotated[tuple[FlowAddress, ...], Meta(max_length=MAX_ASKED)]
     is_sure: bool
     run_ms: int | None = None
+    is_absent: bool = False
 
 
 class PassOn(_Frame, tag=19, kw_only=True, gc=False):
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -8,7 +8,7 @@
     ToTarget,
 )
 from monsoonpier.agent.packet_holder import PacketHolder
-from monsoonpier.model.target import Condition
+from monsoonpier.model.target import ABSENT_SECONDS, Condition
 from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, PassOn, Turned, Whose
 from tests.packets.rig import (
     BALANCER,
@@ -264,6 +264,43 @@
         self.assertEqual(made.answer(question, now=1.0).held, flows)
 
 
+class AbsentTargetTests(unittest.TestCase):
+    """An agent on a VM whose target has left before the VM started again."""
+
+    def setUp(self) -> None:
+        self.holder = PacketHolder(
+            name="m", service="maps", slots=2, connections=9, log=LOG
+        )
+        self.holder.absent(now=1.0)
+
+    def answer(self, *, now: float) -> Holds:
+        question = Whose(question=1, service="maps", flows=(packet().flow,))
+        return self.holder.answer(question, now=now)
+
+    def test_says_so(self) -> None:
+        """It can't be sure at first, and says that nobody listens."""
+        answered = self.answer(now=1.3)
+        self.assertTrue(answered.is_absent)
+        self.assertFalse(answered.is_sure)
+
+    def test_sure_after_a_while(self) -> None:
+        """A target that was leaving has ended after some heartbeats' time."""
+        self.holder.absent(now=1.0 + ABSENT_SECONDS)
+        self.assertTrue(self.answer(now=1.0 + ABSENT_SECONDS).is_sure)
+        question = Whose(question=1, service="maps", flows=(packet().flow,))
+        answered = self.holder.ask(question, sender=BALANCER, now=9.0)
+        self.assertEqual(len(frames(answered, Holds)), 1)
+
+    def test_target_that_comes(self) -> None:
+        """A target that announces itself after all may be older than its agent."""
+        self.holder.started(b"i-1", is_first=False, now=1.5)
+        self.holder.condition = Condition.SERVING
+        self.holder.absent(now=9.0)
+        answered = self.answer(now=9.0)
+        self.assertFalse(answered.is_absent)
+        self.assertFalse(answered.is_sure)
+
+
 class LoadTests(HolderCase):
     """The agent's count of requests under way."""
 
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -413,6 +413,63 @@
         self.assertEqual(rig.names(actions), [])
         self.assertEqual(resets(actions), ["nobody holds the flow"])
 
+    def test_agent_without_a_target_after_loss_of_power(self) -> None:
+        """A VM whose target has left doesn't keep callers of dead flows waiting.
+
+        Found on svst-recall, trouble-1: three of twelve VMs had lost their targets in
+        a release; their agents started again with the power, and 101 requests waited
+        4 s for an answer that nobody could give.
+        """
+        rig = SteeringRig(targets=3, started_at=SETTLED)
+        rig.membership.has_agreed = True
+        rig.caller(packet(), now=100.4)
+        actions: list = []
+        for name in ("maps-1", "maps-2"):
+            actions += rig.agent(self._unsure(name, run_ms=300), now=100.41)
+        absent = replace(self._unsure("maps-3", run_ms=None), is_absent=True)
+        actions += rig.agent(absent, now=100.41)
+        self.assertEqual(resets(actions), ["nobody holds the flow"])
+
+    def _vacant(self, *, then: float, condition: Condition) -> list:
+        """Let one agent say that it finds no target, and end; return later resets."""
+        rig = SteeringRig(targets=1)
+        rig.learn(record("maps-2", host=2, condition=Condition.STARTING))
+        rig.caller(packet(1), now=160.0)
+        word = replace(self._unsure("maps-2", run_ms=None), is_absent=True)
+        rig.agent(word, now=160.01)
+        rig.learn(record("maps-2", host=2, change=1, condition=condition), now=160.1)
+        rig.caller(packet(2), now=then)
+        sure = Holds(question=0, agent="maps-1", held=(), is_sure=True)
+        number = rig.steering._inquiries._last_question
+        return resets(rig.agent(replace(sure, question=number), now=then + 0.01))
+
+    def test_vacant_agent_that_has_ended(self) -> None:
+        """An agent that found no target and ended keeps nobody waiting.
+
+        Found on svst-recall, trouble-1: VMs whose targets had left were given up three
+        seconds after the power's return, and 31 requests on dead flows timed out.
+        """
+        starting = Condition.STARTING
+        self.assertEqual(self._vacant(then=162.0, condition=starting), [])
+        later = self._vacant(then=164.0, condition=starting)
+        self.assertEqual(later, ["nobody holds the flow"])
+
+    def test_target_that_came_to_a_vacant_agent(self) -> None:
+        """A target that has come since may hold the flow."""
+        self.assertEqual(self._vacant(then=164.0, condition=Condition.SERVING), [])
+
+    def test_only_agents_without_a_target(self) -> None:
+        """Where no target tells of its run nothing is known of a loss of power."""
+        rig = SteeringRig(targets=2, started_at=SETTLED)
+        rig.membership.has_agreed = True
+        rig.caller(packet(), now=100.4)
+        actions: list = []
+        for name in ("maps-1", "maps-2"):
+            absent = replace(self._unsure(name, run_ms=None), is_absent=True)
+            actions += rig.agent(absent, now=100.41)
+        actions += rig.steering.retry(now=101.5, draw=rig.draw)
+        self.assertEqual(resets(actions), [])
+
     def test_power_returns_before_peers_agree(self) -> None:
         """Without a peer's word an agent that lived on gets time for a heartbeat."""
         rig = SteeringRig(targets=3, started_at=SETTLED)
