--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packet_openings.py
@@ -164,7 +164,7 @@
             return self._wait(packet, known, candidates, now=now)
         route = self._scope.route(packet)
         if route is None:
-            return []
+            return self._refuse(packet, known, "no route", now=now)
         query = PlacementQuery(
             tried=known.tried,
             data_centre=self._scope.membership.peers.own.data_centre,
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -5,6 +5,7 @@
 
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
+from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import (
     MAX_FRAME_BYTES,
@@ -84,6 +85,17 @@
             now = SETTLED + seconds
             self.assertEqual(self.rig.caller(packet(syn=True), now=now), [])
 
+    def test_route_removed_while_it_waits(self) -> None:
+        """A waiting SYN whose route a configuration drops is reset at once."""
+        for number in (1, 2, 3):
+            self.rig.report(f"maps-{number}", now=SETTLED, in_flight=3)
+        self.rig.caller(packet(syn=True))
+        self.rig.membership.configure(Configuration(version=2))
+        self.rig.steering.configured()
+        self.rig.report("maps-1", now=100.1, in_flight=0)
+        actions = self.rig.steering.retry(now=100.1, draw=self.rig.draw)
+        self.assertEqual(resets(actions), ["no route"])
+
     def test_refused_before_the_caller_gives_up(self) -> None:
         """A SYN for which no slot comes free is reset, not kept to the end."""
         for number in (1, 2, 3):
