--- a/tests/packets/test_admission.py
+++ b/tests/packets/test_admission.py
@@ -102,8 +102,11 @@
         self.bring(3, now=1.01)
         actions = self.bring(3, now=1.21)
         self.assertEqual(len(frames(actions, Queued)), 1)
+        another = self.bring(4, now=1.22)
+        self.assertEqual(frames(another, Turned), [])
+        self.finish(2, now=1.25)
         self.finish(1, now=1.3)
-        self.assertEqual(self.delivered(self.finish(2, now=1.3)), [])
+        self.assertEqual(self.delivered(self.finish(2, now=1.31)), [])
 
     def test_sent_back_before_the_caller_gives_up(self) -> None:
         """One that no slot came free for is sent back when its time is over."""
@@ -147,6 +150,7 @@
 
     def test_agent_that_says_nothing_more(self) -> None:
         """After a while its agent may have ended: it goes to another target."""
+        self.assertEqual(self.retry(now=SETTLED + 0.1), [])
         self.assertEqual(self.retry(now=SETTLED + 0.75), [self.other])
 
     def test_sent_back(self) -> None:
