--- a/monsoonpier/agent/packet_expectation.py
+++ b/monsoonpier/agent/packet_expectation.py
@@ -27,9 +27,6 @@
         self._mean: float | None = None
         self._deviation = 0.0
 
-    def __len__(self) -> int:
-        return len(self._due)
-
     @property
     def seconds(self) -> float:
         """How long a caller's next packet is waited for."""
--- a/monsoonpier/agent/packet_queue.py
+++ b/monsoonpier/agent/packet_queue.py
@@ -111,11 +111,3 @@
         self._syns_by_flow.clear()
         self._queue = WaitingQueue()
         return syns
-
-    def drop(self, flow: bytes) -> None:
-        """Forget a SYN whose caller has given it up."""
-        if self._syns_by_flow.pop(flow, None) is None:
-            return
-        for waiting in list(self._queue):
-            if waiting.flow == flow:
-                self._queue.remove(waiting)
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -205,10 +205,10 @@
             dropped = self.dropped_by_reason
             dropped[frame.reason] = dropped.get(frame.reason, 0) + 1
             return
-        has_peers = self._membership.peers.has_peers
-        self._contact.heard(has_peers=has_peers, now=_now())
+        now = _now()
+        self._contact.heard(has_peers=self._membership.peers.has_peers, now=now)
         actions = self._membership.from_process(
-            frame, sender=sender, now=_now(), draw=self._draw
+            frame, sender=sender, now=now, draw=self._draw
         )
         if actions is None:
             self._take_frame(frame, sender)
--- a/monsoonpier/balancer/steering.py
+++ b/monsoonpier/balancer/steering.py
@@ -43,11 +43,6 @@
         """Requests at the target or waiting there."""
         return self.load.in_flight + self.load.queued
 
-    @property
-    def has_free_slot(self) -> bool:
-        """Whether a request that came now would run at once."""
-        return self.takes_flows and self.work + self.sent_since < self.record.slots
-
     @property
     def placed(self) -> int:
         """Flows at the target, with those it can't have reported yet."""
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -11,8 +11,7 @@
 """
 
 from bisect import bisect, insort
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from operator import attrgetter
 
 __all__ = ["MARGIN_RUNS", "WaitingFlow", "WaitingQueue"]
@@ -34,7 +33,7 @@
         priority: Of its route; 0 goes first.
     """
 
-    flow: bytes = field(compare=False)
+    flow: bytes
     in_time_until: float
     expires: float
     priority: int
@@ -60,10 +59,9 @@
     def __len__(self) -> int:
         return self.timely + self.late
 
-    def __iter__(self) -> Iterator[WaitingFlow]:
-        yield from self._late
-        for flows in self._timely_by_priority.values():
-            yield from flows
+    @property
+    def _lists(self) -> tuple[list[WaitingFlow], ...]:
+        return (self._late, *self._timely_by_priority.values())
 
     @property
     def timely(self) -> int:
@@ -82,7 +80,7 @@
 
     def remove(self, waiting: WaitingFlow) -> None:
         """Let a flow wait no longer."""
-        for flows in (self._late, *self._timely_by_priority.values()):
+        for flows in self._lists:
             flows[:] = [other for other in flows if other.flow != waiting.flow]
 
     def ahead(self, waiting: WaitingFlow, *, in_time: bool) -> int:
@@ -135,7 +133,10 @@
 
     def pop_expired(self, *, now: float) -> list[WaitingFlow]:
         """Return those whose callers give up, which then no longer wait."""
-        gone = [waiting for waiting in self if waiting.expires <= now]
-        for waiting in gone:
-            self.remove(waiting)
+        gone: list[WaitingFlow] = []
+        for flows in self._lists:
+            expired = [waiting for waiting in flows if waiting.expires <= now]
+            if expired:
+                flows[:] = [waiting for waiting in flows if waiting.expires > now]
+                gone += expired
         return gone
