Part the two paths of flows into rooms of their own

Cause: agent/ and balancer/ each held two subsystems, told apart by a packet_ prefix; a newcomer had to know which of 48 modules serve flows with a token. What moved: agent/packets, agent/tokens, balancer/packets, balancer/tokens; what both paths share stays beside them. Ruled out: splitting the files of over 400 lines in the same commit, which would hide a change of behaviour in a move.

--- a/bench/packet_capacity.py
+++ b/bench/packet_capacity.py
@@ -12,10 +12,10 @@
 import tracemalloc
 from collections.abc import Callable
 
-from monsoonpier.agent.packet_holder import PacketHolder
+from monsoonpier.agent.packets.holder import PacketHolder
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_steering import PacketSteering
+from monsoonpier.balancer.packets.steering import PacketSteering
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Configuration, PacketRoute
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from monsoonpier.balancer.decision import Balancer
 from monsoonpier.balancer.steering import Candidate, Chosen, choose
+from monsoonpier.balancer.tokens.decision import Balancer
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Preference
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
--- a/monsoonpier/agent/packet_admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -7,11 +7,11 @@
 
 from collections import Counter
 
-from monsoonpier.agent.packet_actions import ToProcess, ToTarget
-from monsoonpier.agent.packet_expectation import Expectations
-from monsoonpier.agent.packet_flows import PacketFlow, Phase
-from monsoonpier.agent.packet_load import TargetLoad
-from monsoonpier.agent.packet_queue import AdmissionQueue, QueuedSyn
+from monsoonpier.agent.packets.actions import ToProcess, ToTarget
+from monsoonpier.agent.packets.expectation import Expectations
+from monsoonpier.agent.packets.flows import PacketFlow, Phase
+from monsoonpier.agent.packets.load import TargetLoad
+from monsoonpier.agent.packets.queue import AdmissionQueue, QueuedSyn
 from monsoonpier.model.target import QUEUE_AHEAD, Condition
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Queued, Turned
--- a/monsoonpier/agent/packet_holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -10,17 +10,17 @@
 
 from collections import Counter, deque
 
-from monsoonpier.agent.packet_actions import (
+from monsoonpier.agent.packets.actions import (
     ResetFlow,
     ToCallerPacket,
     ToProcess,
     ToTarget,
 )
-from monsoonpier.agent.packet_admission import FlowAdmission
-from monsoonpier.agent.packet_flows import PacketFlow, Phase
-from monsoonpier.agent.packet_load import TargetLoad
-from monsoonpier.agent.packet_news import LoadNews
-from monsoonpier.agent.packet_queue import QueuedSyn
+from monsoonpier.agent.packets.admission import FlowAdmission
+from monsoonpier.agent.packets.flows import PacketFlow, Phase
+from monsoonpier.agent.packets.load import TargetLoad
+from monsoonpier.agent.packets.news import LoadNews
+from monsoonpier.agent.packets.queue import QueuedSyn
 from monsoonpier.model.address import Address
 from monsoonpier.model.target import ABSENT_SECONDS, Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
--- a/monsoonpier/agent/liveness.py
+++ b/monsoonpier/agent/packets/liveness.py
@@ -12,7 +12,7 @@
 CONNECT_SECONDS = 1.0
 RETRY_SECONDS = 0.1  # a target that starts beside its agent is up in a second
 REFUSALS_NEEDED = 2  # a listener may be set up anew in between
-_log = structlog.get_logger("monsoonpier.agent.liveness")
+_log = structlog.get_logger("monsoonpier.agent.packets.liveness")
 
 
 class TargetLiveness:
--- a/monsoonpier/agent/packet_load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -1,8 +1,8 @@
 """An agent's count of what its target works on, and what it tells of it."""
 
-from monsoonpier.agent.packet_evidence import FailureShare
-from monsoonpier.agent.packet_flows import PacketFlow, Phase
-from monsoonpier.agent.packet_queue import AdmissionQueue
+from monsoonpier.agent.packets.evidence import FailureShare
+from monsoonpier.agent.packets.flows import PacketFlow, Phase
+from monsoonpier.agent.packets.queue import AdmissionQueue
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.readings import Histogram
 
--- a/monsoonpier/agent/packet_news.py
+++ b/monsoonpier/agent/packets/news.py
@@ -4,8 +4,8 @@
 agents took a third of a small entry VM's link (5 Mbit/s).
 """
 
-from monsoonpier.agent.packet_actions import ToProcess
-from monsoonpier.agent.packet_load import TargetLoad
+from monsoonpier.agent.packets.actions import ToProcess
+from monsoonpier.agent.packets.load import TargetLoad
 from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import Load
--- a/monsoonpier/agent/packet_process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -6,17 +6,17 @@
 
 import structlog
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft
 from monsoonpier.agent.balancer_link import BalancerLink, target_record
-from monsoonpier.agent.liveness import TargetLiveness
-from monsoonpier.agent.packet_actions import (
+from monsoonpier.agent.packets.actions import (
     ResetFlow,
     ToCallerPacket,
     ToProcess,
     ToTarget,
 )
-from monsoonpier.agent.packet_holder import PacketHolder
-from monsoonpier.agent.target_run import LateHeartbeat, NewRun, RunHistory
+from monsoonpier.agent.packets.announcement import TargetAnnouncement, TargetLeft
+from monsoonpier.agent.packets.holder import PacketHolder
+from monsoonpier.agent.packets.liveness import TargetLiveness
+from monsoonpier.agent.packets.target_run import LateHeartbeat, NewRun, RunHistory
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition
@@ -41,7 +41,7 @@
 FAREWELL_SECONDS = 0.05
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
 MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
-_log = structlog.get_logger("monsoonpier.agent.packet_process")
+_log = structlog.get_logger("monsoonpier.agent.packets.process")
 
 
 class PacketAgentProcess:
@@ -82,7 +82,7 @@
             service=settings.target.service,
             slots=settings.target.slots,
             connections=settings.target.connections,
-            log=DecisionLog("monsoonpier.agent.packet_holder"),
+            log=DecisionLog("monsoonpier.agent.packets.holder"),
         )
         self._link = BalancerLink(
             settings=settings,
--- a/monsoonpier/agent/target_run.py
+++ b/monsoonpier/agent/packets/target_run.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetRun
+from monsoonpier.agent.packets.announcement import TargetAnnouncement, TargetRun
 
 __all__ = ["CurrentHeartbeat", "LateHeartbeat", "NewRun", "RunHistory"]
 
--- a/monsoonpier/agent/condition.py
+++ b/monsoonpier/agent/tokens/condition.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Aborted,
     Answered,
     Broke,
--- a/monsoonpier/agent/holder.py
+++ b/monsoonpier/agent/tokens/holder.py
@@ -5,17 +5,17 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Action,
     Reply,
     RequestKey,
     Return,
     RunResult,
 )
-from monsoonpier.agent.condition import TargetLife
-from monsoonpier.agent.flows import Flow
-from monsoonpier.agent.requests import RequestDesk
-from monsoonpier.agent.streams import StreamDesk
+from monsoonpier.agent.tokens.condition import TargetLife
+from monsoonpier.agent.tokens.flows import Flow
+from monsoonpier.agent.tokens.requests import RequestDesk
+from monsoonpier.agent.tokens.streams import StreamDesk
 from monsoonpier.model.keys import KeyRing
 from monsoonpier.model.service import Service
 from monsoonpier.model.target import LoadReport
--- a/monsoonpier/agent/process.py
+++ b/monsoonpier/agent/tokens/process.py
@@ -7,7 +7,8 @@
 
 import structlog
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.balancer_link import BalancerLink, target_record
+from monsoonpier.agent.tokens.actions import (
     Abort,
     Action,
     Credit,
@@ -17,10 +18,15 @@
     Run,
     StartStream,
 )
-from monsoonpier.agent.balancer_link import BalancerLink, target_record
-from monsoonpier.agent.holder import Holder
-from monsoonpier.agent.runner import Event, ItemRead, RunEnded, Runner, StreamClosed
-from monsoonpier.agent.target_client import HealthHint, TargetClient
+from monsoonpier.agent.tokens.holder import Holder
+from monsoonpier.agent.tokens.runner import (
+    Event,
+    ItemRead,
+    RunEnded,
+    Runner,
+    StreamClosed,
+)
+from monsoonpier.agent.tokens.target_client import HealthHint, TargetClient
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition
@@ -53,7 +59,7 @@
 INSTANCE_BYTES = 8
 FAREWELLS = 3  # the record of a gone target is sent this often: datagrams get lost
 FAREWELL_SECONDS = 0.1
-_log = structlog.get_logger("monsoonpier.agent.process")
+_log = structlog.get_logger("monsoonpier.agent.tokens.process")
 
 
 class AgentProcess:
--- a/monsoonpier/agent/replies.py
+++ b/monsoonpier/agent/tokens/replies.py
@@ -1,6 +1,6 @@
 """The messages by which an agent answers for its requests."""
 
-from monsoonpier.agent.flows import Flow, Request, Stage
+from monsoonpier.agent.tokens.flows import Flow, Request, Stage
 from monsoonpier.wire.codec import MAX_REASON
 from monsoonpier.wire.datagrams import (
     MAX_MILLIS,
--- a/monsoonpier/agent/requests.py
+++ b/monsoonpier/agent/tokens/requests.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from hashlib import blake2b
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Abort,
     Aborted,
     Action,
@@ -22,9 +22,9 @@
     Shed,
     TimedOut,
 )
-from monsoonpier.agent.condition import TargetLife
-from monsoonpier.agent.flows import Answer, Flow, Request, Stage
-from monsoonpier.agent.limits import (
+from monsoonpier.agent.tokens.condition import TargetLife
+from monsoonpier.agent.tokens.flows import Answer, Flow, Request, Stage
+from monsoonpier.agent.tokens.limits import (
     Admitted,
     NotAdmitted,
     Pressure,
@@ -32,7 +32,7 @@
     admit,
     smooth,
 )
-from monsoonpier.agent.replies import already_done, progress, verdict
+from monsoonpier.agent.tokens.replies import already_done, progress, verdict
 from monsoonpier.model.service import Service
 from monsoonpier.wire.datagrams import (
     DIGEST_BYTES,
--- a/monsoonpier/agent/runner.py
+++ b/monsoonpier/agent/tokens/runner.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Abort,
     Broke,
     Credit,
@@ -17,8 +17,8 @@
     StartStream,
     TimedOut,
 )
-from monsoonpier.agent.streams import STREAM_WINDOW
-from monsoonpier.agent.target_client import (
+from monsoonpier.agent.tokens.streams import STREAM_WINDOW
+from monsoonpier.agent.tokens.target_client import (
     ABORTED_BY_CALLER,
     ABORTED_BY_DEADLINE,
     StreamItem,
@@ -27,7 +27,7 @@
 
 __all__ = ["ItemRead", "RunEnded", "Runner", "StreamClosed"]
 
-_log = structlog.get_logger("monsoonpier.agent.runner")
+_log = structlog.get_logger("monsoonpier.agent.tokens.runner")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/monsoonpier/agent/streams.py
+++ b/monsoonpier/agent/tokens/streams.py
@@ -1,13 +1,13 @@
 """Streams: items sent again until acknowledged, within a bounded window."""
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Action,
     Credit,
     EndStream,
     RequestKey,
     StartStream,
 )
-from monsoonpier.agent.flows import Flow, Stream
+from monsoonpier.agent.tokens.flows import Flow, Stream
 from monsoonpier.wire.datagrams import (
     PART_BYTES,
     Item,
--- a/monsoonpier/agent/target_client.py
+++ b/monsoonpier/agent/tokens/target_client.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Aborted,
     Answered,
     Broke,
--- /dev/null
+++ b/monsoonpier/balancer/packets/__init__.py
@@ -0,0 +1,1 @@
+"""Balancers of flows without a token: decisions, and the process around them."""
--- a/monsoonpier/balancer/packet_inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -3,10 +3,10 @@
 from collections import OrderedDict, deque
 
 from monsoonpier.balancer.actions import ToAgent
-from monsoonpier.balancer.packet_directory import HolderDirectory
-from monsoonpier.balancer.packet_flows import Inquiry, KnownFlow
-from monsoonpier.balancer.packet_scope import PacketScope
-from monsoonpier.balancer.packet_tries import PacketTries
+from monsoonpier.balancer.packets.directory import HolderDirectory
+from monsoonpier.balancer.packets.flows import Inquiry, KnownFlow
+from monsoonpier.balancer.packets.scope import PacketScope
+from monsoonpier.balancer.packets.tries import PacketTries
 from monsoonpier.wire.frames import (
     MAX_ASKED,
     Find,
--- a/monsoonpier/balancer/packet_openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -3,8 +3,8 @@
 import random
 from collections import deque
 
-from monsoonpier.balancer.packet_flows import KnownFlow, LongFlowShare
-from monsoonpier.balancer.packet_placement import (
+from monsoonpier.balancer.packets.flows import KnownFlow, LongFlowShare
+from monsoonpier.balancer.packets.placement import (
     PlacementQuery,
     has_room,
     place,
@@ -12,8 +12,8 @@
     run_seconds,
     wait_for_slot,
 )
-from monsoonpier.balancer.packet_scope import PacketScope
-from monsoonpier.balancer.packet_waiting import WaitingRoom
+from monsoonpier.balancer.packets.scope import PacketScope
+from monsoonpier.balancer.packets.waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import PacketRoute
--- a/monsoonpier/balancer/packet_process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -9,8 +9,8 @@
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.member import ConfigurationFormat, Member, balancer_record
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_scope import ResetCaller
-from monsoonpier.balancer.packet_steering import PacketSteering
+from monsoonpier.balancer.packets.scope import ResetCaller
+from monsoonpier.balancer.packets.steering import PacketSteering
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
@@ -29,7 +29,7 @@
 MIN_LEAVE_SECONDS = 1.5  # two missed probes and one more
 MAX_LEAVE_SECONDS = 5.0  # the least time that stops are given, less a second
 RETRY_CHECK_SECONDS = 0.02
-_log = structlog.get_logger("monsoonpier.balancer.packet_process")
+_log = structlog.get_logger("monsoonpier.balancer.packets.process")
 
 
 class PacketBalancerProcess:
@@ -63,7 +63,7 @@
         self._steering = PacketSteering(
             membership=self._membership,
             started_at=self._started,
-            log=DecisionLog("monsoonpier.balancer.packet_steering"),
+            log=DecisionLog("monsoonpier.balancer.packets.steering"),
             data_centres=settings.data_centres,
         )
         self._member = Member(
--- a/monsoonpier/balancer/packet_scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -7,9 +7,9 @@
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_flows import FlowTable, KnownFlow
-from monsoonpier.balancer.packet_returning import ReturningCallers
-from monsoonpier.balancer.packet_runs import TargetRuns
+from monsoonpier.balancer.packets.flows import FlowTable, KnownFlow
+from monsoonpier.balancer.packets.returning import ReturningCallers
+from monsoonpier.balancer.packets.runs import TargetRuns
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import Condition
 from monsoonpier.process.logs import DecisionLog
--- a/monsoonpier/balancer/packet_steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -14,10 +14,10 @@
 from collections.abc import Collection
 
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_flows import KnownFlow
-from monsoonpier.balancer.packet_inquiries import HolderInquiries
-from monsoonpier.balancer.packet_openings import FlowOpenings
-from monsoonpier.balancer.packet_scope import PacketScope
+from monsoonpier.balancer.packets.flows import KnownFlow
+from monsoonpier.balancer.packets.inquiries import HolderInquiries
+from monsoonpier.balancer.packets.openings import FlowOpenings
+from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
 from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Turned
--- a/monsoonpier/balancer/packet_tries.py
+++ b/monsoonpier/balancer/packets/tries.py
@@ -7,8 +7,8 @@
 """
 
 from monsoonpier.balancer.actions import ToAgent
-from monsoonpier.balancer.packet_flows import Inquiry, KnownFlow
-from monsoonpier.balancer.packet_scope import PacketScope
+from monsoonpier.balancer.packets.flows import Inquiry, KnownFlow
+from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.model.rendezvous import top
 from monsoonpier.wire.frames import MAX_PASSED_ON, PassOn
 from monsoonpier.wire.packet import Packet
--- a/monsoonpier/balancer/process.py
+++ b/monsoonpier/balancer/tokens/process.py
@@ -9,8 +9,8 @@
 import structlog
 
 from monsoonpier.balancer.actions import ToAgent, ToCaller
-from monsoonpier.balancer.decision import Balancer
 from monsoonpier.balancer.member import Member, balancer_record
+from monsoonpier.balancer.tokens.decision import Balancer
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.readings import counter, gauge
@@ -23,7 +23,7 @@
 BIND_RETRY_SECONDS = 1.0
 QUIET_SECONDS = 1.0  # a leaving balancer that has passed nothing this long may stop
 LEAVE_SECONDS = 10.0  # by now the fabric must have noticed
-_log = structlog.get_logger("monsoonpier.balancer.process")
+_log = structlog.get_logger("monsoonpier.balancer.tokens.process")
 
 
 class BalancerProcess:
--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli.py
@@ -61,7 +61,7 @@
     loaded = _settings(settings, "balancer")
     if print_settings:
         return _print_settings(loaded)
-    from monsoonpier.balancer.process import BalancerProcess
+    from monsoonpier.balancer.tokens.process import BalancerProcess
 
     return _run_process(BalancerProcess, loaded.settings, log_level)
 
@@ -82,7 +82,7 @@
     loaded = _settings(settings, "agent")
     if print_settings:
         return _print_settings(loaded)
-    from monsoonpier.agent.process import AgentProcess
+    from monsoonpier.agent.tokens.process import AgentProcess
 
     return _run_process(AgentProcess, loaded.settings, log_level)
 
--- a/monsoonpier/platform/daemons.py
+++ b/monsoonpier/platform/daemons.py
@@ -48,7 +48,7 @@
 
 
 async def _run_balancer(settings: PlatformSettings) -> None:
-    from monsoonpier.balancer.packet_process import PacketBalancerProcess
+    from monsoonpier.balancer.packets.process import PacketBalancerProcess
     from monsoonpier.platform.configuration import PLATFORM_FORMAT
 
     process = PacketBalancerProcess(
@@ -69,7 +69,7 @@
 
 
 async def _run_agent(settings: PlatformSettings) -> None:
-    from monsoonpier.agent.packet_process import PacketAgentProcess
+    from monsoonpier.agent.packets.process import PacketAgentProcess
     from monsoonpier.platform.targets import TargetCalls
 
     assert settings.from_target and settings.target and settings.heartbeats
--- a/monsoonpier/platform/targets.py
+++ b/monsoonpier/platform/targets.py
@@ -7,7 +7,11 @@
 import msgspec
 import structlog
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft, TargetRun
+from monsoonpier.agent.packets.announcement import (
+    TargetAnnouncement,
+    TargetLeft,
+    TargetRun,
+)
 from monsoonpier.http import Request, Response
 
 __all__ = ["TargetCalls"]
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -12,18 +12,18 @@
 from dataclasses import dataclass, field
 from socket import inet_ntoa
 
-from monsoonpier.agent.packet_actions import (
+from monsoonpier.agent.packets.actions import (
     ResetFlow,
     ToCallerPacket,
     ToProcess,
     ToTarget,
 )
-from monsoonpier.agent.packet_holder import PacketHolder
-from monsoonpier.balancer import packet_openings
+from monsoonpier.agent.packets.holder import PacketHolder
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_scope import ResetCaller
-from monsoonpier.balancer.packet_steering import PacketSteering
+from monsoonpier.balancer.packets import openings
+from monsoonpier.balancer.packets.scope import ResetCaller
+from monsoonpier.balancer.packets.steering import PacketSteering
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, TargetRecord
@@ -299,15 +299,15 @@
         if back:
             self._at(out, self._lose_power)
             self._at(back, self._return_power)
-        original = packet_openings.place
+        original = openings.place
         if self._choose is not None:
-            packet_openings.place = self._chosen
+            openings.place = self._chosen
         try:
             while self._events:
                 self.now, _, act, arguments = heapq.heappop(self._events)
                 act(*arguments)
         finally:
-            packet_openings.place = original
+            openings.place = original
         return self._outcome()
 
     def _chosen(self, query, candidates, *, draw):
--- a/tests/agent/test_fault_table.py
+++ b/tests/agent/test_fault_table.py
@@ -7,7 +7,7 @@
 
 from nose2.tools import params
 
-from monsoonpier.agent.actions import Broke, NeverSent, Shed
+from monsoonpier.agent.tokens.actions import Broke, NeverSent, Shed
 from monsoonpier.model.outcome import Done, NotRun, Refused
 from tests.rig import Rig
 
--- a/tests/agent/test_named_cases.py
+++ b/tests/agent/test_named_cases.py
@@ -3,7 +3,7 @@
 import unittest
 from hashlib import blake2b
 
-from monsoonpier.agent.actions import (
+from monsoonpier.agent.tokens.actions import (
     Answered,
     Broke,
     NeverSent,
@@ -13,8 +13,8 @@
     Shed,
     TimedOut,
 )
-from monsoonpier.agent.condition import TargetLife
-from monsoonpier.agent.requests import MAX_KEPT_BYTES, WINDOW
+from monsoonpier.agent.tokens.condition import TargetLife
+from monsoonpier.agent.tokens.requests import MAX_KEPT_BYTES, WINDOW
 from monsoonpier.model.target import Condition
 from monsoonpier.model.token import HolderToken, open_token, seal_token
 from monsoonpier.wire.datagrams import (
@@ -514,7 +514,7 @@
 
     def test_cancelled_runs_are_no_evidence(self):
         """Callers that give up don't make a target look ill."""
-        from monsoonpier.agent.actions import Aborted
+        from monsoonpier.agent.tokens.actions import Aborted
 
         desk = Desk()
         for number in range(1, 6):
--- a/tests/agent/test_process.py
+++ b/tests/agent/test_process.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from monsoonpier.agent.process import AgentProcess
-from monsoonpier.agent.target_client import HealthHint
+from monsoonpier.agent.tokens.process import AgentProcess
+from monsoonpier.agent.tokens.target_client import HealthHint
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings, TargetSettings
 from monsoonpier.wire.frames import HeartbeatAck
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from monsoonpier.agent.packet_holder import PacketHolder
+from monsoonpier.agent.packets.holder import PacketHolder
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packet_scope import ResetCaller
-from monsoonpier.balancer.packet_steering import PacketSteering
+from monsoonpier.balancer.packets.scope import ResetCaller
+from monsoonpier.balancer.packets.steering import PacketSteering
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
--- a/tests/packets/test_admission.py
+++ b/tests/packets/test_admission.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-from monsoonpier.agent.packet_expectation import (
+from monsoonpier.agent.packets.expectation import (
     MAX_SECONDS,
     MIN_SECONDS,
     Expectations,
 )
-from monsoonpier.balancer.packet_returning import RETURN_SECONDS, ReturningCallers
+from monsoonpier.balancer.packets.returning import RETURN_SECONDS, ReturningCallers
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import Carry, Queued, Turned
 from tests.packets.rig import (
--- a/tests/packets/test_agent_process.py
+++ b/tests/packets/test_agent_process.py
@@ -4,8 +4,12 @@
 import random
 import unittest
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft, TargetRun
-from monsoonpier.agent.packet_process import PacketAgentProcess
+from monsoonpier.agent.packets.announcement import (
+    TargetAnnouncement,
+    TargetLeft,
+    TargetRun,
+)
+from monsoonpier.agent.packets.process import PacketAgentProcess
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.settings import Settings, TargetSettings
--- a/tests/packets/test_directory.py
+++ b/tests/packets/test_directory.py
@@ -3,7 +3,7 @@
 import unittest
 
 from monsoonpier.balancer.actions import ToAgent
-from monsoonpier.balancer.packet_directory import MAX_HOLDERS, HolderDirectory
+from monsoonpier.balancer.packets.directory import MAX_HOLDERS, HolderDirectory
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import BalancerRecord, Carry, Find, Held, NotHeld, Register
 from tests.packets.rig import SETTLED, SteeringRig, load, packet, record as target
--- a/tests/packets/test_evidence.py
+++ b/tests/packets/test_evidence.py
@@ -5,8 +5,8 @@
 from unittest import mock
 
 from bench.packet_placement import WORLDS_BY_NAME, simulate
-from monsoonpier.agent.packet_evidence import FailureShare
-from monsoonpier.balancer.packet_placement import reliable
+from monsoonpier.agent.packets.evidence import FailureShare
+from monsoonpier.balancer.packets.placement import reliable
 from monsoonpier.model.target import Condition
 from monsoonpier.platform.packets import PlatformPackets
 from standins.packets.wire import ACK, Segment
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -2,12 +2,12 @@
 
 import unittest
 
-from monsoonpier.agent.packet_actions import (
+from monsoonpier.agent.packets.actions import (
     ResetFlow,
     ToCallerPacket,
     ToTarget,
 )
-from monsoonpier.agent.packet_holder import PacketHolder
+from monsoonpier.agent.packets.holder import PacketHolder
 from monsoonpier.model.target import ABSENT_SECONDS, Condition
 from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, PassOn, Turned, Whose
 from tests.packets.rig import (
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -15,7 +15,11 @@
 import msgspec
 from hypothesis import given, settings, strategies as st
 
-from monsoonpier.agent.announcement import TargetAnnouncement, TargetLeft, TargetRun
+from monsoonpier.agent.packets.announcement import (
+    TargetAnnouncement,
+    TargetLeft,
+    TargetRun,
+)
 from monsoonpier.exits import Exit
 from monsoonpier.http import Request
 from monsoonpier.model.address import Address
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -10,10 +10,10 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from monsoonpier.agent import actions
-from monsoonpier.agent.holder import Holder
+from monsoonpier.agent.tokens import actions
+from monsoonpier.agent.tokens.holder import Holder
 from monsoonpier.balancer.actions import ToAgent, ToCaller
-from monsoonpier.balancer.decision import Balancer
+from monsoonpier.balancer.tokens.decision import Balancer
 from monsoonpier.caller.session import FlowLostEvent, FlowSession, RequestEnded
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
