Send no faster than a VM's link carries, the urgent first

Cause: a caller's window is 16 packets of 1,231 bytes within 2 ms; a balancer passed all on at once, and a link of 2 Mbit/s that queues 50 ms lost seven of them, with SYNs, load reports and heartbeats in the same queue. Each was repeated after 0.2, 0.4 and 0.8 s. The settings tell the link's rate; it was ignored. The demo's lb-2 has 5 Mbit/s. Ruled out: the nearest deadline first within a class (a socket doesn't know deadlines); pacing of TCP control, which is small.

--- a/bench/packet_demo.py
+++ b/bench/packet_demo.py
@@ -15,6 +15,7 @@
 MAPS = 4
 LOGS = 2
 STEADY_SECONDS = 2.0
+NARROW, NARROW_MEGABITS = "lb-2", 5.0  # an entry VM with a small link
 LEAVE_SECONDS = 2.0  # a leaving target's flows close after their next answer
 
 
@@ -24,6 +25,7 @@
         await _start(deployment)
         load = PacketLoad(deployment=deployment, seed=2)
         load.start(readers=20, writers=6, uploaders=2)
+        say(f"the link of {NARROW} carries {NARROW_MEGABITS:g} Mbit/s")
         say("20 callers with long flows, 6 with a flow a request, 2 upload")
         await asyncio.sleep(STEADY_SECONDS)
         say("all balancers and all map targets are replaced")
@@ -44,7 +46,7 @@
     for name in names:
         deployment.ip(name)
     await asyncio.gather(
-        *(deployment.start_balancer(name) for name in names),
+        *(_start_balancer(deployment, name) for name in names),
         *(deployment.start_pair(name, service) for name, service in pairs),
     )
 
@@ -56,7 +58,12 @@
         node.signal(signal.SIGTERM)
         deployment.rotate(name, out=True)
         await node.wait()
-        await deployment.start_balancer(name)
+        await _start_balancer(deployment, name)
+
+
+async def _start_balancer(deployment: PacketDeployment, name: str) -> None:
+    megabits = NARROW_MEGABITS if name == NARROW else None
+    await deployment.start_balancer(name, link_megabits=megabits)
 
 
 async def _replace_maps(deployment: PacketDeployment) -> None:
@@ -76,6 +83,6 @@
         deployment.nodes_by_name[name].signal(signal.SIGKILL)
     deployment.rotate(*balancers, out=True)
     await asyncio.gather(
-        *(deployment.start_balancer(name) for name in balancers),
+        *(_start_balancer(deployment, name) for name in balancers),
         *(deployment.start_agent(name, service) for name, service in agents),
     )
--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -64,7 +64,7 @@
 
     Args:
         record: The target as it is announced at first.
-        send: Sends a control frame's datagram to an internal address.
+        send: Sends a control frame to an internal address.
         read_load: Returns the present load for a heartbeat.
         configure: Takes each newer configuration; ``None`` if none is wanted.
     """
@@ -75,13 +75,13 @@
         settings: Settings,
         store: Store,
         record: TargetRecord,
-        send: Callable[[bytes, tuple[str, int]], None],
+        send: Callable[[object, tuple[str, int]], None],
         read_load: Callable[[], LoadReport],
         configure: Callable[[Configuration], None] | None,
         draw: random.Random,
     ) -> None:
         self._settings = settings
-        self._send_datagram = send
+        self._send = send
         self._read_load = read_load
         self._take_configuration = configure
         self._draw = draw
@@ -153,9 +153,6 @@
             load=self._read_load(),
         )
 
-    def _send(self, frame, endpoint: tuple[str, int]) -> None:
-        self._send_datagram(self._codec.encode(frame), endpoint)
-
     async def _find_forever(self) -> None:
         """Ask seeds and the store while no balancer has answered.
 
--- a/monsoonpier/agent/packets/actions.py
+++ b/monsoonpier/agent/packets/actions.py
@@ -16,6 +16,7 @@
 
     ip: str
     raw: bytes
+    flow: bytes
 
 
 class ToProcess(msgspec.Struct, frozen=True, kw_only=True, gc=False):
--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -369,7 +369,7 @@
             return self._returned(packet, flow, now=now)
         if packet.is_reset:
             return self._reset_by_target(packet, flow, now=now)
-        actions: list = [ToCallerPacket(ip=packet.caller_ip, raw=packet.raw)]
+        actions: list = [_to_caller(packet)]
         if len(self._served_addresses) < MAX_ADDRESSES:
             self._served_addresses.add(packet.service_address)
         if flow is None:
@@ -417,7 +417,7 @@
             return self._deny(
                 flow.guessed, sender=flow.balancer, now=now, asks=flow.asks
             )
-        return [ToCallerPacket(ip=packet.caller_ip, raw=packet.raw)]
+        return [_to_caller(packet)]
 
     def _adopt(self, packet: Packet, *, now: float) -> PacketFlow:
         """Take a flow that the target holds since before this agent's start."""
@@ -505,6 +505,10 @@
         return [ToProcess(endpoint=sender, frame=frame)]
 
 
+def _to_caller(packet: Packet) -> ToCallerPacket:
+    return ToCallerPacket(ip=packet.caller_ip, raw=packet.raw, flow=packet.flow)
+
+
 def _is_new_data(packet: Packet, flow: PacketFlow) -> bool:
     """Tell data from its retransmission, which may follow the answer."""
     if flow.caller_end is None:
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -17,6 +17,8 @@
 from monsoonpier.agent.packets.holder import PacketHolder
 from monsoonpier.agent.packets.liveness import TargetLiveness
 from monsoonpier.agent.packets.target_run import LateHeartbeat, NewRun, RunHistory
+from monsoonpier.link.schedule import Urgency
+from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition
@@ -31,6 +33,7 @@
 from monsoonpier.wire.control import AskDrain, AskStatus, StatusReply
 from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck, PassOn, Whose
 from monsoonpier.wire.packet import PacketCodec
+from monsoonpier.wire.urgency import urgency_of
 
 __all__ = ["PacketAgentProcess"]
 
@@ -77,6 +80,7 @@
         self._life = ProcessLife()
         self._started = time.monotonic()
         self._frames = FrameCodec(keys=settings.keys)
+        self._sender = LinkSender(bits_per_second=settings.link_bits_per_second)
         self._holder = PacketHolder(
             name=settings.name,
             service=settings.target.service,
@@ -88,7 +92,7 @@
             settings=settings,
             store=store,
             record=target_record(settings, instance=b""),
-            send=self._send_frame_bytes,
+            send=self._send_frame,
             read_load=lambda: self._holder.load(now=_now()),
             configure=None,
             draw=self._draw,
@@ -321,13 +325,13 @@
             match action:
                 case ToTarget(raw=raw):
                     self._outbound.send(raw, self._target.endpoint)
-                case ToCallerPacket(ip=ip, raw=raw):
-                    self._internal.send(raw, (ip, self._callers_port))
+                case ToCallerPacket(ip=ip, raw=raw, flow=flow):
+                    self._send_to_caller(raw, ip=ip, flow=flow)
                 case ToProcess(endpoint=endpoint, frame=frame):
-                    self._internal.send(self._frames.encode(frame), endpoint)
+                    self._send_frame(frame, endpoint)
                 case ResetFlow(ip=ip, flow=flow, acknowledged=acknowledged):
                     reset = self._packets.reset(flow, acknowledged=acknowledged)
-                    self._internal.send(reset, (ip, self._callers_port))
+                    self._send_to_caller(reset, ip=ip, flow=flow)
                     _log.info(
                         "caller reset", flow=flow_name(flow), reason="target ended"
                     )
@@ -349,11 +353,20 @@
     def _report(self) -> None:
         self._reporting = None
         for action in self._holder.load_news(now=_now()):
-            self._internal.send(self._frames.encode(action.frame), action.endpoint)
+            self._send_frame(action.frame, action.endpoint)
 
-    def _send_frame_bytes(self, data: bytes, endpoint: tuple[str, int]) -> None:
-        if self._internal is not None:
-            self._internal.send(data, endpoint)
+    def _send_frame(self, frame, endpoint: tuple[str, int]) -> None:
+        """Send a frame to another process's internal address."""
+        if self._internal is None:
+            return  # a heartbeat while the socket was being set up
+        data = self._frames.encode(frame)
+        urgency = urgency_of(frame, size=len(data))
+        self._sender.send(self._internal, data, endpoint, urgency=urgency)
+
+    def _send_to_caller(self, raw: bytes, *, ip: str, flow: bytes) -> None:
+        endpoint = (ip, self._callers_port)
+        urgency = Urgency.by_size(len(raw))
+        self._sender.send(self._internal, raw, endpoint, urgency=urgency, flow=flow)
 
     def _drop(self, reason: str) -> None:
         count = self._dropped_by_reason.get(reason, 0)
@@ -391,6 +404,7 @@
         failed = self._holder.target_load.failed_percent(now=_now())
         yield gauge("failed_percent", "Of the target's latest requests.", failed)
         yield self._holder.target_load.answer_seconds
+        yield from self._sender.readings
         results = self._holder.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
         drops = self._dropped_by_reason
--- a/monsoonpier/agent/tokens/process.py
+++ b/monsoonpier/agent/tokens/process.py
@@ -27,6 +27,7 @@
     StreamClosed,
 )
 from monsoonpier.agent.tokens.target_client import HealthHint, TargetClient
+from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition
@@ -51,6 +52,7 @@
     FrameCodec,
     HeartbeatAck,
 )
+from monsoonpier.wire.urgency import urgency_of
 
 __all__ = ["AgentProcess"]
 
@@ -86,6 +88,7 @@
             connections=settings.target.connections,
         )
         self._codec = FrameCodec(keys=settings.keys)
+        self._sender = LinkSender(bits_per_second=settings.link_bits_per_second)
         self._link = BalancerLink(
             settings=settings,
             store=EtcdStore(addresses=settings.platform, draw=self._draw),
@@ -202,7 +205,7 @@
             load=self._holder.load(now=_now()),
             opened=isinstance(reply.message, Opened),
         )
-        self._socket.send(self._codec.encode(frame), reply.via)
+        self._send(frame, reply.via)
 
     def _send_bounce(self, action: Return) -> None:
         frame = Bounce(
@@ -216,7 +219,7 @@
             agent=self._settings.name,
             load=self._holder.load(now=_now()),
         )
-        self._socket.send(self._codec.encode(frame), action.via)
+        self._send(frame, action.via)
 
     # The target's events
 
@@ -270,9 +273,15 @@
 
     # Balancers
 
-    def _send_control(self, data: bytes, endpoint: tuple[str, int]) -> None:
-        self._control_bytes["out"] += len(data)
-        self._socket.send(data, endpoint)
+    def _send_control(self, frame, endpoint: tuple[str, int]) -> None:
+        self._control_bytes["out"] += self._send(frame, endpoint)
+
+    def _send(self, frame, endpoint: tuple[str, int]) -> int:
+        """Send a frame to a balancer; return its bytes."""
+        data = self._codec.encode(frame)
+        urgency = urgency_of(frame, size=len(data))
+        self._sender.send(self._socket, data, endpoint, urgency=urgency)
+        return len(data)
 
     def _acknowledged(self, ack: HeartbeatAck) -> None:
         """Leave while the configuration doesn't allow this target."""
@@ -326,6 +335,7 @@
         for reason, count in self._dropped_frames.items():
             drops[reason] = drops.get(reason, 0) + count
         yield counter("dropped_datagrams", "Datagrams not used.", drops, "reason")
+        yield from self._sender.readings
         yield counter(
             "control_bytes", "Control traffic.", self._control_bytes, "direction"
         )
--- a/monsoonpier/balancer/actions.py
+++ b/monsoonpier/balancer/actions.py
@@ -6,10 +6,14 @@
 
 
 class ToAgent(msgspec.Struct, frozen=True, kw_only=True, gc=False):
-    """Send a frame to another process's internal address."""
+    """Send a frame to another process's internal address.
+
+    ``flow`` names the flow whose packet the frame brings; such frames stay in order.
+    """
 
     endpoint: tuple[str, int]
     frame: object
+    flow: bytes = b""
 
 
 class ToCaller(msgspec.Struct, frozen=True, kw_only=True, gc=False):
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -13,6 +13,7 @@
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.store_link import StoreLink
 from monsoonpier.documents.stored import pack, unpack, unstore
+from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
@@ -32,6 +33,7 @@
     TargetStatus,
 )
 from monsoonpier.wire.frames import BalancerRecord, FrameCodec
+from monsoonpier.wire.urgency import urgency_of
 
 __all__ = ["STORED_FORMAT", "ConfigurationFormat", "Member", "balancer_record"]
 
@@ -87,6 +89,7 @@
     Args:
         membership: The decisions that it serves.
         life: The process's life.
+        sender: The link that all of the process's sockets share.
         store: Where configuration and balancers are found.
         take_frame: Takes a frame that came to the internal address.
         on_configured: Called after a newer configuration is in force.
@@ -99,6 +102,7 @@
         settings: Settings,
         membership: Membership,
         life: ProcessLife,
+        sender: LinkSender,
         store: Store,
         take_frame: Callable[[object, tuple[str, int]], None],
         on_configured: Callable[[], None],
@@ -109,6 +113,7 @@
         self._settings = settings
         self._membership = membership
         self._life = life
+        self._sender = sender
         self._take_frame = take_frame
         self._on_configured = on_configured
         self._draw = draw
@@ -182,14 +187,29 @@
 
     # Frames
 
-    def send(self, frame, endpoint: tuple[str, int], *, is_control: bool) -> None:
-        """Send a frame to another process's internal address."""
+    def send(
+        self,
+        frame,
+        endpoint: tuple[str, int],
+        *,
+        is_control: bool,
+        flow: bytes = b"",
+    ) -> None:
+        """Send a frame to another process's internal address.
+
+        Args:
+            frame: The frame.
+            endpoint: Where to.
+            is_control: It isn't a packet of a flow.
+            flow: The flow that it belongs to, if any.
+        """
         if self._socket is None:
             return  # a frame that came while the socket was being set up
         data = self._codec.encode(frame)
         if is_control:
             self._bytes_by_direction["out"] += len(data)
-        self._socket.send(data, endpoint)
+        urgency = urgency_of(frame, size=len(data))
+        self._sender.send(self._socket, data, endpoint, urgency=urgency, flow=flow)
 
     def do(self, action) -> None:
         """Carry out one of the membership's actions."""
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -11,6 +11,8 @@
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packets.scope import ResetCaller
 from monsoonpier.balancer.packets.steering import PacketSteering
+from monsoonpier.link.schedule import Urgency
+from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
@@ -66,10 +68,12 @@
             log=DecisionLog("monsoonpier.balancer.packets.steering"),
             data_centres=settings.data_centres,
         )
+        self._sender = LinkSender(bits_per_second=settings.link_bits_per_second)
         self._member = Member(
             settings=settings,
             membership=self._membership,
             life=self._life,
+            sender=self._sender,
             store=store,
             take_frame=self._take_frame,
             on_configured=self._configured,
@@ -160,9 +164,9 @@
     def _do(self, actions: list) -> None:
         for action in actions:
             match action:
-                case ToAgent(endpoint=endpoint, frame=frame):
+                case ToAgent(endpoint=endpoint, frame=frame, flow=flow):
                     is_control = not isinstance(frame, Carry)
-                    self._member.send(frame, endpoint, is_control=is_control)
+                    self._member.send(frame, endpoint, is_control=is_control, flow=flow)
                 case ResetCaller(packet=packet):
                     self._send_reset(packet)
         if self._retry is None and self._steering.is_waiting:
@@ -176,7 +180,8 @@
     def _send_reset(self, packet: Packet) -> None:
         reset = self._codec.reset(packet.flow, acknowledged=packet.acknowledged)
         assert self._socket is not None
-        self._socket.send(reset, (packet.caller_ip, self._packets.port))
+        endpoint = (packet.caller_ip, self._packets.port)
+        self._sender.send(self._socket, reset, endpoint, urgency=Urgency.SMALL)
 
     def _drop(self, reason: str) -> None:
         count = self._dropped_by_reason.get(reason, 0)
@@ -195,6 +200,7 @@
         age = _now() - self._configured_at
         yield gauge("configuration_age_seconds", "Since it came in force.", age)
         yield from self._steering.histograms
+        yield from self._sender.readings
         yield self._store.call_seconds
         results = self._steering.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -136,7 +136,7 @@
             tried=known.tried[-MAX_TRIED:] if packet.is_syn else (),
             asks=asks,
         )
-        return self.tell(frame, names=names)
+        return self.tell(frame, names=names, flow=packet.flow)
 
     def carry_syn(
         self,
@@ -157,13 +157,13 @@
             wait_ms=_milliseconds(wait_seconds),
             priority=min(priority, MAX_PRIORITY),
         )
-        return self.tell(frame, names=(name,))
+        return self.tell(frame, names=(name,), flow=packet.flow)
 
-    def tell(self, frame, *, names: Iterable[str]) -> list[ToAgent]:
+    def tell(self, frame, *, names: Iterable[str], flow: bytes = b"") -> list[ToAgent]:
         """Return a frame to the agents of these targets, as far as they're known."""
         records = [self.membership.table.record(name) for name in names]
         return [
-            ToAgent(endpoint=(record.ip, record.port), frame=frame)
+            ToAgent(endpoint=(record.ip, record.port), frame=frame, flow=flow)
             for record in records
             if record is not None
         ]
--- a/monsoonpier/balancer/tokens/process.py
+++ b/monsoonpier/balancer/tokens/process.py
@@ -11,6 +11,8 @@
 from monsoonpier.balancer.actions import ToAgent, ToCaller
 from monsoonpier.balancer.member import Member, balancer_record
 from monsoonpier.balancer.tokens.decision import Balancer
+from monsoonpier.link.schedule import Urgency
+from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.readings import counter, gauge
@@ -38,10 +40,12 @@
         self._balancer = Balancer(own=balancer_record(settings), keys=settings.keys)
         self._store = EtcdStore(addresses=settings.platform, draw=self._draw)
         self._rebind = asyncio.Event()
+        self._sender = LinkSender(bits_per_second=settings.link_bits_per_second)
         self._member = Member(
             settings=settings,
             membership=self._balancer.membership,
             life=self._life,
+            sender=self._sender,
             store=self._store,
             take_frame=self._take_frame,
             on_configured=self._rebind.set,
@@ -113,7 +117,8 @@
             case ToCaller(service=service, endpoint=endpoint, payload=payload):
                 socket = self._sockets_by_service.get(service)
                 if socket is not None:
-                    socket.send(payload, endpoint)
+                    urgency = Urgency.by_size(len(payload))
+                    self._sender.send(socket, payload, endpoint, urgency=urgency)
 
     # Service sockets
 
@@ -174,6 +179,7 @@
         drops = balancer.dropped_by_reason + Counter(self._member.dropped_by_reason)
         yield counter("dropped_datagrams", "Datagrams not used.", drops, "reason")
         control = self._member.bytes_by_direction
+        yield from self._sender.readings
         yield counter("control_bytes", "Control traffic.", control, "direction")
         calls = {"all": self._store.calls}
         yield counter("platform_calls", "Calls to the platform.", calls, "kind")
--- a/monsoonpier/documents/settings.py
+++ b/monsoonpier/documents/settings.py
@@ -1,6 +1,7 @@
 """Settings of a process: a YAML file, and environment variables over it."""
 
 import ipaddress
+import math
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -116,6 +117,9 @@
         except ValueError as error:
             place = document.place(("service_bind_ip",))
             findings.append(Finding(place=place, problem=str(error)))
+    if math.isnan(content.get("link_megabits", 1.0)):
+        place = document.place(("link_megabits",))
+        findings.append(Finding(place=place, problem="not a number"))
     tcp = [content.get("control"), content.get("metrics")]
     if tcp[0] is not None and tcp[0] == tcp[1]:
         place = document.place(("metrics",))
@@ -152,10 +156,15 @@
         service_bind_ip=content.get("service_bind_ip"),
         seeds=tuple(Address.parse(seed) for seed in content.get("seeds", [])),
         target=TargetSettings(**target) if target else None,
+        link_bits_per_second=_bits_per_second(content.get("link_megabits")),
         **addresses,
     )
 
 
+def _bits_per_second(megabits: float | None) -> float | None:
+    return None if megabits is None else megabits * 1_000_000
+
+
 def _mask(content: dict) -> dict:
     masked = dict(content)
     masked["keys"] = [{"id": key["id"], "secret": "****"} for key in content["keys"]]
--- a/monsoonpier/model/settings.py
+++ b/monsoonpier/model/settings.py
@@ -34,3 +34,4 @@
     seeds: tuple[Address, ...] = ()
     data_centres: tuple[str, ...] = ()  # all of them, if they are known
     target: TargetSettings | None = None
+    link_bits_per_second: float | None = None  # of the VM; not known: no limit
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -32,6 +33,12 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Of the machine and of each process; only the link's rate is used."""
+
+    link_mbps: Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+
 class _File(msgspec.Struct, frozen=True, kw_only=True):
     """The fields that are used; unknown ones are ignored."""
 
@@ -41,6 +48,7 @@
     internal_ports: tuple[int, int]
     listen: _Listen
     platform: _StorePlace
+    limits: _Limits = _Limits()
     seeds: tuple[str, ...] = ()
     zones: Mapping[str, str] = {}  # to their regions
     app: str | None = None
@@ -128,6 +136,7 @@
             Address(ip=Address.parse(seed).ip, port=first_port) for seed in file.seeds
         ),
         target=target,
+        link_bits_per_second=_bits_per_second(file.limits.link_mbps),
     )
     return PlatformSettings(
         common=common,
@@ -140,6 +149,10 @@
     )
 
 
+def _bits_per_second(megabits: float | None) -> float | None:
+    return None if megabits is None else megabits * 1_000_000
+
+
 def _optional(text: str | None) -> Address | None:
     return Address.parse(text) if text else None
 
--- a/standins/packets/deployment.py
+++ b/standins/packets/deployment.py
@@ -168,12 +168,21 @@
 
     # Processes
 
-    async def start_balancer(self, name: str, *, wait: bool = True) -> Node:
-        """Start a balancer; the first few are the seeds of all others."""
+    async def start_balancer(
+        self, name: str, *, wait: bool = True, link_megabits: float | None = None
+    ) -> Node:
+        """Start a balancer; the first few are the seeds of all others.
+
+        Args:
+            name: The balancer's.
+            wait: Until it is ready.
+            link_megabits: What its link carries, as its settings tell.
+        """
         ip = self.ip(name)
         if len(self._seeds) < MAX_SEEDS and ip not in self._seeds:
             self._seeds.append(ip)
-        node = await self._start("balancer", name, {})
+        more = {} if link_megabits is None else {"link_megabits": link_megabits}
+        node = await self._start("balancer", name, more)
         if wait:
             await self.wait_ready(name)
             self.rotate(name)
@@ -296,7 +305,13 @@
         self.links_by_name[name] = links
 
     def _write_settings(
-        self, name: str, *, app: str = "", service: str = "", outbound: str = ""
+        self,
+        name: str,
+        *,
+        app: str = "",
+        service: str = "",
+        outbound: str = "",
+        link_megabits: float | None = None,
     ) -> Path:
         ip = self.ip(name)
         seeds = [f"{seed}:{CONTROL_PORT}" for seed in self._seeds]
@@ -318,6 +333,8 @@
             f'outbound = "{outbound}"' if outbound else "",
             "[platform]",
             f'address = "{store}"',
+            "[limits]" if link_megabits else "",
+            f"link_mbps = {link_megabits}" if link_megabits else "",
             "[zones]",
             'dc-1 = "region-1"',
         ]
--- a/tests/documents/test_documents.py
+++ b/tests/documents/test_documents.py
@@ -139,6 +139,16 @@
         self.assertTrue(any(":3:1: " in f for f in found))
         self.assertTrue(any(":9:" in f for f in found))
 
+    def test_link(self):
+        """The link's rate is optional, a number above 0, and wrong at its place."""
+        self.assertIsNone(self._load(SETTINGS).settings.link_bits_per_second)
+        told = self._load(SETTINGS + "\nlink_megabits: 2.5\n")
+        self.assertEqual(told.settings.link_bits_per_second, 2.5e6)
+        for text in ("0", "-1", "wide", "true", ".nan", ".inf"):
+            with self.subTest(text=text):
+                found = self._load(SETTINGS + f"\nlink_megabits: {text}\n").findings
+                self.assertRegex(str(found[0]), r"settings.yaml:\d+:\d+: ")
+
     def test_wrong_role(self):
         """A balancer's settings don't start an agent."""
         found = self._load(SETTINGS, role="agent").findings
--- /dev/null
+++ b/tests/link/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sending by link."""
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -169,6 +169,20 @@
         self.assertEqual(settings.common.seeds, (Address(ip="10.1.0.10", port=7720),))
         self.assertEqual(settings.from_target, Address(ip="10.1.0.12", port=8162))
 
+    def test_link(self) -> None:
+        """The link's rate is taken where it is told; without one nothing is paced."""
+        self.assertIsNone(self.load(self.TEXT).common.link_bits_per_second)
+        for text, rate in (("2.0", 2e6), ("1000", 1e9)):
+            told = self.load(self.TEXT + f"[limits]\nlink_mbps = {text}\n")
+            self.assertEqual(told.common.link_bits_per_second, rate)
+
+    def test_wrong_link(self) -> None:
+        """A rate that can't be one is found at its place."""
+        for text in ("0", "-2.0", '"wide"', "nan", "[]"):
+            with self.subTest(text=text), self.assertRaises(ValueError) as caught:
+                self.load(self.TEXT + f"[limits]\nlink_mbps = {text}\n")
+            self.assertRegex(str(caught.exception), r":18:13: 'limits.link_mbps'")
+
     def test_all_findings_with_their_places(self) -> None:
         """Everything that is wrong is reported at once, with line and column."""
         text = self.TEXT.replace('zone = "norte"\n', "")
