Let new balancers agree only with one that has settled

Traced (log of 29.4 s): three balancers were added at 28.4 s, two of them knew the same single target of 15, their digests were equal, so each took the other's word that it knew all. A second after its start the new one asked that one target for every flow the fabric moved to it, was denied, and reset flows open at others. Losses on narrow links kept its table small for 1.3 s; delay has no part in it, pacing only hid it. Mended: gossip says whether its sender has settled; only a settled peer's equal table settles. A new balancer fetches a settled peer's table at the first difference.

--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -287,7 +287,8 @@
         endpoints |= {seed.endpoint for seed in self._settings.seeds}
         endpoints.discard(self._membership.peers.own.endpoint)
         for endpoint in sorted(endpoints):
-            self.do(self._membership.greeting(endpoint, draw=self._draw))
+            greeting = self._membership.greeting(endpoint, now=_now(), draw=self._draw)
+            self.do(greeting)
 
     async def _keep_contact_forever(self) -> None:
         """Ask peers out of turn when nobody is heard, and note what comes of it."""
@@ -303,7 +304,10 @@
                 continue
             peers = self._membership.peers.sample(CONTACT_PEERS, draw=self._draw)
             for peer in peers:
-                self.do(self._membership.greeting(peer.endpoint, draw=self._draw))
+                greeting = self._membership.greeting(
+                    peer.endpoint, now=_now(), draw=self._draw
+                )
+                self.do(greeting)
 
     # Asking peers
 
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -16,8 +16,13 @@
     Silence,
 )
 
-__all__ = ["Membership"]
+__all__ = ["ALONE_SECONDS", "Membership"]
 
+# Until then targets may be unknown to a balancer that has just started. Agents
+# announce themselves five times a second while no balancer answers them, and a
+# peer that has settled hands on its whole table.
+AGREED_SECONDS = 1.0  # a heartbeat's interval
+ALONE_SECONDS = 4.0  # agents started together were up to 3 s apart in the soak
 NEAR_BALANCERS = 6  # named to an agent; it heartbeats to the first few it can reach
 
 
@@ -28,17 +33,30 @@
 
     Attributes:
         has_news: Something is to be spread at once.
-        has_agreed: A peer's table has been the same as this one.
+        has_agreed: The table of a peer that has settled was the same as this one.
+        has_agreed_with_any: So was that of any peer; those that have just started
+            together may know the same few targets.
+
+    Args:
+        own: This balancer's own record.
+        started_at: When it started, by its steady clock; by default long ago.
     """
 
-    def __init__(self, *, own: BalancerRecord) -> None:
+    def __init__(self, *, own: BalancerRecord, started_at: float = 0.0) -> None:
         self.peers = Peers(own=own)
         self.table = TargetTable()
         self.configuration = Configuration()
         self.has_news = False
         self.has_agreed = False
+        self.has_agreed_with_any = False
+        self._started_at = started_at
         self._differed_from: str | None = None
 
+    def is_settled(self, *, now: float) -> bool:
+        """Tell whether all targets that can be reached are likely to be known."""
+        needed = AGREED_SECONDS if self.has_agreed else ALONE_SECONDS
+        return now - self._started_at >= needed
+
     def from_process(
         self, frame, *, sender: tuple[str, int], now: float, draw: random.Random
     ) -> list | None:
@@ -116,29 +134,42 @@
                 self._spread(silence)
         actions: list = []
         if not frame.is_answer:
-            actions.append(self._answer(frame, sender=sender, draw=draw))
+            actions.append(self._answer(frame, sender=sender, now=now, draw=draw))
         if frame.version > self.configuration.version:
             actions.append(FetchConfiguration(control=frame.sender.control))
-        if self._stays_different(frame):
+        if self._stays_different(frame, now=now):
             actions.append(FetchTable(control=frame.sender.control))
         return actions
 
-    def _stays_different(self, frame: Gossip) -> bool:
+    def _stays_different(self, frame: Gossip, *, now: float) -> bool:
         """Tell whether a peer's table differs twice in a row.
 
         News that is on its way makes a difference for a round; only one that
-        stays is worth a table's transfer. An empty table can't wait.
+        stays is worth a table's transfer. An empty table can't wait, nor can one
+        that has just begun while the peer knows all: on lossy links a new balancer
+        had one target of 15 for 1.3 s after its start (log of a replay).
         """
         if frame.digest == self.table.digest:
             self._differed_from = None
-            self.has_agreed = len(self.table) > 0
+            self._agreed(frame)
             return False
-        if not len(self.table):
+        if not len(self.table) or (frame.is_settled and not self.is_settled(now=now)):
             return True
         stays = self._differed_from is not None
         self._differed_from = None if stays else frame.sender.name
         return stays
 
+    def _agreed(self, frame: Gossip) -> None:
+        """Note that a peer's table is the same as this one.
+
+        Two that were added together both had one target of 15, and reset open
+        flows which that one denied, when they took each other's word for it.
+        """
+        has_targets = len(self.table) > 0
+        self.has_agreed_with_any = has_targets
+        if frame.is_settled:
+            self.has_agreed = has_targets
+
     def round(
         self, *, now: float, draw: random.Random, eager: bool = False
     ) -> list[ToAgent]:
@@ -151,7 +182,7 @@
                 self.peers.spread(silence)
             self.table.forget(now=now)
         return [
-            self._gossip_to(peer.endpoint, is_answer=False, draw=draw)
+            self._gossip_to(peer.endpoint, is_answer=False, now=now, draw=draw)
             for peer in self.peers.pick(now=now, draw=draw, eager=eager)
         ]
 
@@ -160,27 +191,43 @@
         self.has_news = True
 
     def _answer(
-        self, frame: Gossip, *, sender: tuple[str, int], draw: random.Random
+        self,
+        frame: Gossip,
+        *,
+        sender: tuple[str, int],
+        now: float,
+        draw: random.Random,
     ) -> ToAgent:
         self.peers.note_old(frame.sender)
         if frame.digest != self.table.digest:
-            return self._gossip_to(sender, is_answer=True, draw=draw)
+            return self._gossip_to(sender, is_answer=True, now=now, draw=draw)
         answer = self.peers.quiet_answer(
-            version=self.configuration.version, digest=self.table.digest, draw=draw
+            version=self.configuration.version,
+            digest=self.table.digest,
+            is_settled=self.is_settled(now=now),
+            draw=draw,
         )
         return ToAgent(endpoint=sender, frame=answer)
 
-    def greeting(self, endpoint: tuple[str, int], *, draw: random.Random) -> ToAgent:
+    def greeting(
+        self, endpoint: tuple[str, int], *, now: float, draw: random.Random
+    ) -> ToAgent:
         """Return gossip for an address whose balancer isn't known yet."""
-        return self._gossip_to(endpoint, is_answer=False, draw=draw)
+        return self._gossip_to(endpoint, is_answer=False, now=now, draw=draw)
 
     def _gossip_to(
-        self, endpoint: tuple[str, int], *, is_answer: bool, draw: random.Random
+        self,
+        endpoint: tuple[str, int],
+        *,
+        is_answer: bool,
+        now: float,
+        draw: random.Random,
     ) -> ToAgent:
         gossip = self.peers.gossip(
             version=self.configuration.version,
             digest=self.table.digest,
             is_answer=is_answer,
+            is_settled=self.is_settled(now=now),
             draw=draw,
         )
         return ToAgent(endpoint=endpoint, frame=gossip)
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -61,7 +61,9 @@
         self._draw = random.Random()
         self._life = ProcessLife()
         self._started = time.monotonic()
-        self._membership = Membership(own=balancer_record(settings))
+        self._membership = Membership(
+            own=balancer_record(settings), started_at=self._started
+        )
         self._steering = PacketSteering(
             membership=self._membership,
             started_at=self._started,
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from monsoonpier.balancer.actions import ToAgent
-from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.membership import ALONE_SECONDS, Membership
 from monsoonpier.balancer.packets.flows import FlowTable, KnownFlow
 from monsoonpier.balancer.packets.returning import ReturningCallers
 from monsoonpier.balancer.packets.runs import TargetRuns
@@ -18,13 +18,8 @@
 
 __all__ = ["PacketScope", "ResetCaller"]
 
-# Until then targets may be unknown to a balancer that has just started. Agents
-# announce themselves five times a second while no balancer answers them, and a
-# peer that has been there for longer hands on its whole table.
 RESTARTED_SECONDS = 0.3  # all that start together have found each other in 0.2 s
 HEARD_SECONDS = 1.2  # an agent that lived on has sent a heartbeat by then
-AGREED_SECONDS = 1.0  # a heartbeat's interval
-ALONE_SECONDS = 4.0  # agents started together were up to 3 s apart in the soak
 
 
 class ResetCaller(msgspec.Struct, frozen=True, kw_only=True, gc=False):
@@ -70,8 +65,7 @@
 
     def is_settled(self, *, now: float) -> bool:
         """Tell whether all targets that can be reached are likely to be known."""
-        needed = AGREED_SECONDS if self.membership.has_agreed else ALONE_SECONDS
-        return now - self.started_at >= needed
+        return self.membership.is_settled(now=now)
 
     def knows_holders_of(self, service: str, *, now: float) -> bool:
         """Tell whether no other target can hold a flow that these have denied."""
@@ -80,7 +74,8 @@
             # An agent that isn't back yet may stand beside one that holds flows.
             return now - self.started_at >= ALONE_SECONDS
         if self._began_with(names):
-            has_agreed = self.membership.has_agreed
+            membership = self.membership
+            has_agreed = membership.has_agreed or membership.has_agreed_with_any
             needed = RESTARTED_SECONDS if has_agreed else HEARD_SECONDS
             return now - self.started_at >= needed
         return self.is_settled(now=now)
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -139,7 +139,13 @@
         return peer is not None and now < peer.left_out_until
 
     def gossip(
-        self, *, version: int, digest: bytes, is_answer: bool, draw: random.Random
+        self,
+        *,
+        version: int,
+        digest: bytes,
+        is_answer: bool,
+        is_settled: bool,
+        draw: random.Random,
     ) -> Gossip:
         """Return this round's message with the news that has rounds left."""
         records, silences = self._take_news()
@@ -149,11 +155,12 @@
             records=records,
             silences=silences,
             is_answer=is_answer,
+            is_settled=is_settled,
             draw=draw,
         )
 
     def quiet_answer(
-        self, *, version: int, digest: bytes, draw: random.Random
+        self, *, version: int, digest: bytes, is_settled: bool, draw: random.Random
     ) -> Gossip:
         """Return an answer for a peer that knows all this balancer knows."""
         return self._message(
@@ -162,6 +169,7 @@
             records=(),
             silences=(),
             is_answer=True,
+            is_settled=is_settled,
             draw=draw,
         )
 
--- a/monsoonpier/balancer/tokens/decision.py
+++ b/monsoonpier/balancer/tokens/decision.py
@@ -38,9 +38,11 @@
     Nothing here grows with the number of flows.
     """
 
-    def __init__(self, *, own: BalancerRecord, keys: KeyRing) -> None:
+    def __init__(
+        self, *, own: BalancerRecord, keys: KeyRing, started_at: float = 0.0
+    ) -> None:
         self._keys = keys
-        self.membership = Membership(own=own)
+        self.membership = Membership(own=own, started_at=started_at)
         self.dropped_by_reason: Counter[str] = Counter()
         self.opens_by_result: Counter[str] = Counter()
         self.forwarded = 0
--- a/monsoonpier/balancer/tokens/process.py
+++ b/monsoonpier/balancer/tokens/process.py
@@ -37,7 +37,11 @@
         self._draw = random.Random()
         self._life = ProcessLife()
         self._started = time.monotonic()
-        self._balancer = Balancer(own=balancer_record(settings), keys=settings.keys)
+        self._balancer = Balancer(
+            own=balancer_record(settings),
+            keys=settings.keys,
+            started_at=self._started,
+        )
         self._store = EtcdStore(addresses=settings.platform, draw=self._draw)
         self._rebind = asyncio.Event()
         self._sender = LinkSender(bits_per_second=settings.link_bits_per_second)
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -154,7 +154,10 @@
 
 
 class Gossip(_Frame, tag=8, kw_only=True, gc=False):
-    """What a balancer tells a peer: news, and digests to find what is missing."""
+    """What a balancer tells a peer: news, and digests to find what is missing.
+
+    ``is_settled`` says that the sender is likely to know all targets.
+    """
 
     sender: BalancerRecord
     version: int
@@ -165,6 +168,7 @@
         tuple[BalancerRecord, ...], Meta(max_length=MAX_BALANCERS)
     ] = ()
     is_answer: bool = False
+    is_settled: bool = False
 
 
 class Carry(_Frame, tag=9, kw_only=True, gc=False):
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -256,7 +256,7 @@
             control="10.1.0.1:1",
             epoch=1,
         )
-        membership = Membership(own=own)
+        membership = Membership(own=own, started_at=started_at)
         for target in self.targets:
             membership.table.learn(self._record(target), now=0.0)
         route = PacketRoute(
--- a/tests/balancer/test_decision.py
+++ b/tests/balancer/test_decision.py
@@ -203,7 +203,9 @@
         """Gossip of a newer version makes a balancer ask for it."""
         old, new = balancer("b1", host=1), balancer("b2", host=2)
         new.membership.configure(Configuration(version=5))
-        hello = new.membership.greeting(("10.2.0.1", 9000), draw=random.Random(1)).frame
+        hello = new.membership.greeting(
+            ("10.2.0.1", 9000), now=1.0, draw=random.Random(1)
+        ).frame
         actions = frame(old, hello, sender=("10.2.0.2", 9000))
         wanted = [a for a in actions if isinstance(a, FetchConfiguration)]
         self.assertEqual([a.control for a in wanted], ["10.2.0.2:9001"])
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -103,7 +103,7 @@
         started_at: float = 0.0,
         data_centres: tuple[str, ...] = ("dc-1",),
     ) -> None:
-        self.membership = Membership(own=own or OWN)
+        self.membership = Membership(own=own or OWN, started_at=started_at)
         self.draw = random.Random(7)
         self.steering = PacketSteering(
             membership=self.membership,
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+from monsoonpier.balancer.actions import FetchTable
+from monsoonpier.balancer.membership import Membership
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Configuration
@@ -20,6 +22,7 @@
     Whose,
 )
 from tests.packets.rig import (
+    OWN,
     SETTLED,
     SteeringRig,
     load,
@@ -305,6 +308,8 @@
 
     def _deny_all(self, *, now: float) -> list:
         actions = self.rig.caller(packet(), now=now)
+        # Where there is a peer it is asked first, and doesn't answer.
+        actions += self.rig.steering.retry(now=now + 0.04, draw=self.rig.draw)
         for name in ("maps-1", "maps-2", "maps-3"):
             actions += self.rig.agent(denied(name, packet()), packet(), now=now)
         return resets(actions)
@@ -321,6 +326,48 @@
         actions = self.rig.steering.retry(now=1.1, draw=self.rig.draw)
         self.assertEqual(resets(actions), ["nobody holds the flow"])
 
+    def _hear(self, peer: Membership, *, now: float) -> list:
+        """Let a peer's gossip arrive."""
+        sent = peer.greeting(OWN.endpoint, now=now, draw=self.rig.draw)
+        sender = peer.peers.own.endpoint
+        return self.rig.membership.from_process(
+            sent.frame, sender=sender, now=now, draw=self.rig.draw
+        )
+
+    def _peer(self, *, targets: int, started_at: float) -> Membership:
+        own = replace(OWN, name="lb-2", ip="10.1.0.2")
+        peer = Membership(own=own, started_at=started_at)
+        for number in range(1, targets + 1):
+            peer.table.learn(record(f"maps-{number}", host=number), now=started_at)
+        return peer
+
+    def test_two_that_know_little_agree(self) -> None:
+        """Two balancers that were added together don't take each other for settled.
+
+        Found on a play with lossy links: both knew one target of 15, agreed, and
+        reset flows that were open at others.
+        """
+        self._hear(self._peer(targets=3, started_at=0.1), now=0.3)
+        self.assertEqual(self._deny_all(now=1.2), [])
+        self.assertEqual(self.rig.steering.retry(now=3.9, draw=self.rig.draw), [])
+
+    def test_a_settled_peer_agrees(self) -> None:
+        """The word of one that has been there for longer is enough."""
+        self._hear(self._peer(targets=3, started_at=-9.0), now=0.3)
+        self.assertEqual(self._deny_all(now=1.2), ["nobody holds the flow"])
+
+    def test_table_of_a_settled_peer_is_fetched_at_once(self) -> None:
+        """A new balancer that knows a few targets doesn't wait for a second round."""
+        for started_at, fetched in ((0.1, 0), (-9.0, 1)):
+            with self.subTest(started_at=started_at):
+                self.rig = SteeringRig(targets=1)
+                actions = self._hear(
+                    self._peer(targets=3, started_at=started_at), now=0.3
+                )
+                found = sum(isinstance(a, FetchTable) for a in actions)
+                self.assertEqual(found, fetched)
+                self.assertFalse(self.rig.membership.has_agreed)
+
     def test_no_reset_without_configuration(self) -> None:
         """A balancer without a configuration can't tell what has no route."""
         rig = SteeringRig(version=0)
