Let an agent without a target say that none is left before it stops

The agent said SHEDDING, as beside a target that lives on, and balancers waited for its word on every dead flow until the callers gave up. Mended: an agent that has found nobody at its target's address since its start stays, and answers, until that is sure (3 s, as balancers judge it), and then says GONE. Ruled out: GONE at once (a target that has stopped listening may hold its flows for a moment, and an agent may have been restarted beside it just then).

--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -122,6 +122,11 @@
         """Flows that the target holds."""
         return len(self._flows_by_address)
 
+    @property
+    def has_no_target(self) -> bool:
+        """Whether no target can be left there: it has been absent for long enough."""
+        return self.is_absent and self._knows_all
+
     def started(
         self, instance: bytes, *, is_first: bool, is_young: bool = False, now: float
     ) -> list:
@@ -223,11 +228,12 @@
             held=held,
             is_sure=is_sure,
             run_ms=self._run_ms(now=now),
-            is_absent=self._is_absent,
+            is_absent=self.is_absent,
         )
 
     @property
-    def _is_absent(self) -> bool:
+    def is_absent(self) -> bool:
+        """Whether nobody has listened at the target's address since the start."""
         is_unknown = self.condition is Condition.STARTING and not self._instance
         return is_unknown and self._absent_since is not None
 
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -44,6 +44,7 @@
 FAREWELL_SECONDS = 0.05
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
 MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
+ABSENT_CHECK_SECONDS = 0.02  # a fifth of the time between two looks at the target
 _log = structlog.get_logger("monsoonpier.agent.packets.process")
 
 
@@ -162,10 +163,9 @@
         if self._has_left:
             # The agent is stopped after its target has ended.
             self._do(self._holder.ended(now=_now()))
-            self._enter(Condition.GONE)
-            for _ in range(FAREWELLS):
-                await asyncio.sleep(FAREWELL_SECONDS)
-                self._link.announce(Condition.GONE)
+            await self._say_gone()
+        elif await self._stays_absent():
+            await self._say_gone()
         else:
             # The target may live on and an agent may start beside it again.
             self._enter(Condition.SHEDDING)
@@ -173,6 +173,24 @@
             await asyncio.sleep(0.02)
         self._life.step("finished")
 
+    async def _say_gone(self) -> None:
+        self._enter(Condition.GONE)
+        for _ in range(FAREWELLS):
+            await asyncio.sleep(FAREWELL_SECONDS)
+            self._link.announce(Condition.GONE)
+
+    async def _stays_absent(self) -> bool:
+        """Wait until it is sure that no target is left, if none has been found.
+
+        VMs whose targets have left start again like others after a loss of power,
+        and are given up a moment later. Balancers that still know such an agent wait
+        for its word on each dead flow: 101 of 178 flows that were asked about got no
+        verdict (log of a replay with 18 target VMs).
+        """
+        while self._holder.is_absent and not self._holder.has_no_target:
+            await asyncio.sleep(ABSENT_CHECK_SECONDS)
+        return self._holder.has_no_target
+
     # The target's own word
 
     def take(self, message: TargetAnnouncement | TargetLeft) -> bool:
--- a/tests/packets/test_agent_process.py
+++ b/tests/packets/test_agent_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import unittest
 
 from monsoonpier.agent.packets.announcement import (
@@ -13,7 +14,7 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.settings import Settings, TargetSettings
-from monsoonpier.model.target import Condition
+from monsoonpier.model.target import ABSENT_SECONDS, Condition
 from standins.fake_store import FakeStore
 from tests.packets.rig import CODEC
 
@@ -83,6 +84,33 @@
         await asyncio.wait_for(self.process._leave_and_finish(), 5)
         self.assertIs(self.holder.condition, Condition.GONE)
 
+    async def test_given_up_without_a_target(self) -> None:
+        """An agent that never found a target says that none is left, once sure.
+
+        Found on a replay: VMs whose targets had left started again after a loss of
+        power and were given up 0.8 s later; no dead flow got its verdict after that.
+        """
+        now = time.monotonic()
+        self.holder.absent(now=now)
+        self.process._life.step("terminate")
+        leaving = asyncio.create_task(self.process._leave_and_finish())
+        await asyncio.sleep(0.1)
+        self.assertIs(self.holder.condition, Condition.STARTING)
+        self.assertFalse(leaving.done())
+        self.holder.absent(now=now + ABSENT_SECONDS)
+        await asyncio.wait_for(leaving, 5)
+        self.assertIs(self.holder.condition, Condition.GONE)
+
+    async def test_given_up_while_a_target_comes(self) -> None:
+        """One that turns up in the meantime may live on without the agent."""
+        self.holder.absent(now=time.monotonic())
+        self.process._life.step("terminate")
+        leaving = asyncio.create_task(self.process._leave_and_finish())
+        await asyncio.sleep(0.05)
+        self.process.take(heartbeat())
+        await asyncio.wait_for(leaving, 5)
+        self.assertIs(self.holder.condition, Condition.SHEDDING)
+
     async def test_lost_farewell(self) -> None:
         """A draining target that no longer listens may still hold its flows.
 
