Weigh nearness by what a flow carries, against the time of a run

Cause: a target in another data centre cost 0.05 of a run, whatever the run and the flow. Runs of 5 ms are timed in whole milliseconds, so targets differ by 0.2 of a run, and uploads of 40 KB went anywhere: three windows, three ways there and back. Mended: the cost is the way's time, for the handshake and each window of the flow, in runs; at the most 0.6 of a run, less than a wait for a slot. What short flows of an address carry is learnt, both ways, from the first one on. Long flows spread by load as before. Ruled out: a weight by bytes alone (it would cost callers time where runs are long).

--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -3,13 +3,14 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from monsoonpier.wire.packet import Packet
+from monsoonpier.wire.packet import Packet, sequence_distance
 
-__all__ = ["FlowTable", "Inquiry", "KnownFlow", "LongFlowShare"]
+__all__ = ["FlowHabits", "FlowTable", "Inquiry", "KnownFlow"]
 
 MAX_FLOWS = 65_536  # 13,500 open flows a balancer at the size aimed at, fivefold
 LONG_SECONDS = 2.0  # a flow that still sends then carries more than one request
-SHARE_SMOOTHING = 0.1
+SMOOTHING = 0.1  # of what one more flow says of its address
+MAX_FLOW_BYTES = 1 << 30  # a larger step back in the sequence space is a late packet
 MAX_KEPT_PACKETS = 16  # what a caller sends before it waits for an answer
 
 
@@ -58,7 +59,9 @@
     ``holders`` names the targets that may hold it: several while copies of its
     SYN are on their way, one after its agent has said so. ``is_queued`` says that
     the SYN waits at the last of them for a slot. ``asked_at`` is when its caller
-    asked first, on this flow or on one that it was refused before.
+    asked first, on this flow or on one that it was refused before. ``sent_bytes``
+    are the caller's; what it has acknowledged since ``first_acknowledged`` are the
+    answer's.
     """
 
     service: str
@@ -74,6 +77,8 @@
     inquiry: Inquiry | None = None
     is_counted: bool = False
     has_fin: bool = False
+    sent_bytes: int = 0
+    first_acknowledged: int | None = None
 
 
 class FlowTable:
@@ -109,23 +114,40 @@
         self._flows_by_address.pop(flow, None)
 
 
-class LongFlowShare:
-    """How many of the flows to one address turn out to be long ones."""
+class FlowHabits:
+    """How long the flows to one address last, and how much the short ones carry."""
 
     def __init__(self) -> None:
-        self._share = 0.5
+        self._long_share = 0.5
+        self._short_bytes = 0.0
+        self._short_flows = 0
 
     @property
-    def value(self) -> float:
-        """The smoothed share, 0 to 1."""
-        return self._share
+    def long_share(self) -> float:
+        """How many turn out to carry more than one request, 0 to 1; smoothed."""
+        return self._long_share
 
-    def count(self, known: KnownFlow, *, is_fin: bool, now: float) -> None:
+    @property
+    def short_bytes(self) -> float:
+        """Bytes both ways of a flow with one request; smoothed."""
+        return self._short_bytes
+
+    def learn(self, packet: Packet, known: KnownFlow, *, now: float) -> None:
         """Learn from one packet of a flow; each flow counts once."""
         if known.is_counted:
             return
+        known.sent_bytes += packet.size
+        if known.first_acknowledged is None:
+            known.first_acknowledged = packet.acknowledged
         is_long = now - known.created_at >= LONG_SECONDS
-        if not is_long and not is_fin:
+        if not is_long and not packet.is_fin:
             return
         known.is_counted = True
-        self._share += SHARE_SMOOTHING * (float(is_long) - self._share)
+        self._long_share += SMOOTHING * (float(is_long) - self._long_share)
+        if not is_long:
+            answered = sequence_distance(known.first_acknowledged, packet.acknowledged)
+            carried = known.sent_bytes + (answered if answered < MAX_FLOW_BYTES else 0)
+            # The first few count in full: a balancer in a large fleet sees few.
+            self._short_flows += 1
+            weight = max(SMOOTHING, 1 / self._short_flows)
+            self._short_bytes += weight * (carried - self._short_bytes)
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -3,7 +3,7 @@
 import random
 from collections import deque
 
-from monsoonpier.balancer.packets.flows import KnownFlow, LongFlowShare
+from monsoonpier.balancer.packets.flows import FlowHabits, KnownFlow
 from monsoonpier.balancer.packets.placement import (
     PlacementQuery,
     has_room,
@@ -45,7 +45,7 @@
 
     def __init__(self, *, scope: PacketScope) -> None:
         self._scope = scope
-        self._long_share_by_address: dict[Address, LongFlowShare] = {}
+        self._habits_by_address: dict[Address, FlowHabits] = {}
         self._unanswered: deque[tuple[float, bytes]] = deque()
         self._waiting_room = WaitingRoom()
         self._hedges_left = MAX_HEDGES
@@ -64,8 +64,8 @@
     def configured(self) -> None:
         """Forget what was learned of addresses that have no route any more."""
         routes = self._scope.membership.configuration.routes_by_address
-        for address in self._long_share_by_address.keys() - routes.keys():
-            del self._long_share_by_address[address]
+        for address in self._habits_by_address.keys() - routes.keys():
+            del self._habits_by_address[address]
 
     def open(
         self,
@@ -165,10 +165,12 @@
         route = self._scope.route(packet)
         if route is None:
             return self._refuse(packet, known, "no route", now=now)
+        habits = self._habits(packet)
         query = PlacementQuery(
             tried=known.tried,
             data_centre=self._scope.membership.peers.own.data_centre,
-            long_share=self._long_share(packet).value,
+            long_share=habits.long_share,
+            short_bytes=habits.short_bytes,
             in_time=_is_in_time(known, route, candidates, now=now),
         )
         match place(query, candidates, draw=draw):
@@ -325,15 +327,15 @@
             actions += self._place(known.syn, known, now=now, draw=draw)
         return actions
 
-    def learn_length(self, packet: Packet, known: KnownFlow, *, now: float) -> None:
+    def learn_habits(self, packet: Packet, known: KnownFlow, *, now: float) -> None:
         """Learn from a packet how long the flows of its address last."""
         if known.is_counted or known.syn is None and not known.tried:
             return  # Flows that were opened elsewhere have an unknown age.
-        self._long_share(packet).count(known, is_fin=packet.is_fin, now=now)
+        self._habits(packet).learn(packet, known, now=now)
 
-    def _long_share(self, packet: Packet) -> LongFlowShare:
-        shares = self._long_share_by_address
-        return shares.setdefault(packet.service_address, LongFlowShare())
+    def _habits(self, packet: Packet) -> FlowHabits:
+        habits = self._habits_by_address
+        return habits.setdefault(packet.service_address, FlowHabits())
 
     def _note_placed(
         self,
--- a/monsoonpier/balancer/packets/placement.py
+++ b/monsoonpier/balancer/packets/placement.py
@@ -32,7 +32,13 @@
 )
 # The others must carry what those left out don't: at 0.7 of all slots they can.
 MAX_LEFT_OUT_SHARE = 0.25
-REMOTE_WEIGHT = 0.05  # breaks ties only: a millisecond against runs of 50
+# A way to another data centre and back, for the handshake and then for each window
+# that is sent before an answer is waited for, against the time of a run. It may
+# outweigh half a target's slots, never a wait for one.
+REMOTE_SECONDS = 0.001
+MIN_REMOTE_WEIGHT = 0.05  # above the jitter: where all else is equal near ones win
+MAX_REMOTE_WEIGHT = 0.6
+WINDOW_BYTES = 16 * 1_200  # packets that either end has on the way, and their data
 JITTER = 0.02  # balancers with equal knowledge must not choose alike
 COLD_SPEED_RATIO = 1.5  # before the first run of a cold target was timed
 MIN_SPEED_RATIO = 0.3
@@ -48,12 +54,14 @@
         tried: Names of targets that have turned it away or not answered.
         data_centre: Where the balancer is.
         long_share: How likely the flow is to carry many requests, 0 to 1.
+        short_bytes: What it is likely to carry both ways if it doesn't.
         in_time: It can still be answered in time, and so goes before late ones.
     """
 
     tried: tuple[str, ...] = ()
     data_centre: str
     long_share: float
+    short_bytes: float = 0.0
     in_time: bool = True
 
 
@@ -134,6 +142,17 @@
         ratio = candidate.load.service_ms / self._median_ms
         return min(MAX_SPEED_RATIO, max(MIN_SPEED_RATIO, ratio))
 
+    def remote_weight(self, query: PlacementQuery) -> float:
+        """Return how much longer another data centre's answer takes, in runs.
+
+        Where each near target has one slot of two taken, 0.99 of uploads of 40 KB
+        stay near, and none do by the way alone (400 choices among 25 targets).
+        """
+        windows = query.short_bytes / WINDOW_BYTES * (1 - query.long_share)
+        seconds = REMOTE_SECONDS * (1 + windows)
+        weight = 1000 * seconds / self._median_ms
+        return min(MAX_REMOTE_WEIGHT, max(MIN_REMOTE_WEIGHT, weight))
+
     def wait_runs(self, candidate: Candidate, *, in_time: bool) -> float:
         """Return the expected wait for a slot, in runs."""
         slots = candidate.record.slots
@@ -153,5 +172,5 @@
         cost += FLOW_WEIGHT * query.long_share * flows
         cost += FAILURE_WEIGHT * candidate.load.failed_percent / 100
         if candidate.record.data_centre != query.data_centre:
-            cost += REMOTE_WEIGHT
+            cost += self.remote_weight(query)
         return cost + draw.random() * JITTER
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -82,7 +82,7 @@
         if known is None:
             return self._inquiries.ask(packet, now=now)
         known.has_fin |= packet.is_fin
-        self._openings.learn_length(packet, known, now=now)
+        self._openings.learn_habits(packet, known, now=now)
         if known.inquiry is not None:
             return self._inquiries.ask_again(packet, known, now=now)
         if not any(self._scope.may_hold(name) for name in known.holders):
--- /dev/null
+++ b/tests/packets/test_placement.py
@@ -0,0 +1,109 @@
+"""Which target a new flow goes to: near, idle, or both."""
+
+import random
+import unittest
+
+from monsoonpier.balancer.packets.flows import FlowHabits, KnownFlow
+from monsoonpier.balancer.packets.placement import PlacementQuery, place
+from monsoonpier.balancer.steering import Candidate, Chosen
+from monsoonpier.model.target import Condition, LoadReport
+from tests.packets.rig import packet, record
+
+DATA_CENTRES = 5
+TARGETS = 5  # in each
+UPLOAD_BYTES = 40_000
+
+
+def candidate(number: int, *, draw: random.Random, **load) -> Candidate:
+    """Return an idle target whose runs took 5 ms, give or take one."""
+    target = record(
+        f"logs-{number}", host=number, data_centre=f"dc-{number % DATA_CENTRES}"
+    )
+    fields = {"service_ms": draw.choice((4, 5, 6)), "condition": Condition.SERVING}
+    return Candidate(record=target, load=LoadReport(number=1, **fields | load))
+
+
+class NearnessTests(unittest.TestCase):
+    """Uploads of 40 KB in five data centres, 1.4 ms apart."""
+
+    def setUp(self) -> None:
+        self.draw = random.Random(5)
+
+    def near_share(self, *, short_bytes: float, near_load: dict | None = None) -> float:
+        """Return how many of 400 flows stay in their data centre."""
+        near = 0
+        for _ in range(400):
+            candidates = [
+                candidate(
+                    n,
+                    draw=self.draw,
+                    **(near_load or {} if n % DATA_CENTRES == 0 else {}),
+                )
+                for n in range(DATA_CENTRES * TARGETS)
+            ]
+            query = PlacementQuery(
+                data_centre="dc-0", long_share=0.0, short_bytes=short_bytes
+            )
+            match place(query, candidates, draw=self.draw):
+                case Chosen(record=chosen):
+                    near += chosen.data_centre == "dc-0"
+        return near / 400
+
+    def test_large_flows_stay_near(self) -> None:
+        """All but a few of uploads whose targets are idle."""
+        self.assertGreater(self.near_share(short_bytes=UPLOAD_BYTES), 0.9)
+
+    def test_half_taken_near_targets(self) -> None:
+        """A free slot near is taken before an idle target elsewhere; none was."""
+        share = self.near_share(short_bytes=UPLOAD_BYTES, near_load={"in_flight": 1})
+        self.assertGreater(share, 0.9)
+
+    def test_nobody_waits_for_a_near_slot(self) -> None:
+        """Where all near slots are taken a flow goes to an idle one elsewhere."""
+        for size in (UPLOAD_BYTES, 10 * UPLOAD_BYTES):
+            share = self.near_share(short_bytes=size, near_load={"in_flight": 2})
+            self.assertEqual(share, 0.0)
+
+    def test_long_flows_spread(self) -> None:
+        """Flows that carry many requests are spread by load, not by their way."""
+        candidates = [
+            candidate(n, draw=self.draw, flows=12 if n % DATA_CENTRES == 0 else 8)
+            for n in range(DATA_CENTRES * TARGETS)
+        ]
+        query = PlacementQuery(
+            data_centre="dc-0", long_share=1.0, short_bytes=UPLOAD_BYTES
+        )
+        chosen = place(query, candidates, draw=self.draw)
+        self.assertNotEqual(chosen.record.data_centre, "dc-0")
+
+
+class HabitTests(unittest.TestCase):
+    """What the flows of one address carry."""
+
+    def learn(self, habits: FlowHabits, *, sizes: list[int], answer: int) -> None:
+        known = KnownFlow(service="logs", created_at=0.0)
+        for number, size in enumerate(sizes):
+            habits.learn(packet(size=size), known, now=number / 100)
+        last = packet(fin=True, acknowledged=packet().acknowledged + answer)
+        habits.learn(last, known, now=0.5)
+
+    def test_uploads_and_downloads(self) -> None:
+        """Both ways count: what was sent, and what was acknowledged."""
+        for sizes, answer in (([1_200] * 33, 300), ([100], 40_000)):
+            habits = FlowHabits()
+            for _ in range(60):
+                self.learn(habits, sizes=sizes, answer=answer)
+            self.assertAlmostEqual(habits.short_bytes, sum(sizes) + answer, delta=200)
+            self.assertLess(habits.long_share, 0.01)
+
+    def test_first_flow_counts_in_full(self) -> None:
+        """Each balancer of a large fleet sees few flows of an address."""
+        habits = FlowHabits()
+        self.learn(habits, sizes=[1_200] * 33, answer=300)
+        self.assertGreater(habits.short_bytes, 39_000)
+
+    def test_late_acknowledgement(self) -> None:
+        """One that is older than the first is no answer of four gigabytes."""
+        habits = FlowHabits()
+        self.learn(habits, sizes=[100], answer=-50)
+        self.assertLess(habits.short_bytes, 1_000)
