--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -1,5 +1,6 @@
 """The balancers that a balancer knows, and what it tells them."""
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -25,7 +26,11 @@
 EXTRA_SPREADS = 3  # messages that carry a piece of news, above log2 of the peers
 MAX_NEWS = 4_096
 INTRODUCED = 1  # other balancers named in each gossip datagram
-WATCHERS_PER_DATA_CENTRE = 2
+# Of the platform: each data centre has one, which knows of a change when the others
+# are cut off. One may be dead, one may wait for an answer that was lost, and the third
+# tells the fleet. A watch costs a call each two seconds.
+MIN_WATCHERS = 3
+MOST_WATCHERS_PER_DATA_CENTRE = 2
 
 
 @dataclass(slots=True, kw_only=True)
@@ -200,13 +205,16 @@
 
     def is_watcher(self, *, now: float) -> bool:
         """Tell whether this balancer is one of the few that watch the platform."""
-        names = [
-            name
+        reached = {
+            name: record.data_centre
             for name, record in self.records_by_name.items()
-            if record.data_centre == self._own.data_centre
-            and not self.is_left_out(name, now=now)
-        ]
-        chosen = top("platform watch", names, count=WATCHERS_PER_DATA_CENTRE)
+            if not self.is_left_out(name, now=now)
+        }
+        own = self._own.data_centre
+        names = [name for name, place in reached.items() if place == own]
+        share = math.ceil(MIN_WATCHERS / len({own, *reached.values()}))
+        count = min(share, MOST_WATCHERS_PER_DATA_CENTRE)
+        chosen = top("platform watch", names, count=count)
         return self._own.name in chosen
 
     def near(self, subject: str, *, count: int, now: float) -> tuple:
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -3,17 +3,24 @@
 import random
 import unittest
 
+import msgspec
 from structlog.testing import capture_logs
 
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_link import LEASE_TTL_SECONDS, StoreLink
 from monsoonpier.store.interface import LeaseNotFoundError, Put, StoreError
 from monsoonpier.store.keys import BALANCERS
-from monsoonpier.wire.frames import Found, FrameCodec
+from monsoonpier.wire.frames import BalancerRecord, Found, FrameCodec
 from standins.fake_store import FakeStore
 from tests.rig import KEYS, balancer
 
 
+def record(name: str, *, data_centre: str) -> BalancerRecord:
+    return msgspec.structs.replace(
+        balancer(name).peers.own, name=name, data_centre=data_centre
+    )
+
+
 class LinkTests(unittest.IsolatedAsyncioTestCase):
     """Registration under a lease, with a clock that the test moves."""
 
@@ -122,3 +129,31 @@
                 node.peers.learn(other.peers.own)
         watchers = [n for n in nodes if n.peers.is_watcher(now=1.0)]
         self.assertEqual(len(watchers), 2)
+
+    def _watchers(self, *, data_centres: int, unreached: str = "") -> list[str]:
+        """Return the data centres of the watchers among four balancers in each."""
+        records = [
+            record(f"b{n}", data_centre=f"dc-{n % data_centres}")
+            for n in range(4 * data_centres)
+        ]
+        watchers = []
+        for own in records:
+            peers = Peers(own=own)
+            for other in records:
+                if own.data_centre != unreached != other.data_centre:
+                    peers.learn(other)
+            if peers.is_watcher(now=1.0):
+                watchers.append(own.data_centre)
+        return sorted(watchers)
+
+    def test_one_watches_in_each_of_many_data_centres(self):
+        """Each watch costs a call in two seconds: three for the fleet are enough."""
+        self.assertEqual(self._watchers(data_centres=2), ["dc-0"] * 2 + ["dc-1"] * 2)
+        for count in (3, 6):
+            watchers = self._watchers(data_centres=count)
+            self.assertEqual(watchers, [f"dc-{n}" for n in range(count)])
+
+    def test_who_is_cut_off_watches_too(self):
+        """Balancers that know no others look themselves."""
+        watchers = self._watchers(data_centres=3, unreached="dc-2")
+        self.assertEqual(watchers, ["dc-0"] * 2 + ["dc-1"] * 2 + ["dc-2"] * 4)
