--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 
 import uvloop
 
-from bench import packet_placement, placement, policy_bound, running
+from bench import link_use, packet_placement, placement, policy_bound, running
 
 KEPT = Path(__file__).parent.parent / "docs" / "figures" / "bench.jsonl"
 
@@ -17,6 +17,7 @@
         placement.imbalance,
         packet_placement.packet_placement,
         policy_bound.policy_bound,
+        link_use.link_use,
     )
     for measure in simulated:
         if not wanted or measure.__name__ in wanted:
--- a/tests/link/rig.py
+++ b/standins/link_load.py
@@ -1,4 +1,4 @@
-"""A sender behind its schedule and a link, in simulated time."""
+"""Windows and small datagrams through a schedule and a link, in simulated time."""
 
 import heapq
 from dataclasses import dataclass
@@ -6,6 +6,8 @@
 from monsoonpier.link.schedule import Datagram, LinkSchedule, Urgency
 from standins.link import Link
 
+__all__ = ["Arrived", "Sent", "play", "send_unscheduled", "window"]
+
 ENDPOINT = ("10.2.0.1", 7720)
 WINDOW = 16  # packets that a caller sends before it waits for an answer
 PACKET_BYTES = 1_231
@@ -69,8 +71,12 @@
     return sum(link.arrival(one.size, now=one.at) is not None for one in sent)
 
 
-def play(sent: list[Sent], *, link: Link, schedule: LinkSchedule) -> list[Arrived]:
-    """Send through the schedule, whose timer wakes late by a tick at the most."""
+def play(sent: list[Sent], *, link: Link) -> tuple[list[Arrived], LinkSchedule]:
+    """Send through a schedule of the link's rate; return what arrives, and it.
+
+    Its timer wakes late by a tick at the most.
+    """
+    schedule = LinkSchedule(bits_per_second=link.bits_per_second)
     arrived: list[Arrived] = []
     came_at_by_data: dict[bytes, float] = {}
     events = [(one.at, number, one) for number, one in enumerate(sent)]
@@ -101,4 +107,4 @@
                 schedule.keep(one.datagram)
         if len(schedule) and wakes_at is None:
             wakes_at = now + schedule.wait_seconds(now=now) + TICK_SECONDS
-    return arrived
+    return arrived, schedule
--- a/tests/link/test_schedule.py
+++ b/tests/link/test_schedule.py
@@ -11,7 +11,7 @@
     Urgency,
 )
 from standins.link import Link
-from tests.link.rig import (
+from standins.link_load import (
     PACKET_BYTES,
     WINDOW,
     Sent,
@@ -31,8 +31,8 @@
 def through(sent: list[Sent], *, rate: float):
     """Return what arrives over a link of that rate, the link and the schedule."""
     link = Link(bits_per_second=rate)
-    schedule = LinkSchedule(bits_per_second=rate)
-    return play(sent, link=link, schedule=schedule), link, schedule
+    arrived, schedule = play(sent, link=link)
+    return arrived, link, schedule
 
 
 class WindowTests(unittest.TestCase):
