Send frames in one place, and weigh nearness once a choice

Cause: read in the diff. Sealing a frame, its urgency and the link stood in three processes; the conversion of a link's rate stood twice, in both readers of settings; a balancer's start was told to the membership and to the steering, which had to agree; the cost of another data centre, the same for all candidates, was worked out for each of up to 200 of them; two places greeted a peer with the same lines. Mended: process/frames.py sends frames for all roles, Settings converts the rate, the steering takes the start from the membership, the weight is made once a choice. Ruled out: one base class for both agents' status answers, which stood twice before.

--- a/bench/packet_capacity.py
+++ b/bench/packet_capacity.py
@@ -69,7 +69,7 @@
         load = LoadReport(number=1, condition=Condition.SERVING, service_ms=50)
         membership.table.heard(f"side-brum-a-{number}", load, now=100.0)
     log = DecisionLog("bench")
-    return PacketSteering(membership=membership, started_at=0.0, log=log), membership
+    return PacketSteering(membership=membership, log=log), membership
 
 
 def _raw(number: int, flags: int = ACK, size: int = 200) -> bytes:
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -23,6 +23,7 @@
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition
 from monsoonpier.process.control import ControlServer, answer_drain
+from monsoonpier.process.frames import send_frame
 from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.logs import DecisionLog, flow_name
 from monsoonpier.process.readings import counter, gauge
@@ -33,7 +34,6 @@
 from monsoonpier.wire.control import AskDrain, AskStatus, StatusReply
 from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck, PassOn, Whose
 from monsoonpier.wire.packet import PacketCodec
-from monsoonpier.wire.urgency import urgency_of
 
 __all__ = ["PacketAgentProcess"]
 
@@ -377,9 +377,13 @@
         """Send a frame to another process's internal address."""
         if self._internal is None:
             return  # a heartbeat while the socket was being set up
-        data = self._frames.encode(frame)
-        urgency = urgency_of(frame, size=len(data))
-        self._sender.send(self._internal, data, endpoint, urgency=urgency)
+        send_frame(
+            frame,
+            endpoint,
+            codec=self._frames,
+            sender=self._sender,
+            socket=self._internal,
+        )
 
     def _send_to_caller(self, raw: bytes, *, ip: str, flow: bytes) -> None:
         endpoint = (ip, self._callers_port)
--- a/monsoonpier/agent/tokens/process.py
+++ b/monsoonpier/agent/tokens/process.py
@@ -33,6 +33,7 @@
 from monsoonpier.model.target import Condition
 from monsoonpier.model.token import HolderToken
 from monsoonpier.process.control import ControlServer, answer_drain
+from monsoonpier.process.frames import send_frame
 from monsoonpier.process.life import ProcessLife, run_until_left
 from monsoonpier.process.readings import counter, gauge
 from monsoonpier.process.udp import UdpSocket, open_udp
@@ -52,7 +53,6 @@
     FrameCodec,
     HeartbeatAck,
 )
-from monsoonpier.wire.urgency import urgency_of
 
 __all__ = ["AgentProcess"]
 
@@ -278,10 +278,13 @@
 
     def _send(self, frame, endpoint: tuple[str, int]) -> int:
         """Send a frame to a balancer; return its bytes."""
-        data = self._codec.encode(frame)
-        urgency = urgency_of(frame, size=len(data))
-        self._sender.send(self._socket, data, endpoint, urgency=urgency)
-        return len(data)
+        return send_frame(
+            frame,
+            endpoint,
+            codec=self._codec,
+            sender=self._sender,
+            socket=self._socket,
+        )
 
     def _acknowledged(self, ack: HeartbeatAck) -> None:
         """Leave while the configuration doesn't allow this target."""
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -17,6 +17,7 @@
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
+from monsoonpier.process.frames import send_frame
 from monsoonpier.process.life import ProcessLife
 from monsoonpier.process.udp import UdpSocket, open_udp
 from monsoonpier.store.backoff import Backoff
@@ -33,7 +34,6 @@
     TargetStatus,
 )
 from monsoonpier.wire.frames import BalancerRecord, FrameCodec
-from monsoonpier.wire.urgency import urgency_of
 
 __all__ = ["STORED_FORMAT", "ConfigurationFormat", "Member", "balancer_record"]
 
@@ -205,11 +205,16 @@
         """
         if self._socket is None:
             return  # a frame that came while the socket was being set up
-        data = self._codec.encode(frame)
+        size = send_frame(
+            frame,
+            endpoint,
+            codec=self._codec,
+            sender=self._sender,
+            socket=self._socket,
+            flow=flow,
+        )
         if is_control:
-            self._bytes_by_direction["out"] += len(data)
-        urgency = urgency_of(frame, size=len(data))
-        self._sender.send(self._socket, data, endpoint, urgency=urgency, flow=flow)
+            self._bytes_by_direction["out"] += size
 
     def do(self, action) -> None:
         """Carry out one of the membership's actions."""
@@ -287,8 +292,10 @@
         endpoints |= {seed.endpoint for seed in self._settings.seeds}
         endpoints.discard(self._membership.peers.own.endpoint)
         for endpoint in sorted(endpoints):
-            greeting = self._membership.greeting(endpoint, now=_now(), draw=self._draw)
-            self.do(greeting)
+            self._greet_one(endpoint)
+
+    def _greet_one(self, endpoint: tuple[str, int]) -> None:
+        self.do(self._membership.greeting(endpoint, now=_now(), draw=self._draw))
 
     async def _keep_contact_forever(self) -> None:
         """Ask peers out of turn when nobody is heard, and note what comes of it."""
@@ -304,10 +311,7 @@
                 continue
             peers = self._membership.peers.sample(CONTACT_PEERS, draw=self._draw)
             for peer in peers:
-                greeting = self._membership.greeting(
-                    peer.endpoint, now=_now(), draw=self._draw
-                )
-                self.do(greeting)
+                self._greet_one(peer.endpoint)
 
     # Asking peers
 
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -36,10 +36,11 @@
         has_agreed: The table of a peer that has settled was the same as this one.
         has_agreed_with_any: So was that of any peer; those that have just started
             together may know the same few targets.
+        started_at: When this balancer started, by its steady clock; long ago unless
+            it is given.
 
     Args:
         own: This balancer's own record.
-        started_at: When it started, by its steady clock; by default long ago.
     """
 
     def __init__(self, *, own: BalancerRecord, started_at: float = 0.0) -> None:
@@ -49,13 +50,13 @@
         self.has_news = False
         self.has_agreed = False
         self.has_agreed_with_any = False
-        self._started_at = started_at
+        self.started_at = started_at
         self._differed_from: str | None = None
 
     def is_settled(self, *, now: float) -> bool:
         """Tell whether all targets that can be reached are likely to be known."""
         needed = AGREED_SECONDS if self.has_agreed else ALONE_SECONDS
-        return now - self._started_at >= needed
+        return now - self.started_at >= needed
 
     def from_process(
         self, frame, *, sender: tuple[str, int], now: float, draw: random.Random
--- a/monsoonpier/balancer/packets/placement.py
+++ b/monsoonpier/balancer/packets/placement.py
@@ -87,8 +87,8 @@
     ready = [c for c in untried if not c.suspected] or untried
     if not ready:
         return NoTarget(reason="no target is free", retry_after=RETRY_AFTER_SECONDS)
-    view = _View(ready)
-    best = min(ready, key=lambda c: view.score(c, query=query, draw=draw))
+    view = _View(ready, query=query)
+    best = min(ready, key=lambda c: view.score(c, draw=draw))
     return Chosen(record=best.record)
 
 
@@ -127,13 +127,27 @@
     return timed[len(timed) // 2] if timed else DEFAULT_SERVICE_MS
 
 
+def _remote_weight(query: PlacementQuery, *, median_ms: int) -> float:
+    """Return how much longer another data centre's answer takes, in runs.
+
+    Where each near target has one slot of two taken, 0.99 of uploads of 40 KB
+    stay near, and none do by the way alone (400 choices among 25 targets).
+    """
+    windows = query.short_bytes / WINDOW_BYTES * (1 - query.long_share)
+    seconds = REMOTE_SECONDS * (1 + windows)
+    weight = 1000 * seconds / median_ms
+    return min(MAX_REMOTE_WEIGHT, max(MIN_REMOTE_WEIGHT, weight))
+
+
 class _View:
-    """What all ready candidates have in common."""
+    """What all ready candidates have in common for one flow."""
 
-    def __init__(self, ready: Sequence[Candidate]) -> None:
+    def __init__(self, ready: Sequence[Candidate], *, query: PlacementQuery) -> None:
+        self._query = query
         self._median_ms = _median_ms(ready)
         flows = sum(c.placed for c in ready)
         self._mean_flows = (flows + 1) / sum(c.record.slots for c in ready)
+        self._remote_weight = _remote_weight(query, median_ms=self._median_ms)
 
     def speed_ratio(self, candidate: Candidate) -> float:
         """Return how long a run takes here against the median."""
@@ -142,27 +156,15 @@
         ratio = candidate.load.service_ms / self._median_ms
         return min(MAX_SPEED_RATIO, max(MIN_SPEED_RATIO, ratio))
 
-    def remote_weight(self, query: PlacementQuery) -> float:
-        """Return how much longer another data centre's answer takes, in runs.
-
-        Where each near target has one slot of two taken, 0.99 of uploads of 40 KB
-        stay near, and none do by the way alone (400 choices among 25 targets).
-        """
-        windows = query.short_bytes / WINDOW_BYTES * (1 - query.long_share)
-        seconds = REMOTE_SECONDS * (1 + windows)
-        weight = 1000 * seconds / self._median_ms
-        return min(MAX_REMOTE_WEIGHT, max(MIN_REMOTE_WEIGHT, weight))
-
     def wait_runs(self, candidate: Candidate, *, in_time: bool) -> float:
         """Return the expected wait for a slot, in runs."""
         slots = candidate.record.slots
         ahead = _ahead(candidate, in_time=in_time) + 1 - slots
         return max(0, ahead) / slots
 
-    def score(
-        self, candidate: Candidate, *, query: PlacementQuery, draw: random.Random
-    ) -> float:
+    def score(self, candidate: Candidate, *, draw: random.Random) -> float:
         """Return the cost of placing the flow there; the least is chosen."""
+        query = self._query
         slots = candidate.record.slots
         taken = (candidate.work + candidate.sent_since) / slots
         wait_runs = self.wait_runs(candidate, in_time=query.in_time)
@@ -172,5 +174,5 @@
         cost += FLOW_WEIGHT * query.long_share * flows
         cost += FAILURE_WEIGHT * candidate.load.failed_percent / 100
         if candidate.record.data_centre != query.data_centre:
-            cost += self.remote_weight(query)
+            cost += self._remote_weight
         return cost + draw.random() * JITTER
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -66,7 +66,6 @@
         )
         self._steering = PacketSteering(
             membership=self._membership,
-            started_at=self._started,
             log=DecisionLog("monsoonpier.balancer.packets.steering"),
             data_centres=settings.data_centres,
         )
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -38,14 +38,12 @@
         runs: What agents have said of their targets' runs.
         returning: Callers that were reset and may come back.
         counts_by_result: Decisions, for metrics.
-        started_at: When this balancer started, by its steady clock.
     """
 
     def __init__(
         self,
         *,
         membership: Membership,
-        started_at: float,
         log: DecisionLog,
         data_centres: Collection[str] = (),
     ) -> None:
@@ -56,7 +54,11 @@
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
-        self.started_at = started_at
+
+    @property
+    def started_at(self) -> float:
+        """When this balancer started, by its steady clock."""
+        return self.membership.started_at
 
     def route(self, packet: Packet) -> PacketRoute | None:
         """Return where the packet's address leads in the present configuration."""
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -33,13 +33,11 @@
         self,
         *,
         membership: Membership,
-        started_at: float,
         log: DecisionLog,
         data_centres: Collection[str] = (),
     ) -> None:
         self._scope = PacketScope(
             membership=membership,
-            started_at=started_at,
             log=log,
             data_centres=data_centres,
         )
--- a/monsoonpier/documents/settings.py
+++ b/monsoonpier/documents/settings.py
@@ -156,15 +156,11 @@
         service_bind_ip=content.get("service_bind_ip"),
         seeds=tuple(Address.parse(seed) for seed in content.get("seeds", [])),
         target=TargetSettings(**target) if target else None,
-        link_bits_per_second=_bits_per_second(content.get("link_megabits")),
+        link_megabits=content.get("link_megabits"),
         **addresses,
     )
 
 
-def _bits_per_second(megabits: float | None) -> float | None:
-    return None if megabits is None else megabits * 1_000_000
-
-
 def _mask(content: dict) -> dict:
     masked = dict(content)
     masked["keys"] = [{"id": key["id"], "secret": "****"} for key in content["keys"]]
--- a/monsoonpier/model/settings.py
+++ b/monsoonpier/model/settings.py
@@ -34,4 +34,9 @@
     seeds: tuple[Address, ...] = ()
     data_centres: tuple[str, ...] = ()  # all of them, if they are known
     target: TargetSettings | None = None
-    link_bits_per_second: float | None = None  # of the VM; not known: no limit
+    link_megabits: float | None = None  # a second, of the VM; not known: no limit
+
+    @property
+    def link_bits_per_second(self) -> float | None:
+        """What the VM's link carries, if it is known."""
+        return None if self.link_megabits is None else self.link_megabits * 1_000_000
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -136,7 +136,7 @@
             Address(ip=Address.parse(seed).ip, port=first_port) for seed in file.seeds
         ),
         target=target,
-        link_bits_per_second=_bits_per_second(file.limits.link_mbps),
+        link_megabits=file.limits.link_mbps,
     )
     return PlatformSettings(
         common=common,
@@ -149,10 +149,6 @@
     )
 
 
-def _bits_per_second(megabits: float | None) -> float | None:
-    return None if megabits is None else megabits * 1_000_000
-
-
 def _optional(text: str | None) -> Address | None:
     return Address.parse(text) if text else None
 
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -270,7 +270,6 @@
         membership.has_agreed = True
         return PacketSteering(
             membership=membership,
-            started_at=started_at,
             log=log,
             data_centres=tuple({f"dc-{t.number % DATA_CENTRES}" for t in self.targets}),
         )
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -107,7 +107,6 @@
         self.draw = random.Random(7)
         self.steering = PacketSteering(
             membership=self.membership,
-            started_at=started_at,
             log=LOG,
             data_centres=data_centres,
         )
