--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -21,7 +21,7 @@
 from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.address import Address
 from monsoonpier.model.settings import Settings
-from monsoonpier.model.target import Condition
+from monsoonpier.model.target import ABSENT_SECONDS, Condition
 from monsoonpier.process.control import ControlServer, answer_drain
 from monsoonpier.process.frames import send_frame
 from monsoonpier.process.life import ProcessLife, run_until_left
@@ -44,6 +44,9 @@
 FAREWELL_SECONDS = 0.05
 LATE_SECONDS = 1.0  # a heartbeat isn't longer on its way on one machine
 MAX_LEAVE_SECONDS = 2.5  # for requests under way; long flows never end by themselves
+# Until an agent that stops is sure that it has no target, and five looks more; stops
+# are given six seconds.
+MAX_ABSENT_SECONDS = ABSENT_SECONDS + 0.5
 ABSENT_CHECK_SECONDS = 0.02  # a fifth of the time between two looks at the target
 _log = structlog.get_logger("monsoonpier.agent.packets.process")
 
@@ -187,7 +190,10 @@
         for its word on each dead flow: 101 of 178 flows that were asked about got no
         verdict (log of a replay with 18 target VMs).
         """
+        until = _now() + MAX_ABSENT_SECONDS
         while self._holder.is_absent and not self._holder.has_no_target:
+            if _now() > until:
+                break  # The address neither refuses nor answers any more.
             await asyncio.sleep(ABSENT_CHECK_SECONDS)
         return self._holder.has_no_target
 
--- a/tests/packets/test_agent_process.py
+++ b/tests/packets/test_agent_process.py
@@ -4,7 +4,9 @@
 import random
 import time
 import unittest
+from unittest import mock
 
+from monsoonpier.agent.packets import process as agent_process
 from monsoonpier.agent.packets.announcement import (
     TargetAnnouncement,
     TargetLeft,
@@ -101,6 +103,14 @@
         await asyncio.wait_for(leaving, 5)
         self.assertIs(self.holder.condition, Condition.GONE)
 
+    async def test_given_up_while_the_target_is_not_reached(self) -> None:
+        """A stop ends in time, though the target's address refuses nothing more."""
+        self.holder.absent(now=time.monotonic())
+        self.process._life.step("terminate")
+        with mock.patch.object(agent_process, "MAX_ABSENT_SECONDS", 0.1):
+            await asyncio.wait_for(self.process._leave_and_finish(), 2)
+        self.assertIs(self.holder.condition, Condition.SHEDDING)
+
     async def test_given_up_while_a_target_comes(self) -> None:
         """One that turns up in the meantime may live on without the agent."""
         self.holder.absent(now=time.monotonic())
