--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -10,6 +10,7 @@
 
 from monsoonpier.agent.witnesses import Witnesses
 from monsoonpier.documents.stored import unpack, unstore
+from monsoonpier.model.evacuation import Evacuations
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
@@ -67,6 +68,7 @@
         send: Sends a control frame to an internal address.
         read_load: Returns the present load for a heartbeat.
         configure: Takes each newer configuration; ``None`` if none is wanted.
+        evacuate: Told whenever an order on the target's data centre is new.
     """
 
     def __init__(
@@ -78,12 +80,14 @@
         send: Callable[[object, tuple[str, int]], None],
         read_load: Callable[[], LoadReport],
         configure: Callable[[Configuration], None] | None,
+        evacuate: Callable[[], None],
         draw: random.Random,
     ) -> None:
         self._settings = settings
         self._send = send
         self._read_load = read_load
         self._take_configuration = configure
+        self._take_evacuation = evacuate
         self._draw = draw
         self._codec = FrameCodec(keys=settings.keys)
         self._witnesses = Witnesses(target=settings.name)
@@ -92,6 +96,12 @@
         self._reading: asyncio.Task | None = None
         self.record = record
         self.configuration = Configuration()
+        self.evacuations = Evacuations()
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the target's data centre takes no new flows."""
+        return self.evacuations.is_evacuated(self._settings.data_centre)
 
     async def run(self) -> None:
         """Heartbeat and look for balancers until cancelled."""
@@ -118,6 +128,7 @@
     def acknowledged(self, ack: HeartbeatAck) -> bool:
         """Take a balancer's answer; tell whether the target is allowed."""
         self._witnesses.acknowledged(ack, now=_now())
+        self._learn_evacuation(ack)
         epoch = self._witnesses.epoch_beyond(ack, epoch=self.record.epoch)
         if epoch is not None:
             _log.warning("clock was set back", epoch=self.record.epoch, held=epoch - 1)
@@ -129,6 +140,21 @@
         is_current = ack.version and ack.version >= self.configuration.version
         return ack.allowed or not is_current
 
+    def _learn_evacuation(self, ack: HeartbeatAck) -> None:
+        order = ack.evacuation
+        if order is None or order.data_centre != self._settings.data_centre:
+            return
+        joined = self.evacuations.joined((order,))
+        if joined == self.evacuations:
+            return
+        self.evacuations = joined
+        _log.info(
+            "evacuation in force" if order.is_active else "evacuation taken back",
+            revision=order.revision,
+            learned_from=ack.balancer,
+        )
+        self._take_evacuation()
+
     async def _heartbeat_forever(self) -> None:
         beats = 0
         while True:
--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -12,7 +12,7 @@
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.load import TargetLoad
 from monsoonpier.agent.packets.queue import AdmissionQueue, QueuedSyn
-from monsoonpier.model.target import QUEUE_AHEAD, Condition
+from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Queued, Turned
 from monsoonpier.wire.packet import Packet
@@ -21,6 +21,7 @@
 
 NO_SLOT = "no slot is free"
 NO_SLOT_IN_TIME = "no slot came free"
+EVACUATED = "data centre evacuated"
 FORCED_TRIES = 3  # a SYN turned away so often may wait for one run at the target
 
 
@@ -38,6 +39,8 @@
 
     Attributes:
         condition: What the target will take.
+        is_evacuated: An operator wants no new flows in this data centre. Agents are
+            the last gate: a balancer that hasn't heard of it sends them all the same.
     """
 
     def __init__(
@@ -60,6 +63,18 @@
         self._log = log
         self._expectations = Expectations()
         self.condition = Condition.STARTING
+        self.is_evacuated = False
+
+    @property
+    def offered(self) -> Condition:
+        """What balancers may count on: nothing new while this place is evacuated."""
+        if self.is_evacuated and self.condition is Condition.SERVING:
+            return Condition.SHEDDING
+        return self.condition
+
+    def report(self, *, now: float) -> LoadReport:
+        """Return the present load, newer than all reports before."""
+        return self._load.report(condition=self.offered, now=now)
 
     @property
     def is_waiting(self) -> bool:
@@ -88,8 +103,8 @@
         """Deliver SYNs that have waited while a slot is free."""
         if not self.is_waiting:
             return []
-        if self.condition is not Condition.SERVING:
-            reason = self.condition.name.lower()
+        reason = self._closed
+        if reason is not None:
             waiting = self._queue.pop_all()
             return [self.turn(syn, reason, now=now) for syn in waiting]
         expired = self._queue.pop_expired(now=now)
@@ -138,15 +153,15 @@
             payload=syn.packet.raw,
             tried=syn.tried[-MAX_TRIED:],
             reason=reason,
-            load=self._load.report(condition=self.condition, now=now),
+            load=self.report(now=now),
         )
         return ToProcess(endpoint=syn.balancer, frame=frame)
 
     def _refusal(self, frame: Carry) -> str | None:
         if frame.service != self._service:
             return "another service's"
-        if self.condition is not Condition.SERVING:
-            return self.condition.name.lower()
+        if self._closed is not None:
+            return self._closed
         if len(self._flows_by_address) >= self._connections:
             return "no connection is free"
         allowed = self._load.slots
@@ -154,6 +169,13 @@
             allowed += QUEUE_AHEAD
         return NO_SLOT if self._load.busy >= allowed else None
 
+    @property
+    def _closed(self) -> str | None:
+        """Why no new flow is taken at all, if so."""
+        if self.condition is not Condition.SERVING:
+            return self.condition.name.lower()
+        return EVACUATED if self.is_evacuated else None
+
     def _deliver(self, syn: QueuedSyn, *, now: float) -> ToTarget:
         packet = syn.packet
         ended = self._flows_by_address.pop(packet.flow, None)
@@ -200,6 +222,6 @@
             busy=self._load.busy,
             queued=len(self._queue),
         )
-        load = self._load.report(condition=self.condition, now=now)
+        load = self.report(now=now)
         frame = Queued(flow=packet.flow, agent=self._name, load=load)
         return ToProcess(endpoint=sender, frame=frame)
--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -112,6 +112,15 @@
     def condition(self, condition: Condition) -> None:
         self._admission.condition = condition
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether new flows are turned away since the data centre is evacuated."""
+        return self._admission.is_evacuated
+
+    @is_evacuated.setter
+    def is_evacuated(self, is_evacuated: bool) -> None:
+        self._admission.is_evacuated = is_evacuated
+
     @property
     def busy(self) -> int:
         """Requests that the target works on, or that are on their way."""
@@ -183,11 +192,11 @@
 
     def load(self, *, now: float) -> LoadReport:
         """Return the present load, newer than all reports before."""
-        return self.target_load.report(condition=self.condition, now=now)
+        return self._admission.report(now=now)
 
     def load_news(self, *, now: float) -> list[ToProcess]:
         """Return reports for the balancers that place flows here, if it changed."""
-        return self._news.due(condition=self.condition, now=now)
+        return self._news.due(condition=self._admission.offered, now=now)
 
     # Packets of callers
 
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -99,6 +99,7 @@
             send=self._send_frame,
             read_load=lambda: self._holder.load(now=_now()),
             configure=None,
+            evacuate=self._evacuate,
             draw=self._draw,
         )
         self._liveness = TargetLiveness(
@@ -307,6 +308,11 @@
         self._report_soon()
         _log.info("target's condition", before=before.name, after=condition.name)
 
+    def _evacuate(self) -> None:
+        """Obey a new order on the data centre, for flows that wait here too."""
+        self._holder.is_evacuated = self._link.is_evacuated
+        self._do(self._holder.expire(now=_now()))
+
     # Packets and frames
 
     def _receive_frame(self, data: bytes, sender: tuple[str, int]) -> None:
--- a/monsoonpier/agent/tokens/condition.py
+++ b/monsoonpier/agent/tokens/condition.py
@@ -21,6 +21,7 @@
 MAX_TRY_AGAIN_SECONDS = 60.0
 MAX_TRIALS = 8
 NEVER = float("inf")
+EVACUATED = "data centre evacuated"
 MIN_RETRY_SECONDS = 0.05
 UNDATED_RETRY_SECONDS = 1.0  # the state has no end that is known
 _CODES_BY_STATE = {
@@ -36,33 +37,48 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetLife:
-    """State, evidence and the time at which the state ends by itself."""
+    """State, evidence and the time at which the state ends by itself.
+
+    ``is_evacuated`` says that an operator wants no new work in this data centre.
+    """
 
     state: str = "starting"
     silent_runs: int = 0
     failed_trials: int = 0
     until: float = NEVER
     serving_since: float | None = None
+    is_evacuated: bool = False
 
     @property
     def code(self) -> Condition:
         """The condition as reports carry it."""
-        return _CODES_BY_STATE[self.state]
+        code = _CODES_BY_STATE[self.state]
+        if self.is_evacuated and code is Condition.SERVING:
+            return Condition.SHEDDING
+        return code
+
+    @property
+    def label(self) -> str:
+        """The state as callers and logs are told of it."""
+        return EVACUATED if self.is_evacuated else self.state
 
     @property
     def takes_flows(self) -> bool:
         """Whether new flows are accepted."""
-        return load_chart("target").has(self.state, "takes_flows")
+        return self._has("takes_flows") and not self.is_evacuated
 
     @property
     def takes_requests(self) -> bool:
         """Whether new requests on established flows are accepted."""
-        return load_chart("target").has(self.state, "takes_requests")
+        return self._has("takes_requests") and not self.is_evacuated
+
+    def _has(self, trait: str) -> bool:
+        return load_chart("target").has(self.state, trait)
 
     @property
     def one_at_a_time(self) -> bool:
         """Whether the target is only being tried out."""
-        return load_chart("target").has(self.state, "one_at_a_time")
+        return self._has("one_at_a_time")
 
     @property
     def is_leaving(self) -> bool:
@@ -131,6 +147,10 @@
             failed_trials=min(after.failed_trials + 1, MAX_TRIALS),
         )
 
+    def evacuated(self, is_evacuated: bool) -> "TargetLife":
+        """Return the life after an order on the data centre, or its taking back."""
+        return replace(self, is_evacuated=is_evacuated)
+
     def leave(self, *, now: float) -> "TargetLife":
         """Return the life after the order to leave."""
         return self._after("leave", now=now)
--- a/monsoonpier/agent/tokens/holder.py
+++ b/monsoonpier/agent/tokens/holder.py
@@ -186,7 +186,7 @@
     def _refuses_flows(self) -> str:
         """Return why no new flow is taken, or an empty text if one is."""
         if not self.life.takes_flows:
-            return self.life.state
+            return self.life.label
         if self.service is None:
             return "no configuration"
         if len(self._flows_by_id) >= self._connections:
--- a/monsoonpier/agent/tokens/process.py
+++ b/monsoonpier/agent/tokens/process.py
@@ -96,6 +96,7 @@
             send=self._send_control,
             read_load=lambda: self._holder.load(now=_now()),
             configure=self._configure,
+            evacuate=self._evacuate,
             draw=self._draw,
         )
         self._client = TargetClient(url=settings.target.url)
@@ -224,7 +225,7 @@
     # The target's events
 
     def _take_event(self, event: Event) -> None:
-        before = self._holder.life.state
+        before = self._holder.life.label
         match event:
             case RunEnded(key=key, result=result):
                 actions = self._holder.run_ended(
@@ -247,7 +248,7 @@
             await asyncio.sleep(HEALTH_SECONDS)
 
     def _take_hint(self, hint: HealthHint) -> None:
-        before = self._holder.life.state
+        before = self._holder.life.label
         if hint.draining:
             self._do(self._holder.leave(now=_now()))
         elif hint.healthy:
@@ -260,13 +261,13 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            before = self._holder.life.state
+            before = self._holder.life.label
             self._do(self._holder.tick(now=_now(), draw=self._draw))
             self._note_condition(before)
 
     def _note_condition(self, before: str) -> None:
         """Announce at once what balancers should know within seconds."""
-        after = self._holder.life.state
+        after = self._holder.life.label
         if after != before:
             _log.info("target changed", before=before, after=after)
             self._link.announce(self._holder.life.code)
@@ -288,7 +289,7 @@
 
     def _acknowledged(self, ack: HeartbeatAck) -> None:
         """Leave while the configuration doesn't allow this target."""
-        before = self._holder.life.state
+        before = self._holder.life.label
         self._is_allowed = self._link.acknowledged(ack)
         if not self._is_allowed:
             self._do(self._holder.leave(now=_now()))
@@ -299,6 +300,11 @@
         self._holder.service = services.get(self._settings.target.service)
         self._life.step("configured")
 
+    def _evacuate(self) -> None:
+        """Obey a new order on the data centre; open flows and their work stay."""
+        life = self._holder.life
+        self._holder.life = life.evacuated(self._link.is_evacuated)
+
     # Control
 
     async def _answer(self, message):
@@ -308,7 +314,7 @@
                     name=self._settings.name,
                     role="agent",
                     data_centre=self._settings.data_centre,
-                    state=self._holder.life.state,
+                    state=self._holder.life.label,
                     version=self._link.configuration.version,
                     uptime=_now() - self._started,
                 )
--- a/monsoonpier/agent/tokens/requests.py
+++ b/monsoonpier/agent/tokens/requests.py
@@ -328,9 +328,9 @@
         if life.is_leaving:
             return "leaving", 0.0, True
         if not life.takes_requests:
-            return life.state, life.retry_after(now=now), True
+            return life.label, life.retry_after(now=now), True
         if life.one_at_a_time and self.in_flight:
-            return life.state, life.retry_after(now=now), True
+            return life.label, life.retry_after(now=now), True
         if service is None:
             return "no configuration", 1.0, True
         kind = service.kinds_by_name.get(part.kind)
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -11,9 +11,10 @@
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
 from monsoonpier.balancer.contact import Contact
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.store_link import StoreLink
+from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
 from monsoonpier.documents.stored import pack, unpack, unstore
 from monsoonpier.link.sender import LinkSender
+from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
@@ -125,6 +126,7 @@
             peers=membership.peers,
             codec=self._codec,
             configure=self.configure,
+            evacuate=self._take_evacuation,
             draw=draw,
         )
         self._control = ControlServer(
@@ -232,9 +234,11 @@
             return
         now = _now()
         self._contact.heard(has_peers=self._membership.peers.has_peers, now=now)
+        before = self._membership.evacuations
         actions = self._membership.from_process(
             frame, sender=sender, now=now, draw=self._draw
         )
+        self._note_evacuations(before, learned_from=sender[0])
         if actions is None:
             self._take_frame(frame, sender)
             return
@@ -242,6 +246,33 @@
         for action in actions:
             self.do(action)
 
+    # Evacuations
+
+    def _take_evacuation(self, found: Evacuation | EvacuationsRead) -> None:
+        before = self._membership.evacuations
+        match found:
+            case Evacuation():
+                after = before.joined((found,))
+            case EvacuationsRead(revisions_by_data_centre=revisions, revision=at):
+                after = before.as_read(revisions, revision=at)
+        self._membership.evacuate(after)
+        self._note_evacuations(before, learned_from="store")
+
+    def _note_evacuations(self, before: Evacuations, *, learned_from: str) -> None:
+        """Tell agents and the log what has become known of evacuations."""
+        known = self._membership.evacuations.known
+        for order in known:
+            if before.of(order.data_centre) == order:
+                continue
+            _log.info(
+                "evacuation in force" if order.is_active else "evacuation taken back",
+                data_centre=order.data_centre,
+                revision=order.revision,
+                learned_from=learned_from,
+            )
+            for action in self._membership.tell_witnessed(order, now=_now()):
+                self.do(action)
+
     # Gossip
 
     async def _gossip_forever(self) -> None:
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -5,6 +5,7 @@
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.table import TargetTable
+from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import TargetRecord
 from monsoonpier.wire.frames import (
@@ -36,6 +37,7 @@
         has_agreed: The table of a peer that has settled was the same as this one.
         has_agreed_with_any: So was that of any peer; those that have just started
             together may know the same few targets.
+        evacuations: The last known orders on data centres.
         started_at: When this balancer started, by its steady clock; long ago unless
             it is given.
 
@@ -47,6 +49,7 @@
         self.peers = Peers(own=own)
         self.table = TargetTable()
         self.configuration = Configuration()
+        self.evacuations = Evacuations()
         self.has_news = False
         self.has_agreed = False
         self.has_agreed_with_any = False
@@ -113,6 +116,7 @@
             leaving=self.peers.own.leaving,
             balancers=near,
             held_epoch=record.epoch if record is not None else 0,
+            evacuation=self.evacuations.of(record.data_centre) if record else None,
         )
         return ToAgent(endpoint=sender, frame=ack)
 
@@ -125,6 +129,7 @@
         draw: random.Random,
     ) -> list:
         self.peers.heard_from(frame.sender)
+        self.evacuate(self.evacuations.joined(frame.evacuations))
         for record in frame.balancers:
             self.peers.learn(record)
         for record in frame.records:
@@ -206,6 +211,7 @@
             version=self.configuration.version,
             digest=self.table.digest,
             is_settled=self.is_settled(now=now),
+            evacuations=self.evacuations.known,
             draw=draw,
         )
         return ToAgent(endpoint=sender, frame=answer)
@@ -229,6 +235,7 @@
             digest=self.table.digest,
             is_answer=is_answer,
             is_settled=self.is_settled(now=now),
+            evacuations=self.evacuations.known,
             draw=draw,
         )
         return ToAgent(endpoint=endpoint, frame=gossip)
@@ -242,3 +249,29 @@
         self.configuration = configuration
         self.has_news = True
         return True
+
+    def evacuate(self, evacuations: Evacuations) -> bool:
+        """Take what is known of evacuations now; tell if anything of it is new."""
+        is_new = evacuations.known != self.evacuations.known
+        self.evacuations = evacuations
+        if not is_new:
+            return False
+        self.table.evacuated = evacuations.active
+        self.has_news = True
+        return True
+
+    def tell_witnessed(self, order: Evacuation, *, now: float) -> list[ToAgent]:
+        """Return word of an order for the agents there that beat to this balancer.
+
+        With their next heartbeat they would know it up to a second later.
+        """
+        return [
+            self._ack(
+                record,
+                known=True,
+                introduce=False,
+                sender=(record.ip, record.port),
+                now=now,
+            )
+            for record in self.table.witnessed_in(order.data_centre)
+        ]
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.model.rendezvous import top
 from monsoonpier.model.target import TargetRecord
 from monsoonpier.wire.frames import (
@@ -150,6 +151,7 @@
         digest: bytes,
         is_answer: bool,
         is_settled: bool,
+        evacuations: tuple[Evacuation, ...],
         draw: random.Random,
     ) -> Gossip:
         """Return this round's message with the news that has rounds left."""
@@ -161,11 +163,18 @@
             silences=silences,
             is_answer=is_answer,
             is_settled=is_settled,
+            evacuations=evacuations,
             draw=draw,
         )
 
     def quiet_answer(
-        self, *, version: int, digest: bytes, is_settled: bool, draw: random.Random
+        self,
+        *,
+        version: int,
+        digest: bytes,
+        is_settled: bool,
+        evacuations: tuple[Evacuation, ...],
+        draw: random.Random,
     ) -> Gossip:
         """Return an answer for a peer that knows all this balancer knows."""
         return self._message(
@@ -175,6 +184,7 @@
             silences=(),
             is_answer=True,
             is_settled=is_settled,
+            evacuations=evacuations,
             draw=draw,
         )
 
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -4,24 +4,28 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     CompactedError,
     LeaseNotFoundError,
     Put,
+    Snapshot,
     Store,
     StoreError,
+    WatchEvent,
 )
-from monsoonpier.store.keys import BALANCERS, CONFIGURATION
+from monsoonpier.store.keys import BALANCERS, CONFIGURATION, EVACUATIONS
 from monsoonpier.store.lease import Lease
 from monsoonpier.wire.frames import FrameCodec
 
-__all__ = ["StoreLink"]
+__all__ = ["EvacuationsRead", "StoreLink"]
 
 LEASE_TTL_SECONDS = 30
 RENEW_SECONDS = 10.0
@@ -33,10 +37,32 @@
 _log = structlog.get_logger("monsoonpier.balancer.store_link")
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EvacuationsRead:
+    """All orders to evacuate that are in the store.
+
+    Attributes:
+        revisions_by_data_centre: The revision of each order.
+        revision: The store's revision that the reading holds for at least.
+    """
+
+    revisions_by_data_centre: dict[str, int]
+    revision: int
+
+
 class StoreLink:
-    """Keeps the balancer registered and brings configuration from the platform.
+    """Keeps the balancer registered and brings what operators have ordered.
 
     The platform's silence never takes anything away: what is known stays.
+
+    Args:
+        store: The platform's key-value service.
+        peers: The balancers that are known; those registered are added.
+        codec: Seals this balancer's registration.
+        configure: Takes each value of the configuration.
+        evacuate: Takes orders to evacuate data centres, and their deletions.
+        draw: Random numbers for pauses.
+        clock: The steady clock.
     """
 
     def __init__(
@@ -46,6 +72,7 @@
         peers: Peers,
         codec: FrameCodec,
         configure: Callable[[bytes], None],
+        evacuate: Callable[[Evacuation | EvacuationsRead], None],
         draw: random.Random,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -54,6 +81,7 @@
         self._peers = peers
         self._codec = codec
         self._configure = configure
+        self._evacuate = evacuate
         self._draw = draw
         self._lease = Lease()
         self._watching: asyncio.Task | None = None
@@ -130,17 +158,16 @@
                 self._watching.cancel()
 
     async def _watch(self) -> None:
-        """Read all, then follow every change of the configuration."""
+        """Read all, then follow every change that an operator makes."""
         backoff = Backoff(first_seconds=REREAD_SECONDS, most_seconds=MAX_REREAD_SECONDS)
         while True:
             try:
                 revision = await self._read()
                 async for event in self._store.watch(
-                    CONFIGURATION, from_revision=revision + 1
+                    CONFIGURATION, prefix=True, from_revision=revision + 1
                 ):
                     backoff = backoff.after_success()
-                    if event.value is not None:
-                        self._configure(event.value)
+                    self._take_event(event)
             except CompactedError as error:
                 _log.info("watch begins anew", reason=str(error))
             except StoreError as error:
@@ -155,12 +182,36 @@
             _log.info("store unreachable", reason=str(error))
 
     async def _read(self) -> int:
-        """Read balancers and configuration; return the revision."""
+        """Read balancers, evacuations and configuration; return the revision."""
         found = await self._store.read(BALANCERS, prefix=True)
         for record in registered_balancers(found, codec=self._codec):
             self._peers.learn(record)
-        stored = await self._store.read(CONFIGURATION)
-        for value in stored.values_by_key.values():
-            self._configure(value.value)
+        stored = await self._store.read(CONFIGURATION, prefix=True)
+        # Nothing is placed without a configuration, so evacuations come first.
+        self._evacuate(_evacuations_in(stored))
+        if CONFIGURATION in stored.values_by_key:
+            self._configure(stored.values_by_key[CONFIGURATION].value)
         self._last_read = self._now()
         return stored.revision
+
+    def _take_event(self, event: WatchEvent) -> None:
+        if event.key == CONFIGURATION and event.value is not None:
+            self._configure(event.value)
+        elif event.key.startswith(EVACUATIONS):
+            order = Evacuation(
+                data_centre=event.key.removeprefix(EVACUATIONS),
+                revision=event.mod_revision,
+                is_active=event.value is not None,
+            )
+            self._evacuate(order)
+
+
+def _evacuations_in(found: Snapshot) -> EvacuationsRead:
+    revisions_by_data_centre = {
+        key.removeprefix(EVACUATIONS): value.mod_revision
+        for key, value in found.values_by_key.items()
+        if key.startswith(EVACUATIONS)
+    }
+    return EvacuationsRead(
+        revisions_by_data_centre=revisions_by_data_centre, revision=found.revision
+    )
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -40,9 +40,14 @@
 
 
 class TargetTable:
-    """The targets by name. Does no I/O; the time is always an argument."""
+    """The targets by name. Does no I/O; the time is always an argument.
+
+    Attributes:
+        evacuated: Data centres whose targets are no candidates for new flows.
+    """
 
     def __init__(self) -> None:
+        self.evacuated: frozenset[str] = frozenset()
         self._entries_by_name: dict[str, _Entry] = {}
         self._names_by_service: dict[str, set[str]] = {}
         self._names_by_endpoint: dict[tuple[str, int], str] = {}
@@ -210,18 +215,22 @@
     # Reading
 
     def candidates(self, service: Service, *, now: float) -> list[Candidate]:
-        """Return the targets that the service allows, as they are known now."""
+        """Return the targets that may serve new flows, as they are known now."""
         names = self._names_by_service.get(service.name, ())
         return [
             self._candidate(self._entries_by_name[name], now=now)
             for name in names
-            if service.allows(name)
+            if service.allows(name) and not self._is_evacuated(name)
         ]
 
     def candidates_of(self, service: str, *, now: float) -> list[Candidate]:
-        """Return all targets of a service whose flows carry no token."""
+        """Return the targets of a service whose flows carry no token."""
         names = self._names_by_service.get(service, ())
-        entries = [self._entries_by_name[name] for name in names]
+        entries = [
+            self._entries_by_name[name]
+            for name in names
+            if not self._is_evacuated(name)
+        ]
         for entry in entries:
             if entry.sent_since and now - entry.sent_at > ANSWER_SECONDS:
                 entry.sent_since = 0  # What is not answered by now was lost.
@@ -232,6 +241,18 @@
                 self._forgive(entry, now=now)
         return [self._candidate(entry, now=now) for entry in entries]
 
+    def _is_evacuated(self, name: str) -> bool:
+        record = self._entries_by_name[name].record
+        return record.data_centre in self.evacuated
+
+    def witnessed_in(self, data_centre: str) -> list[TargetRecord]:
+        """Return the targets there whose heartbeats come to this balancer."""
+        return [
+            entry.record
+            for entry in self._entries_by_name.values()
+            if entry.is_witnessed and entry.record.data_centre == data_centre
+        ]
+
     def _forgive(self, entry: _Entry, *, now: float) -> None:
         if now - entry.loaded_at > FAILED_STALE_SECONDS:
             entry.load = msgspec.structs.replace(entry.load, failed_percent=0)
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -25,7 +25,7 @@
     TransactionResult,
     WatchEvent,
 )
-from monsoonpier.store.keys import CONFIGURATION
+from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
 
 __all__ = ["PlatformStore"]
 
@@ -37,7 +37,9 @@
 WATCH_SLACK_SECONDS = 0.75  # three times the answer of a store 60 times slower
 MAX_PAGES = 64  # 500 items each: seven times the balancers aimed at
 _PATH = "/monsoonpier/"
-_OPERATORS_KEY = "op/config"
+_OPERATORS_PREFIX = "op/"  # what the operator writes
+_OPERATORS_KEY = _OPERATORS_PREFIX + "config"
+_EVACUATED_PREFIX = _OPERATORS_PREFIX + "evacuate/"  # then a data centre's name
 _log = structlog.get_logger("monsoonpier.platform.store")
 
 
@@ -87,27 +89,34 @@
         self, key: str, *, prefix: bool = False, may_be_old: bool = False
     ) -> Snapshot:
         """Return the key, or all keys that begin with it."""
-        wanted = _outer(key)
+        wanted = _outer(key, prefix=prefix)
         items: list[_Item] = []
+        revision = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"prefix": wanted} | ({"after": after} if after else {})
             query |= {"allow_stale": 1} if may_be_old else {}
             found = _parse(await self._get("kv-range", query), _Found)
             items += found.items
+            # Pages are not a snapshot: the earliest one's revision holds for all.
+            revision = found.current_rev if revision is None else revision
             if not found.truncated or not found.items:
                 break
             after = found.items[-1].key
         values = [_key_value(item) for item in items if prefix or item.key == wanted]
         return Snapshot(
-            revision=found.current_rev,
+            revision=revision,
             values_by_key={value.key: value for value in values if value},
         )
 
     async def transact(
-        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+        self,
+        *,
+        compares: tuple[Compare, ...],
+        puts: tuple[Put, ...],
+        removes: tuple[str, ...] = (),
     ) -> TransactionResult:
-        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+        """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
         body = {
             "expect": [
                 {"key": _outer(c.key), "revision": c.mod_revision} for c in compares
@@ -120,7 +129,7 @@
                 }
                 for put in puts
             ],
-            "remove": [],
+            "remove": [_outer(key) for key in removes],
         }
         response = await self._post("kv-txn", body)
         if response.status == 412:
@@ -156,7 +165,7 @@
             CompactedError: If changes since then are no longer kept.
             StoreError: If the store can't be reached: what it knows may be newer.
         """
-        wanted = _outer(key)
+        wanted = _outer(key, prefix=prefix)
         after = from_revision - 1
         backoff = Backoff(most_seconds=MAX_WATCH_RETRY_SECONDS)
         while True:
@@ -220,13 +229,21 @@
             self.call_seconds.observe(time.monotonic() - began)
 
 
-def _outer(key: str) -> str:
-    """Return the platform's spelling: the operator's key is not ours to name."""
-    return _OPERATORS_KEY if key == CONFIGURATION else key.removeprefix("/")
+def _outer(key: str, *, prefix: bool = False) -> str:
+    """Return the platform's spelling: the operator's keys are not ours to name."""
+    if key == CONFIGURATION:
+        return _OPERATORS_PREFIX if prefix else _OPERATORS_KEY
+    if key.startswith(EVACUATIONS):
+        return _EVACUATED_PREFIX + key.removeprefix(EVACUATIONS)
+    return key.removeprefix("/")
 
 
 def _inner(key: str) -> str:
-    return CONFIGURATION if key == _OPERATORS_KEY else f"/{key}"
+    if key == _OPERATORS_KEY:
+        return CONFIGURATION
+    if key.startswith(_EVACUATED_PREFIX):
+        return EVACUATIONS + key.removeprefix(_EVACUATED_PREFIX)
+    return f"/{key}"
 
 
 def _checked(response: Response, call: str) -> Response:
@@ -243,7 +260,12 @@
 
 
 def _value(item: _Item) -> bytes | None:
-    """Return an item's bytes; ``None`` if another writer left what can't be read."""
+    """Return an item's bytes; ``None`` if another writer left what can't be read.
+
+    An evacuation is in force while its key is there, whatever the value.
+    """
+    if item.key.startswith(_EVACUATED_PREFIX):
+        return b""
     try:
         return base64.b64decode(item.value, validate=True)
     except ValueError as error:
--- a/monsoonpier/store/etcd.py
+++ b/monsoonpier/store/etcd.py
@@ -61,9 +61,13 @@
         )
 
     async def transact(
-        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+        self,
+        *,
+        compares: tuple[Compare, ...],
+        puts: tuple[Put, ...],
+        removes: tuple[str, ...] = (),
     ) -> TransactionResult:
-        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+        """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
         body = {
             "compare": [
                 {
@@ -83,6 +87,9 @@
                     }
                 }
                 for put in puts
+            ]
+            + [
+                {"request_delete_range": {"key": _b64(key.encode())}} for key in removes
             ],
         }
         answer = await self._call("/v3/kv/txn", body)
--- a/monsoonpier/store/interface.py
+++ b/monsoonpier/store/interface.py
@@ -71,7 +71,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Snapshot:
-    """The present value of the keys read, at one revision."""
+    """The present value of the keys read.
+
+    Each value held at ``revision`` or has changed since; each key that is missing
+    was so at ``revision`` or later.
+    """
 
     revision: int
     values_by_key: dict[str, KeyValue]
@@ -101,9 +105,13 @@
         """
 
     async def transact(
-        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+        self,
+        *,
+        compares: tuple[Compare, ...],
+        puts: tuple[Put, ...],
+        removes: tuple[str, ...] = (),
     ) -> TransactionResult:
-        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+        """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
 
     async def grant(self, *, ttl_seconds: int) -> int:
         """Return the id of a new lease."""
--- a/monsoonpier/store/keys.py
+++ b/monsoonpier/store/keys.py
@@ -1,10 +1,20 @@
 """The keys that the project uses in the platform's service."""
 
-__all__ = ["AUDIT", "BALANCERS", "CONFIGURATION", "audit_key"]
+__all__ = [
+    "AUDIT",
+    "BALANCERS",
+    "CONFIGURATION",
+    "EVACUATIONS",
+    "EVACUATION_AUDIT",
+    "audit_key",
+]
 
 PREFIX = "/monsoonpier/"
 CONFIGURATION = PREFIX + "configuration"
+# Below the configuration's key, so that one watch and one reading bring both.
+EVACUATIONS = CONFIGURATION + "/evacuations/"
 AUDIT = PREFIX + "audit/"
+EVACUATION_AUDIT = PREFIX + "evacuation-audit/"
 BALANCERS = PREFIX + "balancers/"
 
 
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import Meta
 
+from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation
 from monsoonpier.model.keys import FRAME, KeyRing
 from monsoonpier.model.target import LoadReport, TargetRecord
 from monsoonpier.wire.codec import Codec, Dropped, Name, Short
@@ -124,7 +125,8 @@
     """Answers `Heartbeat`: what the balancer knows and holds.
 
     ``held_epoch`` is that of the record it holds of the agent: a larger one than
-    the agent's own means that the agent's wall clock was set back.
+    the agent's own means that the agent's wall clock was set back. ``evacuation`` is
+    the last known order on the agent's data centre.
     """
 
     balancer: Name
@@ -136,6 +138,7 @@
         tuple[BalancerRecord, ...], Meta(max_length=MAX_BALANCERS)
     ] = ()
     held_epoch: int = 0
+    evacuation: Evacuation | None = None
 
 
 class Announce(_Frame, tag=7, kw_only=True, gc=False):
@@ -156,7 +159,8 @@
 class Gossip(_Frame, tag=8, kw_only=True, gc=False):
     """What a balancer tells a peer: news, and digests to find what is missing.
 
-    ``is_settled`` says that the sender is likely to know all targets.
+    ``is_settled`` says that the sender is likely to know all targets. Since it names
+    all orders to evacuate, who fetches the configuration it tells of knows them first.
     """
 
     sender: BalancerRecord
@@ -169,6 +173,9 @@
     ] = ()
     is_answer: bool = False
     is_settled: bool = False
+    evacuations: Annotated[
+        tuple[Evacuation, ...], Meta(max_length=MAX_EVACUATIONS)
+    ] = ()
 
 
 class Carry(_Frame, tag=9, kw_only=True, gc=False):
--- a/standins/fake_store.py
+++ b/standins/fake_store.py
@@ -42,13 +42,17 @@
         return self.store.read(key, end=end_of(key, prefix=prefix), now=self._clock())
 
     async def transact(
-        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...]
+        self,
+        *,
+        compares: tuple[Compare, ...],
+        puts: tuple[Put, ...],
+        removes: tuple[str, ...] = (),
     ) -> TransactionResult:
-        """Write all of ``puts`` if all of ``compares`` hold, else nothing."""
+        """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
         self._check()
         try:
             result = self.store.transact(
-                compares=compares, puts=puts, now=self._clock()
+                compares=compares, puts=puts, removes=removes, now=self._clock()
             )
         except KeyError as error:
             raise LeaseNotFoundError(str(error)) from error
--- a/standins/packets/store.py
+++ b/standins/packets/store.py
@@ -45,8 +45,8 @@
 class StoreStandIn:
     """Serves a `Store` by the platform's calls.
 
-    ``POST /standin/put`` writes as the operator, ``POST /standin/faults`` sets
-    fields of `StoreFaults`; both are the tests' own.
+    ``POST /standin/put`` and ``remove`` write as the operator,
+    ``POST /standin/faults`` sets fields of `StoreFaults`; both are the tests' own.
     """
 
     def __init__(self, *, seed: int = 0) -> None:
@@ -66,6 +66,7 @@
         app.router.add_post(PREFIX + "kv-keep/{id}", self._keep)
         app.router.add_delete(PREFIX + "kv-lease-end/{id}", self._end)
         app.router.add_post("/standin/put", self._operators_put)
+        app.router.add_post("/standin/remove", self._operators_remove)
         app.router.add_post("/standin/faults", self._set_faults)
         app.router.add_get("/standin/calls", self._calls)
         return app
@@ -75,6 +76,11 @@
         puts = (Put(key=key, value=value),)
         return self.store.transact(compares=(), puts=puts, now=_now()).revision
 
+    def remove(self, key: str) -> int:
+        """Delete as the operator does; return the revision."""
+        transact = self.store.transact
+        return transact(compares=(), puts=(), removes=(key,), now=_now()).revision
+
     @web.middleware
     async def _fail(self, request: web.Request, handler) -> web.StreamResponse:
         if request.path.startswith("/standin/"):
@@ -100,6 +106,10 @@
         revision = self.put(request.query["key"], await request.read())
         return web.json_response({"revision": revision})
 
+    async def _operators_remove(self, request: web.Request) -> web.Response:
+        revision = self.remove(request.query["key"])
+        return web.json_response({"revision": revision})
+
     async def _set_faults(self, request: web.Request) -> web.Response:
         for name, value in (await request.json()).items():
             setattr(self.faults, name, value)
@@ -164,10 +174,14 @@
             )
             for row in body.get("puts", [])
         )
-        if any(put.key.startswith(OPERATORS_PREFIXES) for put in puts):
+        removes = tuple(body.get("remove", []))
+        written = (*(put.key for put in puts), *removes)
+        if any(key.startswith(OPERATORS_PREFIXES) for key in written):
             return web.Response(status=403)
         try:
-            result = self.store.transact(compares=compares, puts=puts, now=_now())
+            result = self.store.transact(
+                compares=compares, puts=puts, removes=removes, now=_now()
+            )
         except KeyError:
             return web.Response(status=404)
         if result.succeeded:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -96,8 +96,16 @@
                 lease=int(raw["request_put"].get("lease", 0)),
             )
             for raw in body.get("success", [])
+            if "request_put" in raw
+        )
+        removes = tuple(
+            _text(raw["request_delete_range"]["key"])
+            for raw in body.get("success", [])
+            if "request_delete_range" in raw
+        )
+        result = self.store.transact(
+            compares=compares, puts=puts, removes=removes, now=_now()
         )
-        result = self.store.transact(compares=compares, puts=puts, now=_now())
         return web.json_response(
             {"header": self._header(), "succeeded": result.succeeded}
         )
--- a/standins/store.py
+++ b/standins/store.py
@@ -48,9 +48,14 @@
         return Snapshot(revision=self.revision, values_by_key=found)
 
     def transact(
-        self, *, compares: tuple[Compare, ...], puts: tuple[Put, ...], now: float
+        self,
+        *,
+        compares: tuple[Compare, ...],
+        puts: tuple[Put, ...],
+        removes: tuple[str, ...] = (),
+        now: float,
     ) -> TransactionResult:
-        """Write all of ``puts`` if all of ``compares`` hold."""
+        """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
         self.expire(now=now)
         for compare in compares:
             current = self._values_by_key.get(compare.key)
@@ -63,6 +68,9 @@
             self.revision += 1
         for put in puts:
             self._put(put)
+        for key in removes:
+            if key in self._values_by_key:
+                self._delete(key)
         return TransactionResult(succeeded=True, revision=self.revision)
 
     def grant(self, *, ttl_seconds: int, now: float) -> int:
--- a/tests/agent/test_balancer_link.py
+++ b/tests/agent/test_balancer_link.py
@@ -47,6 +47,7 @@
             send=lambda data, endpoint: self.sent.put_nowait(endpoint),
             read_load=lambda: LoadReport(number=1),
             configure=None,
+            evacuate=lambda: None,
             draw=random.Random(1),
         )
 
--- a/tests/agent/test_process.py
+++ b/tests/agent/test_process.py
@@ -5,7 +5,9 @@
 from monsoonpier.agent.tokens.process import AgentProcess
 from monsoonpier.agent.tokens.target_client import HealthHint
 from monsoonpier.model.address import Address
+from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.model.settings import Settings, TargetSettings
+from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import HeartbeatAck
 from tests.rig import KEYS
 
@@ -55,3 +57,29 @@
         self._acknowledge(allowed=True)
         self.agent._take_hint(HEALTHY)
         self.assertEqual(self._state, "serving")
+
+    async def test_evacuated(self):
+        """An order on its data centre stops new work until it is taken back."""
+        for revision, is_active in ((5, True), (3, False), (9, False)):
+            order = Evacuation(
+                data_centre="dc-1", revision=revision, is_active=is_active
+            )
+            ack = HeartbeatAck(
+                balancer="b1", version=1, known=True, allowed=True, evacuation=order
+            )
+            self.agent._acknowledged(ack)
+            life = self.agent._holder.life
+            self.assertEqual(life.takes_flows, revision == 9)
+            self.assertEqual(life.takes_requests, revision == 9)
+            self.assertIs(
+                life.code, Condition.SERVING if revision == 9 else Condition.SHEDDING
+            )
+
+    async def test_another_place_evacuated(self):
+        """An order on another data centre is none for this target."""
+        order = Evacuation(data_centre="dc-2", revision=5, is_active=True)
+        ack = HeartbeatAck(
+            balancer="b1", version=1, known=True, allowed=True, evacuation=order
+        )
+        self.agent._acknowledged(ack)
+        self.assertTrue(self.agent._holder.life.takes_flows)
--- /dev/null
+++ b/tests/balancer/test_evacuation.py
@@ -0,0 +1,177 @@
+"""Evacuated data centres: how balancers hear of them, and what they do then."""
+
+import random
+import unittest
+
+import msgspec
+
+from monsoonpier.balancer.actions import ToAgent
+from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
+from monsoonpier.model.evacuation import Evacuation, Evacuations
+from monsoonpier.store.interface import Put
+from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
+from monsoonpier.wire.frames import Carry, FrameCodec, Gossip, HeartbeatAck
+from standins.fake_store import FakeStore
+from tests.packets.rig import OWN, SETTLED, SteeringRig, packet, record
+from tests.rig import KEYS, balancer
+
+HERE = OWN.data_centre
+
+
+def order(revision: int, *, place: str = HERE, active: bool = True) -> Evacuation:
+    """Return word of an order, or of its deletion."""
+    return Evacuation(data_centre=place, revision=revision, is_active=active)
+
+
+class HearingTests(unittest.IsolatedAsyncioTestCase):
+    """What a watcher learns of the store, with lost and compacted history."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = FakeStore()
+        self.known = Evacuations()
+        self.heard: list[str] = []
+        self.link = StoreLink(
+            store=self.store,
+            peers=balancer("b1").peers,
+            codec=FrameCodec(keys=KEYS),
+            configure=lambda value: self.heard.append("configuration"),
+            evacuate=self._take,
+            draw=random.Random(1),
+        )
+
+    def _take(self, found: Evacuation | EvacuationsRead) -> None:
+        self.heard.append("evacuations")
+        match found:
+            case Evacuation():
+                self.known = self.known.joined((found,))
+            case EvacuationsRead():
+                self.known = self.known.as_read(
+                    found.revisions_by_data_centre, revision=found.revision
+                )
+
+    async def _order(self, place: str) -> None:
+        put = Put(key=EVACUATIONS + place, value=b"{}")
+        await self.store.transact(compares=(), puts=(put,))
+
+    async def _take_back(self, place: str) -> None:
+        removes = (EVACUATIONS + place,)
+        await self.store.transact(compares=(), puts=(), removes=removes)
+
+    async def test_before_configuration(self):
+        """A reading tells of evacuations before anything can be placed."""
+        put = Put(key=CONFIGURATION, value=b"c")
+        await self.store.transact(compares=(), puts=(put,))
+        await self._order(HERE)
+        await self.link._read()
+        self.assertEqual(self.heard, ["evacuations", "configuration"])
+        self.assertTrue(self.known.is_evacuated(HERE))
+
+    async def test_history(self):
+        """Orders and deletions since the reading are followed."""
+        revision = await self.link._read()
+        await self._order(HERE)
+        await self._order("dc-2")
+        await self._take_back(HERE)
+        watch = self.store.watch(CONFIGURATION, prefix=True, from_revision=revision + 1)
+        for _ in range(3):
+            self.link._take_event(await anext(watch))
+        self.assertEqual(self.known.active, {"dc-2"})
+
+    async def test_read_anew(self):
+        """A deletion that a compacted history doesn't tell of is found by reading."""
+        await self._order(HERE)
+        await self.link._read()
+        await self._take_back(HERE)
+        await self.link._read()
+        self.assertFalse(self.known.is_evacuated(HERE))
+
+
+class PlacingTests(unittest.TestCase):
+    """Where new flows go while a data centre is evacuated."""
+
+    def _rig(self) -> SteeringRig:
+        rig = SteeringRig(targets=0, data_centres=(HERE, "dc-2"))
+        for host, place in ((1, HERE), (2, HERE), (3, "dc-2")):
+            rig.learn(record(f"maps-{host}", host=host, data_centre=place))
+        return rig
+
+    def _evacuate(self, rig: SteeringRig, *orders: Evacuation) -> None:
+        membership = rig.membership
+        membership.evacuate(membership.evacuations.joined(orders))
+
+    def _targets(self, rig: SteeringRig, *, flows: int = 20) -> set[str]:
+        """Return the addresses that new flows go to."""
+        found = set()
+        for number in range(1, flows + 1):
+            for action in rig.caller(packet(number, syn=True)):
+                assert isinstance(action, ToAgent)
+                if isinstance(action.frame, Carry):
+                    found.add(action.endpoint[0])
+        return found
+
+    def test_elsewhere(self):
+        """New flows of its own callers go to another data centre."""
+        rig = self._rig()
+        self._evacuate(rig, order(5))
+        self.assertEqual(self._targets(rig, flows=2), {"10.2.0.3"})
+
+    def test_taken_back(self):
+        """After the order is taken back flows go there again."""
+        rig = self._rig()
+        self._evacuate(rig, order(5))
+        self._evacuate(rig, order(9, active=False))
+        self.assertGreater(len(self._targets(rig)), 1)
+
+    def test_all_evacuated(self):
+        """Where nobody serves callers are refused at once, not at their deadline."""
+        rig = self._rig()
+        self._evacuate(rig, order(5), order(6, place="dc-2"))
+        actions = rig.caller(packet(1, syn=True))
+        self.assertEqual([a.reason for a in actions], ["no target serves"])
+
+    def test_open_flows_stay(self):
+        """Packets of an open flow still go to its target there."""
+        rig = self._rig()
+        (sent,) = rig.caller(packet(1, syn=True))
+        self._evacuate(rig, order(5))
+        found = rig.caller(packet(1, size=10))
+        self.assertEqual([a.endpoint for a in found], [sent.endpoint])
+
+    def test_gossip(self):
+        """A peer's older word takes nothing back, its newer one does."""
+        rig = self._rig()
+        peer = msgspec.structs.replace(OWN, name="lb-2", ip="10.1.0.2")
+
+        def hear(word: Evacuation) -> None:
+            gossip = Gossip(sender=peer, version=1, digest=b"", evacuations=(word,))
+            rig.membership.from_process(
+                gossip, sender=peer.endpoint, now=SETTLED, draw=rig.draw
+            )
+
+        hear(order(5))
+        self.assertTrue(rig.membership.has_news)
+        hear(order(3, active=False))
+        self.assertEqual(self._targets(rig, flows=2), {"10.2.0.3"})
+        hear(order(8, active=False))
+        self.assertFalse(rig.membership.evacuations.active)
+
+    def test_relayed(self):
+        """What a balancer knows rides on all its gossip."""
+        rig = self._rig()
+        peer = msgspec.structs.replace(OWN, name="lb-2", ip="10.1.0.2")
+        rig.membership.peers.learn(peer)
+        self._evacuate(rig, order(5))
+        (action,) = rig.membership.round(now=SETTLED, draw=rig.draw)
+        self.assertEqual(action.frame.evacuations, (order(5),))
+
+    def test_agents_told(self):
+        """Agents there that beat to this balancer are told at once."""
+        rig = self._rig()
+        for name in ("maps-1", "maps-3"):
+            load = rig.membership.table.candidates_of("maps", now=SETTLED)[0].load
+            rig.membership.table.beaten(name, load, now=SETTLED)
+        self._evacuate(rig, order(5))
+        (told,) = rig.membership.tell_witnessed(order(5), now=SETTLED)
+        self.assertEqual(told.endpoint[0], "10.2.0.1")
+        self.assertIsInstance(told.frame, HeartbeatAck)
+        self.assertEqual(told.frame.evacuation, order(5))
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -7,7 +7,12 @@
 from structlog.testing import capture_logs
 
 from monsoonpier.balancer.peers import Peers
-from monsoonpier.balancer.store_link import LEASE_TTL_SECONDS, StoreLink
+from monsoonpier.balancer.store_link import (
+    LEASE_TTL_SECONDS,
+    EvacuationsRead,
+    StoreLink,
+)
+from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.store.interface import LeaseNotFoundError, Put, StoreError
 from monsoonpier.store.keys import BALANCERS
 from monsoonpier.wire.frames import BalancerRecord, Found, FrameCodec
@@ -27,13 +32,15 @@
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
         self.platform = FakeStore(clock=lambda: self.now)
-        self.configured: list[str] = []
+        self.configured: list[bytes] = []
+        self.evacuated: list[Evacuation | EvacuationsRead] = []
         self.peers = Peers(own=balancer("b1").peers.own)
         self.link = StoreLink(
             store=self.platform,
             peers=self.peers,
             codec=FrameCodec(keys=KEYS),
             configure=self.configured.append,
+            evacuate=self.evacuated.append,
             draw=random.Random(1),
             clock=lambda: self.now,
         )
--- /dev/null
+++ b/tests/model/test_evacuation.py
@@ -0,0 +1,120 @@
+"""What is known of evacuations, in whatever order its words come."""
+
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation, Evacuations
+
+PLACES = ("dc-1", "dc-2", "dc-3")
+
+
+def order(place: str, revision: int, *, active: bool = True) -> Evacuation:
+    """Return word of an order, or of its deletion."""
+    return Evacuation(data_centre=place, revision=revision, is_active=active)
+
+
+@st.composite
+def histories(draw) -> list[Evacuation]:
+    """Return what one store went through: each revision changes one place."""
+    length = draw(st.integers(min_value=0, max_value=12))
+    active: set[str] = set()
+    history = []
+    for revision in range(1, length + 1):
+        place = draw(st.sampled_from(PLACES))
+        active ^= {place}
+        history.append(order(place, revision, active=place in active))
+    return history
+
+
+def store_at(history: list[Evacuation], revision: int) -> dict[str, int]:
+    """Return the orders in the store at that revision."""
+    found: dict[str, int] = {}
+    for word in history[:revision]:
+        found.pop(word.data_centre, None)
+        if word.is_active:
+            found[word.data_centre] = word.revision
+    return found
+
+
+class EvacuationsTests(unittest.TestCase):
+    """The join of orders, and readings of the store."""
+
+    def test_order_and_deletion(self):
+        """The later of an order and its deletion holds, whichever comes first."""
+        words = (order("dc-1", 5), order("dc-1", 9, active=False))
+        for heard in (words, words[::-1]):
+            with self.subTest(heard=heard):
+                known = Evacuations()
+                for word in heard:
+                    known = known.joined((word,))
+                self.assertFalse(known.is_evacuated("dc-1"))
+
+    def test_nobodys_word(self):
+        """A place that nobody spoke of isn't evacuated."""
+        known = Evacuations().joined((order("dc-1", 5),))
+        self.assertFalse(known.is_evacuated("dc-2"))
+        self.assertEqual(known.active, {"dc-1"})
+
+    def test_reading_finds_deletion(self):
+        """An order that a later reading doesn't find has been deleted."""
+        known = Evacuations().joined((order("dc-1", 5),))
+        self.assertFalse(known.as_read({}, revision=8).is_evacuated("dc-1"))
+
+    def test_old_reading(self):
+        """A reading from before an order takes nothing back."""
+        known = Evacuations().joined((order("dc-1", 5),))
+        self.assertTrue(known.as_read({}, revision=4).is_evacuated("dc-1"))
+
+    def test_same_word_is_no_news(self):
+        """What is known already leaves the same value."""
+        known = Evacuations().joined((order("dc-1", 5),))
+        self.assertIs(known.joined((order("dc-1", 5), order("dc-1", 3))), known)
+
+    def test_bounded(self):
+        """Places beyond the bound push out those that were taken back first."""
+        words = [
+            order(f"dc-{n}", n + 1, active=n < MAX_EVACUATIONS)
+            for n in range(2 * MAX_EVACUATIONS)
+        ]
+        known = Evacuations().joined(words)
+        self.assertEqual(len(known.known), MAX_EVACUATIONS)
+        self.assertEqual(len(known.active), MAX_EVACUATIONS)
+
+    @given(histories(), st.data())
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_never_back(self, history, data):
+        """Whatever words and readings come, belief is of a revision never older.
+
+        What it tells of a place is what the store held at the newest revision that
+        the words heard so far speak of, or at a later one.
+        """
+        known = Evacuations()
+        newest_by_place: dict[str, int] = {}
+        steps = data.draw(st.lists(st.integers(0, len(history)), max_size=20))
+        for step in steps:
+            if step and data.draw(st.booleans()):
+                word = history[step - 1]
+                known = known.joined((word,))
+                heard = {word.data_centre: word.revision}
+            else:
+                known = known.as_read(store_at(history, step), revision=step)
+                heard = dict.fromkeys(PLACES, step)
+            for place, revision in heard.items():
+                newest_by_place[place] = max(revision, newest_by_place.get(place, 0))
+        for place in PLACES:
+            newest = newest_by_place.get(place, 0)
+            self.assertEqual(
+                known.is_evacuated(place), place in store_at(history, newest)
+            )
+
+    @given(histories(), st.randoms(use_true_random=False))
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    def test_any_order_and_twice(self, history, shuffle):
+        """The same words in any order, and more than once, give the same."""
+        words = history + history[::2]
+        shuffle.shuffle(words)
+        known = Evacuations()
+        for word in words:
+            known = known.joined((word,))
+        self.assertEqual(known, Evacuations().joined(history))
--- a/tests/packets/test_admission.py
+++ b/tests/packets/test_admission.py
@@ -73,6 +73,32 @@
         self.assertEqual(frames(queued, Queued)[0].load.queued, 1)
         self.assertEqual(self.delivered(self.finish(1, now=1.05)), [packet(3).flow])
 
+    def test_evacuated(self) -> None:
+        """An agent of an evacuated place turns new flows away, whoever sends them."""
+        self.bring(3, now=1.01)
+        self.holder.is_evacuated = True
+        for actions in (
+            self.holder.expire(now=1.02),
+            self.bring(4, now=1.03, sender=OTHER_BALANCER),
+        ):
+            (turned,) = frames(actions, Turned)
+            self.assertEqual(turned.reason, "data centre evacuated")
+            # A balancer that hasn't heard of the order learns from the load.
+            self.assertIs(turned.load.condition, Condition.SHEDDING)
+        sent = packet(1, size=10, sequence=2_000)
+        carried = Carry(service="maps", payload=sent.raw)
+        kept = self.holder.from_balancer(carried, sent, sender=BALANCER, now=1.04)
+        self.assertEqual([action.raw for action in kept], [sent.raw])
+
+    def test_no_longer_evacuated(self) -> None:
+        """After the order is taken back new flows wait and are delivered again."""
+        self.holder.is_evacuated = True
+        self.bring(3, now=1.01)
+        self.holder.is_evacuated = False
+        self.bring(3, now=1.02)
+        self.assertEqual(self.delivered(self.finish(1, now=1.05)), [packet(3).flow])
+        self.assertIs(self.holder.load(now=1.06).condition, Condition.SERVING)
+
     def test_in_time_before_late_of_any_balancer(self) -> None:
         """Whoever sent it: the one that can still be in time goes first."""
         self.bring(3, now=1.01, in_time_ms=0)
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -19,7 +19,7 @@
     Store,
     StoreError,
 )
-from monsoonpier.store.keys import CONFIGURATION
+from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
 from standins.fake_store import FakeStore
 from standins.packets import store as packet_store
 from standins.packets.store import StoreStandIn
@@ -69,6 +69,22 @@
         done = await self.platform.transact(compares=(current, absent), puts=puts)
         self.assertTrue(done.succeeded)
 
+    async def test_remove(self):
+        """A key is deleted if all conditions hold, and a watch tells of it."""
+        first = await self.put(KEY, b"one")
+        stale = Compare(key=KEY, mod_revision=first.revision + 5)
+        current = Compare(key=KEY, mod_revision=first.revision)
+        for compare, succeeds in ((stale, False), (current, True)):
+            result = await self.platform.transact(
+                compares=(compare,), puts=(), removes=(KEY,)
+            )
+            self.assertEqual(result.succeeded, succeeds)
+        self.assertEqual((await self.platform.read(KEY)).values_by_key, {})
+        watch = self.platform.watch(KEY, from_revision=first.revision + 1)
+        event = await asyncio.wait_for(anext(watch), 5)
+        self.assertEqual((event.key, event.value), (KEY, None))
+        self.assertEqual(event.mod_revision, result.revision)
+
     async def test_lease(self):
         """A lease's keys go when it ends, and an ended lease isn't renewed."""
         lease = await self.platform.grant(ttl_seconds=30)
@@ -197,6 +213,55 @@
         with self.assertRaises(CompactedError):
             await asyncio.wait_for(anext(watch), 5)
 
+    async def test_operators_keys(self) -> None:
+        """One reading and one watch bring the configuration and evacuations.
+
+        An order stands by its key alone: its value may be anything.
+        """
+        self.stand_in.put("op/config", b"v1")
+        revision = self.stand_in.put("op/evacuate/hall-1", b"{}")
+        found = await self.platform.read(CONFIGURATION, prefix=True)
+        self.assertEqual(
+            set(found.values_by_key), {CONFIGURATION, EVACUATIONS + "hall-1"}
+        )
+        item = packet_store._item
+
+        def garbled(value):
+            return item(value) | {"value": "%%"}
+
+        watch = self.platform.watch(
+            CONFIGURATION, prefix=True, from_revision=revision + 1
+        )
+        with mock.patch.object(packet_store, "_item", garbled):
+            self.stand_in.put("op/evacuate/hall-2", b"{}")
+            found = await self.platform.read(CONFIGURATION, prefix=True)
+            ordered = await asyncio.wait_for(anext(watch), 5)
+        self.assertIn(EVACUATIONS + "hall-2", found.values_by_key)
+        self.stand_in.remove("op/evacuate/hall-2")
+        taken_back = await asyncio.wait_for(anext(watch), 5)
+        self.assertEqual(ordered.key, EVACUATIONS + "hall-2")
+        self.assertIsNotNone(ordered.value)
+        self.assertEqual(taken_back.key, ordered.key)
+        self.assertIsNone(taken_back.value)
+        self.assertGreater(taken_back.mod_revision, ordered.mod_revision)
+
+    async def test_pages_are_no_snapshot(self) -> None:
+        """A reading of several pages holds for the revision of the first one."""
+        for number in range(600):
+            revision = self.stand_in.put(f"a/{number:05d}", b"x")
+        read_page, pages = self.platform._get, []
+
+        async def write_between(call, query):
+            if pages:
+                self.stand_in.put("a/00000", b"y")
+            pages.append(query)
+            return await read_page(call, query)
+
+        with mock.patch.object(self.platform, "_get", write_between):
+            found = await self.platform.read("/a/", prefix=True)
+        self.assertEqual(len(pages), 2)
+        self.assertEqual(found.revision, revision)
+
     async def test_silent(self) -> None:
         """A watch that was lost in an outage is soon made anew.
 
