Let operators evacuate and readmit data centres

Cause: the balancers obey orders of the users' platform, but the product's own operators had no command for one.

`evacuate` and `readmit` write under a condition with an audit entry in the same transaction; the writing with lost answers that `apply` had is now a module of its own that all three use. Findings: unknown data centre, one that is evacuated already, the last one that serves a service. `status` shows since when, by whom, the revision and the flows still open; `history` both orders.

Ruled out: a flag in the configuration (a rollback would readmit).

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -29,6 +29,9 @@
 COLD_START_SECONDS = 3.0
 SETTLE_SECONDS = 3.0
 TARGETS_AT_ONCE = 4
+EVACUATED = "dc-2"  # every second new target is there
+EVACUATED_SECONDS = 3.0
+IN_FORCE_SECONDS = 2.0  # two heartbeats: agents know by then
 NET = "127.81.1"
 _began = time.monotonic()
 
@@ -78,7 +81,8 @@
 
     async def replace(service: str, old: int, new: int) -> None:
         async with gate:
-            await deployment.start_pair(f"{service}-{new}", service)
+            place = EVACUATED if new % 2 else "dc-1"
+            await deployment.start_pair(f"{service}-{new}", service, data_centre=place)
             await deployment.wait_ready(f"{service}-{new}")
             status = await deployment.retire_pair(f"{service}-{old}")
             _say(f"{service}-{old} left with {status}; {service}-{new} has its place")
@@ -86,6 +90,32 @@
     await asyncio.gather(*(replace(*pair) for pair in pairs))
 
 
+async def _evacuate(deployment: Deployment) -> int:
+    """Evacuate a data centre and readmit it; return how many runs began there."""
+    status, out, err = await deployment.operate("evacuate", EVACUATED, "--wait")
+    if status:
+        raise RuntimeError(f"evacuate ended with {status}: {err}")
+    _say(f"{EVACUATED} is evacuated: {out.splitlines()[-1]}")
+    await asyncio.sleep(IN_FORCE_SECONDS)
+    since = time.time()
+    await asyncio.sleep(EVACUATED_SECONDS)
+    until = time.time()
+    status, out, err = await deployment.operate("readmit", EVACUATED, "--wait")
+    if status:
+        raise RuntimeError(f"readmit ended with {status}: {err}")
+    _say(f"{EVACUATED} is readmitted: {out.splitlines()[-1]}")
+    began = [run for run in deployment.runs() if since <= run["at"] <= until]
+    there = [run for run in began if _is_evacuated(run["target"])]
+    _say(f"{len(there)} of {len(began)} runs began there meanwhile")
+    return len(there)
+
+
+def _is_evacuated(target: str) -> bool:
+    service, number = target.split("-")
+    first_new = {"maps": MAPS, "logs": LOGS}[service] + 1
+    return int(number) >= first_new and int(number) % 2 == 1
+
+
 async def _run() -> bool:
     _say("flows without a token: stand-ins, balancers and agents start")
     packets = await run_packet_demo(_say)
@@ -117,6 +147,8 @@
         await deployment.wait_ready(f"b{BALANCERS + 1}")
         seconds = await _apply(deployment, "a changed configuration", queue_per_slot=6)
         await asyncio.sleep(SETTLE_SECONDS)
+        ran_there = await _evacuate(deployment)
+        await asyncio.sleep(SETTLE_SECONDS)
         _say("callers finish")
         await load.stop()
         judgement = judge(load, deployment.runs())
@@ -127,8 +159,8 @@
         _say(f"callers' counts: {dict(load.counts)}, {judgement.not_run} not run")
         _say(f"longest silence on a stream: {judgement.longest_silence:.2f} s")
         imbalance = _imbalance(deployment.runs(), since, until)
-        _show(judgement, imbalance, seconds, packets)
-        return judgement.is_clean and not load.errors
+        _show(judgement, imbalance, seconds, ran_there, packets)
+        return judgement.is_clean and not load.errors and not ran_there
 
 
 def _imbalance(runs: list[dict], since: float, until: float) -> float:
@@ -142,12 +174,17 @@
 
 
 def _show(
-    judgement: Judgement, imbalance: float, seconds: float, packets: dict
+    judgement: Judgement,
+    imbalance: float,
+    seconds: float,
+    ran_there: int,
+    packets: dict,
 ) -> None:
     line = asdict(judgement)
     del line["not_run"], line["longest_silence"]
     line["imbalance"] = round(imbalance, 3)
     line["config_in_force_seconds"] = seconds
+    line["ran_where_evacuated"] = ran_there
     line["without_tokens"] = packets
     print(json.dumps(line))
 
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -447,6 +447,7 @@
                 for c in candidates
             ),
             balancers=tuple(membership.peers.records_by_name.values()),
+            evacuated=tuple(sorted(membership.evacuations.active)),
         )
 
 
--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli.py
@@ -297,6 +297,76 @@
     )
 
 
+@app.command
+def evacuate(
+    data_centre: str,
+    *,
+    settings: SettingsFile,
+    who: str = "",
+    force: bool = False,
+    wait: bool = False,
+    wait_seconds: float = 13.0,
+    log_level: Level = "warning",
+) -> int:
+    """Let no new work go to a data centre; open flows stay.
+
+    Example: monsoonpier evacuate hall-2 --settings operator.yaml --wait
+
+    Args:
+        data_centre: Its name, as `status` shows it beside each target.
+        who: Your name for the audit trail; by default the login name.
+        force: Do it though no other data centre serves one of its services.
+        wait: Wait until every balancer obeys, and name those that lag.
+        wait_seconds: How long to wait at the most.
+        log_level: The least level that is logged.
+    """
+    from monsoonpier.operator import evacuation_commands
+
+    return _operate(
+        settings,
+        log_level,
+        lambda session: evacuation_commands.evacuate(
+            session,
+            data_centre,
+            who=who,
+            force=force,
+            wait_seconds=wait_seconds if wait else 0.0,
+        ),
+    )
+
+
+@app.command
+def readmit(
+    data_centre: str,
+    *,
+    settings: SettingsFile,
+    who: str = "",
+    wait: bool = False,
+    wait_seconds: float = 13.0,
+    log_level: Level = "warning",
+) -> int:
+    """Let new work go to an evacuated data centre again.
+
+    Example: monsoonpier readmit hall-2 --settings operator.yaml --wait
+
+    Args:
+        data_centre: Its name.
+        who: Your name for the audit trail; by default the login name.
+        wait: Wait until every balancer obeys, and name those that lag.
+        wait_seconds: How long to wait at the most.
+        log_level: The least level that is logged.
+    """
+    from monsoonpier.operator import evacuation_commands
+
+    return _operate(
+        settings,
+        log_level,
+        lambda session: evacuation_commands.readmit(
+            session, data_centre, who=who, wait_seconds=wait_seconds if wait else 0.0
+        ),
+    )
+
+
 @app.command
 def explain(
     flow: str,
--- a/monsoonpier/operator/change.py
+++ b/monsoonpier/operator/change.py
@@ -1,11 +1,9 @@
 """Changing the configuration: compare-and-swap, and what became of it.
 
 The stored value and its audit entry are written in one transaction, and both
-carry the apply id. If the answer is lost, reading them back tells whether the
-write took effect, even after another operator's change followed it.
+carry the apply id.
 """
 
-import asyncio
 import random
 from dataclasses import dataclass
 
@@ -14,7 +12,14 @@
 from monsoonpier.documents.configuration import difference, parse_files
 from monsoonpier.documents.stored import Stored, decode_stored, encode_stored
 from monsoonpier.model.service import Service
-from monsoonpier.store.backoff import Backoff
+from monsoonpier.operator.write import (
+    RESOLVE_SECONDS,
+    Proof,
+    Refused,
+    Undecided,
+    Written,
+    write,
+)
 from monsoonpier.store.interface import Compare, Put, Store, StoreError
 from monsoonpier.store.keys import AUDIT, CONFIGURATION, audit_key
 
@@ -30,8 +35,6 @@
     "read_stored",
 ]
 
-RESOLVE_SECONDS = 10.0
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Base:
@@ -128,34 +131,28 @@
         difference=lines,
         files=wanted.texts_by_name,
     )
-    puts = _puts(entry, services)
-    accepted = Accepted(version=version, difference=lines)
-    backoff = Backoff(first_seconds=0.05, most_seconds=1.0)
-    deadline = asyncio.get_running_loop().time() + resolve_seconds
-    while True:
-        try:
-            result = await platform.transact(compares=compares, puts=puts)
-            if result.succeeded:
-                return accepted
-            return await _resolve(platform, wanted, accepted)
-        except StoreError as error:
-            # The same compares make a second try harmless: if the first took
-            # effect they fail, and reading back finds this apply's id.
-            if asyncio.get_running_loop().time() >= deadline:
+    proof = Proof(
+        key=audit_key(version),
+        is_own=lambda value: _decode_entry(value).apply_id == wanted.apply_id,
+    )
+    outcome = await write(
+        platform,
+        compares=compares,
+        puts=_puts(entry, services),
+        proof=proof,
+        draw=draw,
+        resolve_seconds=resolve_seconds,
+    )
+    match outcome:
+        case Written():
+            return Accepted(version=version, difference=lines)
+        case Refused():
+            try:
+                return Conflict(by=await read_stored(platform))
+            except StoreError as error:
                 return Unknown(reason=str(error), apply_id=wanted.apply_id)
-            await asyncio.sleep(backoff.wait_seconds(draw=draw))
-            backoff = backoff.after_failure()
-
-
-async def _resolve(
-    platform: Store, wanted: Change, accepted: Accepted
-) -> Accepted | Conflict:
-    """Tell a write whose answer was lost from one that came second."""
-    found = await platform.read(audit_key(accepted.version))
-    for value in found.values_by_key.values():
-        if _decode_entry(value.value).apply_id == wanted.apply_id:
-            return accepted
-    return Conflict(by=await read_stored(platform))
+        case Undecided(reason=reason):
+            return Unknown(reason=reason, apply_id=wanted.apply_id)
 
 
 async def read_stored(platform: Store) -> Base:
--- a/monsoonpier/operator/commands.py
+++ b/monsoonpier/operator/commands.py
@@ -30,6 +30,8 @@
     read_audit,
     read_stored,
 )
+from monsoonpier.operator.evacuate import read_entries, read_orders
+from monsoonpier.operator.evacuation_commands import entry_line, evacuation_lines
 from monsoonpier.operator.session import OperatorSession
 from monsoonpier.process.control import NoAnswer
 from monsoonpier.store.interface import StoreError
@@ -111,8 +113,11 @@
     """Print the audit trail, the newest change first."""
     try:
         entries = await read_audit(session.platform)
+        evacuations = await read_entries(session.platform)
     except StoreError as error:
         return _unreachable(error)
+    for evacuation in evacuations[::-1][:count]:
+        print(entry_line(evacuation))
     for entry in entries[::-1][:count]:
         print(
             f"version {entry.version} (from {entry.previous}) {entry.at} "
@@ -129,15 +134,23 @@
     """Print balancers, targets and the versions in force."""
     try:
         stored = (await read_stored(session.platform)).stored
+        orders = await read_orders(session.platform)
         statuses = await session.statuses(await session.balancers())
     except StoreError as error:
         return _unreachable(error)
     if as_json:
-        print(json.dumps({"accepted": stored.version, "balancers": plain(statuses)}))
+        content = {
+            "accepted": stored.version,
+            "evacuated": sorted(orders),
+            "balancers": plain(statuses),
+        }
+        print(json.dumps(content))
         return Exit.OK
     print(f"accepted configuration: version {stored.version} by {stored.who or '-'}")
     for name, status in sorted(statuses.items()):
         print(_balancer_line(name, status))
+    for line in evacuation_lines(orders, statuses.values()):
+        print(line)
     for line in _target_lines(statuses.values()):
         print(line)
     return Exit.OK
--- a/monsoonpier/wire/control.py
+++ b/monsoonpier/wire/control.py
@@ -74,7 +74,7 @@
 
 
 class StatusReply(_Control, tag=6, kw_only=True):
-    """How a process stands; ``targets`` only from balancers."""
+    """How a process stands; targets and what follows only from balancers."""
 
     name: Name
     role: Name
@@ -84,6 +84,7 @@
     uptime: float
     targets: tuple[TargetStatus, ...] = ()
     balancers: tuple[BalancerRecord, ...] = ()
+    evacuated: tuple[Name, ...] = ()
 
 
 class AskDrain(_Control, tag=7, kw_only=True):
