Tell balancers of load within a budget, and only what they don't know

Cause: agents told each balancer that had placed a flow in the last 3 s of each slot that was taken or came free.

--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -19,7 +19,7 @@
 from monsoonpier.agent.packets.admission import FlowAdmission
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.load import TargetLoad
-from monsoonpier.agent.packets.news import LoadNews
+from monsoonpier.agent.packets.load_reports import LoadReports
 from monsoonpier.agent.packets.queue import QueuedSyn
 from monsoonpier.model.address import Address
 from monsoonpier.model.target import ABSENT_SECONDS, Condition, LoadReport
@@ -30,6 +30,8 @@
     Holds,
     NotHeld,
     PassOn,
+    Queued,
+    Turned,
     Whose,
 )
 from monsoonpier.wire.packet import Packet, sequence_distance
@@ -84,7 +86,7 @@
         self._asked_at = 0.0
         self._served_addresses: set[Address] = set()
         self.target_load = TargetLoad(slots=slots)
-        self._news = LoadNews(load=self.target_load, log=log)
+        self._reports = LoadReports(load=self.target_load, log=log)
         self.counts_by_result: Counter[str] = Counter()
         self._admission = FlowAdmission(
             name=name,
@@ -194,9 +196,9 @@
         """Return the present load, newer than all reports before."""
         return self._admission.report(now=now)
 
-    def load_news(self, *, now: float) -> list[ToProcess]:
+    def load_reports(self, *, now: float) -> list[ToProcess]:
         """Return reports for the balancers that place flows here, if it changed."""
-        return self._news.due(condition=self._admission.offered, now=now)
+        return self._reports.due(condition=self._admission.offered, now=now)
 
     # Packets of callers
 
@@ -264,14 +266,23 @@
     ) -> list:
         """Decide on a caller's packet that a balancer brings."""
         actions = self._carried(frame, packet, sender=sender, now=now)
-        return actions + self._admission.admit(now=now)
+        return self._noted(actions + self._admission.admit(now=now), now=now)
+
+    def _noted(self, actions: list, *, now: float) -> list:
+        """Note which balancers are told of the load by these actions."""
+        for action in actions:
+            match action:
+                case ToProcess(endpoint=balancer, frame=Held() | Queued() | Turned()):
+                    condition = self._admission.offered
+                    self._reports.told(balancer, condition=condition, now=now)
+        return actions
 
     def _carried(
         self, frame: Carry, packet: Packet, *, sender: tuple[str, int], now: float
     ) -> list:
         flow = self._flows_by_address.get(packet.flow)
         if packet.is_syn:
-            self._news.placed_by(sender, now=now)
+            self._reports.placed_by(sender, now=now)
             return self._syn(frame, packet, flow, sender=sender, now=now)
         if flow is None:
             return self._unknown(frame, packet, sender=sender, now=now)
@@ -376,7 +387,8 @@
 
     def from_target(self, packet: Packet, *, now: float) -> list:
         """Decide on a packet that the target sent."""
-        return self._sent(packet, now=now) + self._admission.admit(now=now)
+        actions = self._sent(packet, now=now) + self._admission.admit(now=now)
+        return self._noted(actions, now=now)
 
     def _sent(self, packet: Packet, *, now: float) -> list:
         flow = self._flows_by_address.get(packet.flow)
@@ -469,6 +481,7 @@
                 self._check_run(flow, now=now)
             if now - flow.seen_at > _keep_seconds(flow):
                 self._drop(address)
+        self._reports.forget(now=now)
         return self.expire(now=now)
 
     @property
@@ -478,7 +491,7 @@
 
     def expire(self, *, now: float) -> list:
         """Give slots that were kept for silent callers to flows that wait."""
-        return self._admission.expire(now=now)
+        return self._noted(self._admission.expire(now=now), now=now)
 
     def _check_run(self, flow: PacketFlow, *, now: float) -> None:
         if now - flow.seen_at > SILENT_SECONDS:
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -1,20 +1,44 @@
 """An agent's count of what its target works on, and what it tells of it."""
 
+import math
+from typing import NamedTuple
+
 from monsoonpier.agent.packets.evidence import FailureShare
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.queue import AdmissionQueue
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.readings import Histogram
 
-__all__ = ["TargetLoad"]
+__all__ = ["LoadLevel", "TargetLoad"]
 
 SMOOTHING = 0.1
+BUSY_SHARE_SECONDS = 1.0  # over which the use of slots is smoothed: many runs
 BUSY_STEP = 2  # requests; a step of one doubles the reports and places no better
 OPEN_STEP = 4  # flows, a tenth of what a target has when it is well used
 FAILED_STEP = 10  # percent: 0.8 runs in the balancers' cost
 MIN_RUN_MS = 1
 
 
+class LoadLevel(NamedTuple):
+    """What balancers need to know of a load; the greater one is the fuller one."""
+
+    is_full: bool
+    busy: int
+    open: int
+    queued: int
+    queued_in_time: int
+
+    def is_near(self, other: "LoadLevel") -> bool:
+        """Tell whether a balancer would place alike by either."""
+        return (
+            self.is_full == other.is_full
+            and self.queued == other.queued
+            and self.queued_in_time == other.queued_in_time
+            and abs(self.busy - other.busy) < BUSY_STEP
+            and abs(self.open - other.open) < OPEN_STEP
+        )
+
+
 class TargetLoad:
     """Requests under way, open flows, and the time of a run.
 
@@ -38,16 +62,29 @@
         self._run_ms = 0.0
         self._cold_until = 0.0
         self._failures = FailureShare()
+        self._busy_share = 0.0
+        self._share_at = 0.0
         self.answer_seconds = Histogram(
             name="answer_seconds", help="From a request's first packet to its answer."
         )
 
     @property
-    def level(self) -> tuple[bool, int, int, int, int]:
-        """What balancers need to know: whether a slot is free, and roughly the rest."""
-        steps = (self.busy // BUSY_STEP, self.open // OPEN_STEP)
-        queued = (len(self.queue), self.queue.timely)
-        return (self.busy >= self.slots, *steps, *queued)
+    def level(self) -> LoadLevel:
+        """What balancers need to know."""
+        return LoadLevel(
+            is_full=self.busy >= self.slots,
+            busy=self.busy,
+            open=self.open,
+            queued=len(self.queue),
+            queued_in_time=self.queue.timely,
+        )
+
+    def busy_share(self, *, now: float) -> float:
+        """Return the share of the slots that were taken lately, 1.0 at the most."""
+        passed = max(0.0, now - self._share_at)
+        fades = math.exp(-passed / BUSY_SHARE_SECONDS)
+        taken = min(1.0, self.busy / self.slots)
+        return taken + (self._busy_share - taken) * fades
 
     def failure_level(self, *, now: float) -> int:
         """Return roughly which share of requests fails."""
@@ -55,6 +92,8 @@
 
     def enter(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
         """Move a flow to a phase."""
+        self._busy_share = self.busy_share(now=now)
+        self._share_at = now
         self.busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
         flow.phase = phase
         flow.changed_at = now
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -382,7 +382,7 @@
 
     def _report(self) -> None:
         self._reporting = None
-        for action in self._holder.load_news(now=_now()):
+        for action in self._holder.load_reports(now=_now()):
             self._send_frame(action.frame, action.endpoint)
 
     def _send_frame(self, frame, endpoint: tuple[str, int]) -> None:
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from socket import inet_ntoa
@@ -28,7 +29,7 @@
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import BalancerRecord, NotHeld, Turned, Whose
+from monsoonpier.wire.frames import BalancerRecord, Carry, NotHeld, Turned, Whose
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["Fault", "Outcome", "Simulation", "World"]
@@ -120,6 +121,9 @@
     first_failed: float
     mean_seconds: float
     resets: int
+    reports: int  # of load, beside those that ride on other frames
+    imbalance: float
+    remote_share: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -191,6 +195,10 @@
         self._requests: list[_Request] = []
         self._long_flows: list[_Flow] = []
         self._resets = 0
+        self._reports = 0
+        self._placed = 0
+        self._remote = 0
+        self._runs_by_target: Counter[int] = Counter()
         self._is_out = False
         self._up_at_by_number: dict[int, float] = {}
         log = DecisionLog("simulation")
@@ -325,8 +333,17 @@
             worth=sum(map(self._worth, counted)) / len(counted),
             mean_seconds=sum(seconds) / max(1, len(seconds)),
             resets=self._resets,
+            reports=self._reports,
+            imbalance=self._imbalance,
+            remote_share=self._remote / max(1, self._placed),
         )
 
+    @property
+    def _imbalance(self) -> float:
+        """The most runs of a target against the mean."""
+        runs = [self._runs_by_target[number] for number in range(self.world.targets)]
+        return max(runs) * len(runs) / max(1, sum(runs))
+
     def _worth(self, request: _Request) -> float:
         if request.answered_at is None:
             return 0.0
@@ -500,6 +517,7 @@
         for action in actions:
             match action:
                 case ToAgent(endpoint=("10.2.0.1", port), frame=frame):
+                    self._count_placed(frame, port, number)
                     self._after(WAY_SECONDS, self._agent_takes, port, frame, number)
                 case ToAgent(endpoint=("10.1.0.1", port), frame=frame):
                     sender = ("10.1.0.1", number)
@@ -511,6 +529,11 @@
             self._retrying[number] = True
             self._after(RETRY_SECONDS, self._retry, number)
 
+    def _count_placed(self, frame, target: int, balancer: int) -> None:
+        if isinstance(frame, Carry) and frame.tried:
+            self._placed += 1
+            self._remote += target % DATA_CENTRES != balancer % DATA_CENTRES
+
     def _retry(self, number: int) -> None:
         if self._is_out:
             return
@@ -561,8 +584,9 @@
         if target not in self.targets:
             return
         sender = ("10.2.0.1", target.number)
-        for news in target.holder.load_news(now=self.now):
+        for news in target.holder.load_reports(now=self.now):
             _, balancer = news.endpoint
+            self._reports += 1
             self._after(WAY_SECONDS, self._balancer_hears, balancer, news.frame, sender)
 
     def _look_after(self, target: _Target) -> None:
@@ -601,6 +625,7 @@
         while target.waiting and target.running < self.world.slots:
             flow, request = target.waiting.pop(0)
             target.running += 1
+            self._runs_by_target[target.number] += 1
             fault = self.fault_of(target)
             fails = request.luck < fault.failure_share
             ratio = fault.slow_ratio * self._cold_ratio()
--- a/tests/packets/test_evidence.py
+++ b/tests/packets/test_evidence.py
@@ -78,10 +78,10 @@
     def test_change_is_logged_and_told(self) -> None:
         """A line and a report say that a target has begun to fail."""
         self.ask(1, now=1.0)
-        self.holder.load_news(now=1.0)
+        self.holder.load_reports(now=1.0)
         self.holder.from_target(answer(1, size=50, failure=True), now=1.1)
-        with mock.patch.object(self.holder._news._log, "note") as note:
-            news = self.holder.load_news(now=1.1)
+        with mock.patch.object(self.holder._reports._log, "note") as note:
+            news = self.holder.load_reports(now=1.1)
         self.assertEqual(note.call_args.args, ("target fails requests",))
         self.assertGreater(news[0].frame.load.failed_percent, 20)
 
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -345,10 +345,10 @@
         """Balancers that send SYNs are told of changes, each change once."""
         self.open()
         self.bring(packet(syn=True, number=2), sender=OTHER_BALANCER)
-        news = self.holder.load_news(now=1.1)
+        news = self.holder.load_reports(now=1.1)
         self.assertEqual({n.endpoint for n in news}, {BALANCER, OTHER_BALANCER})
         self.assertEqual([f.load.in_flight for f in frames(news, Load)], [2, 2])
-        self.assertEqual(self.holder.load_news(now=1.2), [])
+        self.assertEqual(self.holder.load_reports(now=1.2), [])
 
     def test_all_is_given_back(self) -> None:
         """When all flows have ended nothing counts as busy or open."""
