--- a/monsoonpier/balancer/packets/inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -175,14 +175,15 @@
 
         The flow may be open through a newer configuration than this one, or
         there is none yet since all was restarted without the store. Agents
-        deliver it only if their target holds it or serves that address.
+        deliver it only if their target holds it or serves that address. It goes by
+        way of few agents: after a loss of power the packets of dead flows, each to
+        77 agents, took the links on which the configuration came.
         """
         self._scope.counts_by_result["no_route"] += 1
         if self._scope.membership.configuration.version:
             return []
-        known = KnownFlow(service=ANY_SERVICE, created_at=0.0)
         names = [record.name for record in self._scope.membership.table.records]
-        return self._scope.carry(packet, known, names=sorted(names), asks=True)
+        return self._tries.bring_to_all(packet, names, service=ANY_SERVICE)
 
     # Answers of keepers
 
--- a/monsoonpier/balancer/packets/tries.py
+++ b/monsoonpier/balancer/packets/tries.py
@@ -6,6 +6,8 @@
 first few a packet goes to one agent, which passes it on to the others.
 """
 
+from collections.abc import Collection
+
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.flows import Inquiry, KnownFlow
 from monsoonpier.balancer.packets.scope import PacketScope
@@ -61,23 +63,31 @@
         names, inquiry.to_try = inquiry.to_try - inquiry.denied, set()
         if not names:
             return []
+        packet = _packet_to_try(inquiry)
+        return self.bring_to_all(packet, names, service=known.service)
+
+    def bring_to_all(
+        self, packet: Packet, names: Collection[str], *, service: str
+    ) -> list[ToAgent]:
+        """Return the frames that bring a packet to all these agents, by way of few."""
         # Hashing spreads the work over the agents.
-        ranked = list(top(flow.hex(), names, count=len(names)))
+        ranked = list(top(packet.flow.hex(), names, count=len(names)))
         size = MAX_PASSED_ON + 1
+        groups = [ranked[at : at + size] for at in range(0, len(ranked), size)]
         return [
             action
-            for start in range(0, len(ranked), size)
-            for action in self._pass_on_to(known, inquiry, ranked[start : start + size])
+            for group in groups
+            for action in self._bring(packet, group, service=service)
         ]
 
-    def _pass_on_to(
-        self, known: KnownFlow, inquiry: Inquiry, names: list[str]
+    def _bring(
+        self, packet: Packet, names: list[str], *, service: str
     ) -> list[ToAgent]:
         first, *others = names
         records = [self._scope.membership.table.record(name) for name in others]
         frame = PassOn(
-            service=known.service,
-            payload=_packet_to_try(inquiry).raw,
+            service=service,
+            payload=packet.raw,
             endpoints=tuple((r.ip, r.port) for r in records if r is not None),
         )
         return self._scope.tell(frame, names=(first,))
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -14,7 +14,7 @@
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.platform.packets import PlatformPackets
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import BalancerRecord, Carry
+from monsoonpier.wire.frames import BalancerRecord, Carry, PassOn
 from monsoonpier.wire.packet import Packet
 
 LOG = DecisionLog("tests")
@@ -135,6 +135,19 @@
         fields = {"number": number + 1, "condition": Condition.SERVING} | load
         self.membership.table.heard(name, LoadReport(**fields), now=now)
 
+    @property
+    def known_endpoints(self) -> set[tuple[str, int]]:
+        """The addresses of all agents that are known."""
+        return {(r.ip, r.port) for r in self.membership.table.records}
+
+    def reached(self, actions: list) -> set[tuple[str, int]]:
+        """Return the agents that get a packet, straight or by way of another."""
+        found = {action.endpoint for action in actions}
+        for action in actions:
+            if isinstance(action.frame, PassOn):
+                found |= set(action.frame.endpoints)
+        return found
+
     def caller(self, sent: Packet, *, now: float = SETTLED) -> list:
         """Return what a caller's packet leads to."""
         return self.steering.from_caller(sent, now=now, draw=self.draw)
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -649,11 +649,21 @@
     def test_all_are_tried_without_configuration(self) -> None:
         """Without configuration an open flow's packet still finds its holder."""
         rig = SteeringRig(version=0, targets=3)
-        actions = rig.caller(packet())
-        self.assertEqual(rig.names(actions), ["maps-1", "maps-2", "maps-3"])
+        self.assertEqual(rig.reached(rig.caller(packet())), rig.known_endpoints)
         rig.agent(held("maps-2", packet()))
         self.assertEqual(rig.names(rig.caller(packet())), ["maps-2"])
 
+    def test_tries_without_configuration_cost_little(self) -> None:
+        """A packet that may be anybody's leaves a narrow link in few frames.
+
+        After a loss of power 23 balancers without a configuration sent 33,591 frames
+        in two seconds, each packet of a dead flow to each of 77 agents.
+        """
+        rig = SteeringRig(version=0, targets=77)
+        actions = rig.caller(packet(size=1_000))
+        self.assertEqual(rig.reached(actions), rig.known_endpoints)
+        self.assertLessEqual(len(actions), 3)
+
     def test_denied_by_the_remembered_holder(self) -> None:
         """When the remembered holder denies a flow, the others are asked."""
         self.rig.agent(held("maps-2", packet()))
