--- a/monsoonpier/balancer/configuration_copy.py
+++ b/monsoonpier/balancer/configuration_copy.py
@@ -68,13 +68,16 @@
         self._mod_revision = 0
         self._version = 0
 
-    async def read(self) -> ConfigurationCopy | None:
+    async def read(self, *, may_be_old: bool = False) -> ConfigurationCopy | None:
         """Return the copy in the store, if there is one that can be used.
 
+        Args:
+            may_be_old: One that is seconds old will do.
+
         Raises:
             StoreError: If the store can't be reached.
         """
-        found = await self._store.read(CONFIGURATION_COPY)
+        found = await self._store.read(CONFIGURATION_COPY, may_be_old=may_be_old)
         value = found.values_by_key.get(CONFIGURATION_COPY)
         if value is None:
             self._mod_revision = self._version = 0
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -42,6 +42,7 @@
 POLL_SECONDS = 60.0  # those who don't watch look this seldom; peers tell them first
 REREAD_SECONDS = 0.2  # a process without configuration serves nothing
 MAX_REREAD_SECONDS = 2.0
+JUST_READ_SECONDS = 5.0  # peers tell of those that have registered since
 COPY_SECONDS = 2.0  # a storm of changes is copied this often, not each time
 LEAVE_CALL_SECONDS = 2.0
 _log = structlog.get_logger("monsoonpier.balancer.store_link")
@@ -105,6 +106,7 @@
         self._lease = Lease()
         self._watching: asyncio.Task | None = None
         self._last_read = -POLL_SECONDS
+        self._balancers_read_at = -POLL_SECONDS
 
     async def run(self) -> None:
         """Register, renew, watch, poll and keep the copy until cancelled."""
@@ -183,17 +185,19 @@
         """Put the copy in force, if there is one, and learn who watches.
 
         The copy may be older than what operators wrote last; watchers and peers
-        that know better tell soon. Evacuations are read from their own keys.
+        that know better tell soon. Evacuations are read from their own keys, and
+        for certain.
         """
         try:
-            evacuations, copy = await asyncio.gather(
-                self._store.read(EVACUATIONS, prefix=True), self._copies.read()
-            )
+            copy = await self._copies.read(may_be_old=True)
             if copy is None:
                 return
+            evacuations, _ = await asyncio.gather(
+                self._store.read(EVACUATIONS, prefix=True),
+                self._read_balancers(may_be_old=True),
+            )
             self._evacuate(_evacuations_in(evacuations))
             self._configure_copy(copy.packed)
-            await self._read_balancers()
         except StoreError as error:
             _log.info("store unreachable", reason=str(error), key=CONFIGURATION_COPY)
             return
@@ -242,7 +246,8 @@
 
     async def _read(self) -> int:
         """Read balancers, evacuations and configuration; return the revision."""
-        await self._read_balancers()
+        if self._now() - self._balancers_read_at > JUST_READ_SECONDS:
+            await self._read_balancers()
         stored = await self._store.read(CONFIGURATION, prefix=True)
         # Nothing is placed without a configuration, so evacuations come first.
         self._evacuate(_evacuations_in(stored))
@@ -251,8 +256,9 @@
         self._last_read = self._now()
         return stored.revision
 
-    async def _read_balancers(self) -> None:
-        found = await self._store.read(BALANCERS, prefix=True)
+    async def _read_balancers(self, *, may_be_old: bool = False) -> None:
+        found = await self._store.read(BALANCERS, prefix=True, may_be_old=may_be_old)
+        self._balancers_read_at = self._now()
         for record in registered_balancers(found, codec=self._codec):
             self._peers.learn(record)
 
