--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -74,18 +74,8 @@
         *,
         now: float,
         draw: random.Random,
-        came_at: float | None = None,
     ) -> list:
-        """Decide on a SYN or a copy of one.
-
-        Args:
-            packet: The SYN.
-            known: What is known of its flow.
-            now: The present time.
-            draw: Random draws.
-            came_at: When it came, if not just now.
-        """
-        came_at = now if came_at is None else came_at
+        """Decide on a SYN or a copy of one."""
         if packet.flow in self._waiting_room:
             return []
         if known is not None and known.holders:
@@ -103,8 +93,8 @@
             return [self._scope.reset(packet, "no route", asked_at=now, now=now)]
         known = KnownFlow(
             service=route.service,
-            created_at=came_at - packet.waited,
-            asked_at=self._scope.returning.asked_at(packet, now=came_at),
+            created_at=now - packet.waited,
+            asked_at=self._scope.returning.asked_at(packet, now=now),
             syn=packet,
         )
         self._scope.flows.put(packet.flow, known)
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -132,7 +132,7 @@
 
     def _configured(self) -> None:
         self._configured_at = _now()
-        self._do(self._steering.configured(now=self._configured_at, draw=self._draw))
+        self._steering.configured()
         self._life.step("configured")
 
     # Packets and frames
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -14,7 +14,6 @@
 from collections.abc import Collection
 
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packets.early import EarlyPackets
 from monsoonpier.balancer.packets.flows import KnownFlow
 from monsoonpier.balancer.packets.inquiries import HolderInquiries
 from monsoonpier.balancer.packets.openings import FlowOpenings
@@ -44,7 +43,6 @@
         )
         self._openings = FlowOpenings(scope=self._scope)
         self._inquiries = HolderInquiries(scope=self._scope)
-        self._early = EarlyPackets()
 
     @property
     def flows(self) -> int:
@@ -66,20 +64,9 @@
         """Whether `retry` has something to look after."""
         return self._openings.is_waiting or self._inquiries.is_waiting
 
-    def configured(self, *, now: float, draw: random.Random) -> list:
-        """Take a newer configuration into account; decide on what came before any."""
+    def configured(self) -> None:
+        """Take a newer configuration into account."""
         self._openings.configured()
-        actions: list = []
-        for early in self._early.take(now=now):
-            packet = early.packet
-            known = self._scope.flows.touch(packet.flow)
-            if packet.is_syn:
-                actions += self._openings.open(
-                    packet, known, now=now, draw=draw, came_at=early.came_at
-                )
-            elif known is None:
-                actions += self._inquiries.ask(packet, now=now)
-        return actions
 
     def retry(self, *, now: float, draw: random.Random) -> list:
         """Look after what waits; to be called soon again while `is_waiting`."""
@@ -88,8 +75,6 @@
     def from_caller(self, packet: Packet, *, now: float, draw: random.Random) -> list:
         """Decide on a packet that a caller sent."""
         known = self._scope.flows.touch(packet.flow)
-        if known is None and not self._scope.membership.configuration.version:
-            self._early.keep(packet, now=now)
         if packet.is_syn:
             return self._openings.open(packet, known, now=now, draw=draw)
         if known is None:
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -115,15 +115,13 @@
         for number in range(1, targets + 1):
             self.learn(record(f"maps-{number}", host=number))
 
-    def configure(
-        self, *, version: int, service: str = "maps", now: float = 0.0
-    ) -> list:
-        """Put a configuration with one route in force; return what it leads to."""
+    def configure(self, *, version: int, service: str = "maps") -> None:
+        """Put a configuration with one route in force."""
         route = PacketRoute(service=service, aim_seconds=0.2, timeout_seconds=3.0)
         self.membership.configure(
             Configuration(version=version, routes_by_address={SERVICE: route})
         )
-        return self.steering.configured(now=now, draw=self.draw)
+        self.steering.configured()
 
     def learn(self, target: TargetRecord, *, now: float = 0.0) -> None:
         """Make a target known that serves."""
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -5,7 +5,6 @@
 
 from monsoonpier.balancer.actions import FetchTable
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packets.early import EarlyPackets
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Configuration
@@ -95,7 +94,7 @@
             self.rig.report(f"maps-{number}", now=SETTLED, in_flight=3)
         self.rig.caller(packet(syn=True))
         self.rig.membership.configure(Configuration(version=2))
-        self.rig.steering.configured(now=0.0, draw=self.rig.draw)
+        self.rig.steering.configured()
         self.rig.report("maps-1", now=100.1, in_flight=0)
         actions = self.rig.steering.retry(now=100.1, draw=self.rig.draw)
         self.assertEqual(resets(actions), ["no route"])
@@ -654,40 +653,6 @@
         rig.agent(held("maps-2", packet()))
         self.assertEqual(rig.names(rig.caller(packet())), ["maps-2"])
 
-    def test_early_packets_are_decided_on(self) -> None:
-        """What came before the configuration is placed and asked for with it.
-
-        A SYN that was dropped came again 0.2 and 0.6 s later, too late for answers
-        that are wanted in 0.25 s.
-        """
-        rig = SteeringRig(version=0, targets=3)
-        self.assertEqual(rig.caller(packet(1, syn=True), now=100.0), [])
-        rig.caller(packet(2, size=10), now=100.0)
-        actions = rig.configure(version=1, now=100.15)
-        placed = [a.frame for a in actions if isinstance(a.frame, Carry)]
-        asked = [a.frame for a in actions if isinstance(a.frame, Whose)]
-        self.assertEqual(len(placed), 1)
-        # Its answer is wanted 0.2 s after it came, not after it was placed.
-        self.assertEqual(placed[0].in_time_ms, 50)
-        self.assertEqual({frame.flows for frame in asked}, {(packet(2).flow,)})
-        self.assertEqual(rig.configure(version=2, now=100.2), [])
-
-    def test_packets_that_came_too_early(self) -> None:
-        """Callers have sent again since: an old packet is no work any more."""
-        rig = SteeringRig(version=0, targets=3)
-        rig.caller(packet(1, syn=True), now=100.0)
-        self.assertEqual(rig.configure(version=1, now=103.0), [])
-
-    def test_early_packets_are_bounded(self) -> None:
-        """However many come before a configuration, the last of each flow is kept."""
-        early = EarlyPackets()
-        for number in range(10_000):
-            early.keep(packet(number, size=1_000), now=1.0)
-            early.keep(packet(number, size=1_000), now=1.0)
-        self.assertLess(len(early) * 1_012, 4 * 1_048_576)
-        self.assertEqual(early.take(now=1.5)[-1].packet.flow, packet(9_999).flow)
-        self.assertEqual(len(early), 0)
-
     def test_tries_without_configuration_cost_little(self) -> None:
         """A packet that may be anybody's leaves a narrow link in few frames.
 
