Keep the stored configuration in a class of its own

The copy is packed when it is due and not every two seconds on each balancer, and the whole value is packed once a version. No decision changes.

--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -4,22 +4,21 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import structlog
 
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
-from monsoonpier.balancer.configuration_copy import (
-    ConfigurationCopies,
-    ConfigurationCopy,
-)
+from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.contact import Contact
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
-from monsoonpier.documents.stored import pack, unpack, unstore
+from monsoonpier.balancer.stored_configuration import (
+    STORED_FORMAT,
+    ConfigurationFormat,
+    StoredConfiguration,
+)
 from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.evacuation import Evacuation, Evacuations
-from monsoonpier.model.service import Configuration
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
 from monsoonpier.process.frames import send_frame
@@ -40,7 +39,7 @@
 )
 from monsoonpier.wire.frames import BalancerRecord, FrameCodec
 
-__all__ = ["STORED_FORMAT", "ConfigurationFormat", "Member", "balancer_record"]
+__all__ = ["Member", "balancer_record"]
 
 GOSSIP_SECONDS = 1.0
 NEWS_CHECK_SECONDS = 0.1
@@ -57,24 +56,6 @@
 _log = structlog.get_logger("monsoonpier.balancer.member")
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ConfigurationFormat:
-    """How the store's value is read, and how it is packed for others.
-
-    Attributes:
-        decode: Returns the configuration; raises ``ValueError`` if it is none.
-        pack: Returns the value compressed, cut down to a service if one is named.
-    """
-
-    decode: Callable[[bytes], Configuration]
-    pack: Callable[[bytes, str], bytes]
-
-
-STORED_FORMAT = ConfigurationFormat(
-    decode=unstore, pack=lambda value, service: pack(value, service=service)
-)
-
-
 def balancer_record(settings: Settings) -> BalancerRecord:
     """Return what a balancer that starts now tells others of itself."""
     assert settings.internal and settings.control
@@ -120,9 +101,12 @@
         self._life = life
         self._sender = sender
         self._take_frame = take_frame
-        self._on_configured = on_configured
         self._draw = draw
-        self._format = configuration_format
+        self._configuration = StoredConfiguration(
+            membership=membership,
+            configuration_format=configuration_format,
+            on_configured=on_configured,
+        )
         self._codec = FrameCodec(keys=settings.keys)
         self._store = store
         self._link = StoreLink(
@@ -130,9 +114,7 @@
             peers=membership.peers,
             codec=self._codec,
             copies=ConfigurationCopies(store=store, keys=settings.keys),
-            configure=self.configure,
-            configure_copy=self._configure_packed,
-            present_copy=self._present_copy,
+            configuration=self._configuration,
             evacuate=self._take_evacuation,
             draw=draw,
         )
@@ -140,8 +122,6 @@
             address=settings.control, keys=settings.keys, handler=self._answer
         )
         self._socket: UdpSocket | None = None
-        self._value = b""
-        self._packed_by_service: dict[str, bytes] = {}
         self._fetching_by_kind: dict[type, asyncio.Task] = {}
         self._bytes_by_direction = {"in": 0, "out": 0}
         self._started = time.monotonic()
@@ -363,8 +343,7 @@
         membership = self._membership
         match action:
             case FetchConfiguration():
-                version = membership.configuration.version
-                question = AskConfiguration(newer_than=version)
+                question = AskConfiguration(newer_than=self._configuration.version)
             case FetchTable():
                 question = AskTable(digests=membership.table.bucket_digests)
         try:
@@ -374,65 +353,22 @@
             return
         match reply:
             case ConfigurationReply(packed=packed) if packed:
-                self._configure_packed(packed)
+                self._configuration.take_packed(packed)
             case TableReply(records=records, balancers=balancers):
                 for record in records:
                     membership.table.learn(record, now=_now())
                 for balancer in balancers:
                     membership.peers.learn(balancer)
 
-    # Configuration
-
-    def configure(self, value: bytes) -> None:
-        """Put the store's value in force unless it is older than the one held."""
-        try:
-            configuration = self._format.decode(value)
-        except ValueError as error:
-            _log.error("stored configuration not usable", reason=str(error))
-            return
-        held = self._membership.configuration.version
-        if self._membership.configure(configuration):
-            self._value = value
-            self._packed_by_service.clear()
-            _log.info("configuration in force", version=configuration.version)
-            self._on_configured()
-        elif configuration.version < held:
-            _log.warning(
-                "older configuration refused", offered=configuration.version, held=held
-            )
-
-    def _configure_packed(self, packed: bytes) -> None:
-        try:
-            value = unpack(packed)
-        except ValueError as error:
-            _log.error("a peer's configuration not usable", reason=str(error))
-            return
-        self.configure(value)
-
-    def _present_copy(self) -> ConfigurationCopy | None:
-        version = self._membership.configuration.version
-        if not version:
-            return None
-        return ConfigurationCopy(version=version, packed=self._packed(""))
-
-    def _packed(self, service: str) -> bytes:
-        """Return what a peer (no service named) or an agent is given."""
-        if service not in self._packed_by_service:
-            # Names that nobody declared must not fill the memory.
-            packed = self._format.pack(self._value, service)
-            if service not in self._membership.configuration.services_by_name:
-                return packed
-            self._packed_by_service[service] = packed
-        return self._packed_by_service[service]
-
     # Control
 
     async def _answer(self, message):
         membership = self._membership
         match message:
             case AskConfiguration(newer_than=version, service=service):
-                held = membership.configuration.version
-                packed = self._packed(service) if held > version else b""
+                held = self._configuration.version
+                is_newer = held > version
+                packed = self._configuration.packed(service) if is_newer else b""
                 return ConfigurationReply(version=held, packed=packed)
             case AskTable(digests=digests):
                 records = membership.table.records_unlike(digests)
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -7,10 +7,11 @@
 import structlog
 
 from monsoonpier.balancer.actions import ToAgent
-from monsoonpier.balancer.member import ConfigurationFormat, Member, balancer_record
+from monsoonpier.balancer.member import Member, balancer_record
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packets.scope import ResetCaller
 from monsoonpier.balancer.packets.steering import PacketSteering
+from monsoonpier.balancer.stored_configuration import ConfigurationFormat
 from monsoonpier.link.schedule import Urgency
 from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.address import Address
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -8,11 +8,9 @@
 
 import structlog
 
-from monsoonpier.balancer.configuration_copy import (
-    ConfigurationCopies,
-    ConfigurationCopy,
-)
+from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.stored_configuration import StoredConfiguration
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
@@ -71,9 +69,7 @@
         peers: The balancers that are known; those registered are added.
         codec: Seals this balancer's registration.
         copies: A compact copy of the configuration, which is read first.
-        configure: Takes each value of the configuration.
-        configure_copy: Takes a packed value of a copy.
-        present_copy: Returns what is in force; ``None`` if nothing is.
+        configuration: Takes each value of the configuration.
         evacuate: Takes orders to evacuate data centres, and their deletions.
         draw: Random numbers for pauses.
         clock: The steady clock.
@@ -86,9 +82,7 @@
         peers: Peers,
         codec: FrameCodec,
         copies: ConfigurationCopies,
-        configure: Callable[[bytes], None],
-        configure_copy: Callable[[bytes], None],
-        present_copy: Callable[[], ConfigurationCopy | None],
+        configuration: StoredConfiguration,
         evacuate: Callable[[Evacuation | EvacuationsRead], None],
         draw: random.Random,
         clock: Callable[[], float] = time.monotonic,
@@ -98,9 +92,7 @@
         self._peers = peers
         self._codec = codec
         self._copies = copies
-        self._configure = configure
-        self._configure_copy = configure_copy
-        self._present_copy = present_copy
+        self._configuration = configuration
         self._evacuate = evacuate
         self._draw = draw
         self._lease = Lease()
@@ -197,7 +189,7 @@
                 self._read_balancers(may_be_old=True),
             )
             self._evacuate(_evacuations_in(evacuations))
-            self._configure_copy(copy.packed)
+            self._configuration.take_packed(copy.packed)
         except StoreError as error:
             _log.info("store unreachable", reason=str(error), key=CONFIGURATION_COPY)
             return
@@ -207,18 +199,18 @@
         """Keep the copy up to date while this balancer is the one that does."""
         while True:
             await asyncio.sleep(COPY_SECONDS * self._draw.uniform(0.9, 1.1))
-            copy = self._present_copy()
-            is_wanted = copy is not None and self._copies.is_old(copy.version)
-            if not is_wanted or not self._peers.is_copier(now=self._now()):
+            version = self._configuration.version
+            is_copier = self._peers.is_copier(now=self._now())
+            if not is_copier or not self._copies.is_old(version):
                 continue
             try:
-                written = await self._copies.write(copy)
+                written = await self._copies.write(self._configuration.copy)
             except StoreError as error:
                 _log.info(
                     "store unreachable", reason=str(error), key=CONFIGURATION_COPY
                 )
                 continue
-            _log.info("configuration copied", version=copy.version, written=written)
+            _log.info("configuration copied", version=version, written=written)
 
     async def _watch(self) -> None:
         """Read all, then follow every change that an operator makes."""
@@ -252,7 +244,7 @@
         # Nothing is placed without a configuration, so evacuations come first.
         self._evacuate(_evacuations_in(stored))
         if CONFIGURATION in stored.values_by_key:
-            self._configure(stored.values_by_key[CONFIGURATION].value)
+            self._configuration.take(stored.values_by_key[CONFIGURATION].value)
         self._last_read = self._now()
         return stored.revision
 
@@ -264,7 +256,7 @@
 
     def _take_event(self, event: WatchEvent) -> None:
         if event.key == CONFIGURATION and event.value is not None:
-            self._configure(event.value)
+            self._configuration.take(event.value)
         elif event.key.startswith(EVACUATIONS):
             order = Evacuation(
                 data_centre=event.key.removeprefix(EVACUATIONS),
--- a/monsoonpier/platform/configuration.py
+++ b/monsoonpier/platform/configuration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from monsoonpier.balancer.member import ConfigurationFormat
+from monsoonpier.balancer.stored_configuration import ConfigurationFormat
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -12,6 +13,7 @@
     seal_copy,
 )
 from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
+from monsoonpier.balancer.stored_configuration import StoredConfiguration
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.store.interface import Put
 from monsoonpier.store.keys import CONFIGURATION, CONFIGURATION_COPY, EVACUATIONS
@@ -35,14 +37,15 @@
         self.store = FakeStore()
         self.known = Evacuations()
         self.heard: list[str] = []
+        configuration = mock.create_autospec(StoredConfiguration, instance=True)
+        configuration.take.side_effect = lambda _: self.heard.append("configuration")
+        configuration.take_packed.side_effect = lambda _: self.heard.append("copy")
         self.link = StoreLink(
             store=self.store,
             peers=balancer("b1").peers,
             codec=FrameCodec(keys=KEYS),
             copies=ConfigurationCopies(store=self.store, keys=KEYS),
-            configure_copy=lambda packed: self.heard.append("copy"),
-            present_copy=lambda: None,
-            configure=lambda value: self.heard.append("configuration"),
+            configuration=configuration,
             evacuate=self._take,
             draw=random.Random(1),
         )
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 from structlog.testing import capture_logs
@@ -18,6 +19,7 @@
     EvacuationsRead,
     StoreLink,
 )
+from monsoonpier.balancer.stored_configuration import StoredConfiguration
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.store.interface import LeaseNotFoundError, Put, StoreError
 from monsoonpier.store.keys import BALANCERS, CONFIGURATION, CONFIGURATION_COPY
@@ -38,9 +40,7 @@
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
         self.platform = FakeStore(clock=lambda: self.now)
-        self.configured: list[bytes] = []
-        self.copied: list[bytes] = []
-        self.present: ConfigurationCopy | None = None
+        self.configuration = mock.create_autospec(StoredConfiguration, instance=True)
         self.evacuated: list[Evacuation | EvacuationsRead] = []
         self.peers = Peers(own=balancer("b1").peers.own)
         self.link = StoreLink(
@@ -48,9 +48,7 @@
             peers=self.peers,
             codec=FrameCodec(keys=KEYS),
             copies=ConfigurationCopies(store=self.platform, keys=KEYS),
-            configure_copy=self.copied.append,
-            present_copy=lambda: self.present,
-            configure=self.configured.append,
+            configuration=self.configuration,
             evacuate=self.evacuated.append,
             draw=random.Random(1),
             clock=lambda: self.now,
@@ -188,7 +186,8 @@
             compares=(), puts=(Put(key=CONFIGURATION, value=b"large"),)
         )
         await self.link._begin_with_copy()
-        self.assertEqual((self.copied, self.configured), ([b"packed"], []))
+        self.configuration.take_packed.assert_called_once_with(b"packed")
+        self.configuration.take.assert_not_called()
 
     async def test_begins_without_a_copy(self):
         """Where there is none, or it is somebody else's, the value itself is read."""
@@ -197,7 +196,7 @@
                 put = Put(key=CONFIGURATION_COPY, value=value)
                 await self.platform.transact(compares=(), puts=(put,))
             await self.link._begin_with_copy()
-            self.assertEqual(self.copied, [])
+            self.configuration.take_packed.assert_not_called()
             self.assertLess(self.link._last_read, 0)
 
     async def test_copies_follow(self):
