--- a/monsoonpier/operator/commands.py
+++ b/monsoonpier/operator/commands.py
@@ -32,6 +32,7 @@
 )
 from monsoonpier.operator.evacuate import read_entries, read_orders
 from monsoonpier.operator.evacuation_commands import entry_line, evacuation_lines
+from monsoonpier.operator.reports import newest_targets, report_unreachable
 from monsoonpier.operator.session import OperatorSession
 from monsoonpier.process.control import NoAnswer
 from monsoonpier.store.interface import StoreError
@@ -80,7 +81,7 @@
     try:
         entries = await read_audit(session.platform, version=version)
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     if not entries:
         print(f"there is no version {version} in the audit trail", file=sys.stderr)
         return Exit.BAD_INPUT
@@ -102,7 +103,7 @@
     try:
         base = await read_stored(session.platform)
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     lines = difference(base.stored.services, parsed.services_by_name)
     print(f"against version {base.version}:")
     print("\n".join(lines) or "no difference")
@@ -115,7 +116,7 @@
         entries = await read_audit(session.platform)
         evacuations = await read_entries(session.platform)
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     for evacuation in evacuations[::-1][:count]:
         print(entry_line(evacuation))
     for entry in entries[::-1][:count]:
@@ -137,7 +138,7 @@
         orders = await read_orders(session.platform)
         statuses = await session.statuses(await session.balancers())
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     if as_json:
         content = {
             "accepted": stored.version,
@@ -162,7 +163,7 @@
         balancers = await session.balancers()
         statuses = await session.statuses(balancers)
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     controls_by_name = {n: record.control for n, record in balancers.items()}
     for status in statuses.values():
         for target in status.targets if status else ():
@@ -212,7 +213,7 @@
     try:
         base = await read_stored(session.platform)
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     outcome = await change(
         session.platform,
         wanted,
@@ -253,7 +254,7 @@
         try:
             statuses = await session.statuses(await session.balancers())
         except StoreError as error:
-            return _unreachable(error)
+            return report_unreachable(error)
         lagging = sorted(
             name for name, s in statuses.items() if s is None or s.version < version
         )
@@ -300,22 +301,11 @@
 
 def _target_lines(statuses: Iterable[StatusReply | None]) -> list[str]:
     """Describe each target by the newest report that any balancer has."""
-    newest_by_name: dict = {}
-    for status in statuses:
-        for target in status.targets if status else ():
-            held = newest_by_name.get(target.record.name)
-            if held is None or target.load.number > held.load.number:
-                newest_by_name[target.record.name] = target
     return [
         f"target {name} ({target.record.service}, {target.record.data_centre}): "
         f"{target.load.condition.name.lower()}"
         f"{', suspected' if target.suspected else ''}, "
         f"{target.load.in_flight} of {target.record.slots} slots, "
         f"{target.load.queued} queued, {target.load.flows} flows"
-        for name, target in sorted(newest_by_name.items())
+        for name, target in sorted(newest_targets(statuses).items())
     ]
-
-
-def _unreachable(error: StoreError) -> int:
-    print(f"the platform can't be reached: {error}", file=sys.stderr)
-    return Exit.UNAVAILABLE
--- a/monsoonpier/operator/evacuation_commands.py
+++ b/monsoonpier/operator/evacuation_commands.py
@@ -18,6 +18,7 @@
     read_orders,
     take_back,
 )
+from monsoonpier.operator.reports import newest_targets, report_unreachable
 from monsoonpier.operator.session import OperatorSession
 from monsoonpier.operator.write import Refused, Undecided, Written
 from monsoonpier.store.interface import StoreError
@@ -46,7 +47,7 @@
         orders = await read_orders(session.platform)
         statuses = await session.statuses(await session.balancers())
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     if data_centre in orders:
         print(_already(orders[data_centre]), file=sys.stderr)
         return Exit.CONFLICT
@@ -68,7 +69,7 @@
     try:
         orders = await read_orders(session.platform)
     except StoreError as error:
-        return _unreachable(error)
+        return report_unreachable(error)
     if data_centre not in orders:
         known = ", ".join(sorted(orders)) or "none"
         print(f"{data_centre} isn't evacuated; evacuated: {known}", file=sys.stderr)
@@ -84,16 +85,11 @@
     orders: dict[str, StoredOrder], statuses: Iterable[StatusReply | None]
 ) -> list[str]:
     """Describe each evacuated data centre, with the flows that are still open."""
-    newest_by_name: dict[str, TargetStatus] = {}
-    for status in statuses:
-        for target in status.targets if status else ():
-            held = newest_by_name.get(target.record.name)
-            if held is None or target.load.number > held.load.number:
-                newest_by_name[target.record.name] = target
+    targets = newest_targets(statuses).values()
     return [
         f"data centre {name}: evacuated since {stored.entry.at} by "
         f"{stored.entry.who} (revision {stored.revision}), "
-        f"{_open_flows(name, newest_by_name.values())} flows still open"
+        f"{_open_flows(name, targets)} flows still open"
         for name, stored in sorted(orders.items())
     ]
 
@@ -163,7 +159,7 @@
         try:
             statuses = await session.statuses(await session.balancers())
         except StoreError as error:
-            return _unreachable(error)
+            return report_unreachable(error)
         lagging = sorted(
             name
             for name, status in statuses.items()
@@ -177,8 +173,3 @@
             print(f"lagging: {', '.join(lagging)}", file=sys.stderr)
             return Exit.LAGGING
         await asyncio.sleep(ASK_AGAIN_SECONDS)
-
-
-def _unreachable(error: StoreError) -> int:
-    print(f"the platform can't be reached: {error}", file=sys.stderr)
-    return Exit.UNAVAILABLE
