Ask agents in a module of its own

Collecting flows into questions, their pace and their numbers are one class now. No decision changes; the same tests pass.

--- a/monsoonpier/balancer/packets/inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -1,21 +1,20 @@
 """Flows that this balancer doesn't know: who holds them, or that nobody does."""
 
 import heapq
-from collections import OrderedDict, deque
+from collections import deque
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.directory import HolderDirectory
 from monsoonpier.balancer.packets.flows import Inquiry, KnownFlow
+from monsoonpier.balancer.packets.questions import HolderQuestions
 from monsoonpier.balancer.packets.scope import PacketScope, ServiceAgents
 from monsoonpier.balancer.packets.tries import PacketTries
 from monsoonpier.wire.frames import (
-    MAX_ASKED,
     Find,
     Found,
     Holds,
     NotHeld,
     Register,
-    Whose,
 )
 from monsoonpier.wire.packet import Packet
 
@@ -23,10 +22,6 @@
 
 KEEPER_SECONDS = 0.03  # ten ways to a balancer of the same data centre and back
 ASK_AGAIN_SECONDS = 0.1  # half of the time after which callers send again
-QUESTION_SECONDS = 0.02  # flows that come up in this time go into one question
-# When many come up they wait for one another longer: a question's frame costs as
-# much as four flows in it, times the agents of the service.
-MAX_QUESTION_SECONDS = 0.1
 # Agents that have not answered are asked again on this balancer's own clock, since
 # callers back off up to 1.6 s: questions and answers get lost, and after a loss of
 # power agents become known one by one. Each repeat waits twice as long. Of 60 callers
@@ -36,19 +31,12 @@
 MAX_REPEATS = 5  # the last one after 3.1 s; then the caller's own packets ask
 MAX_REPEATED = 16_384  # flows; the open flows of a balancer aimed at
 LOOK_AGAIN_SECONDS = 0.1  # at flows that were denied before all was known
-MICROSECONDS = 1_000_000
-MAX_QUESTIONS = 256  # of the last ten seconds, at one in 40 ms
 MAX_DENIED_EARLY = 8_192  # half the open flows of a balancer aimed at
 ANY_SERVICE = "*"  # names the service while no configuration says which it is
 
 
 class HolderInquiries:
-    """Asks the flow's keepers, then all agents of its service. Does no I/O.
-
-    Agents are asked for many flows at once: after everything has lost power all
-    flows are dead, and a question a flow and agent was more than the links of
-    small entry VMs carry.
-    """
+    """Asks the flow's keepers, then all agents of its service. Does no I/O."""
 
     def __init__(self, *, scope: PacketScope) -> None:
         self._scope = scope
@@ -57,20 +45,15 @@
         self._asked: deque[tuple[float, bytes]] = deque()
         self._repeats: list[tuple[float, bytes]] = []  # a heap, by time
         self._denied_early: list[bytes] = []
-        self._to_ask_by_service: dict[str, list[bytes]] = {}
-        self._flows_by_question: OrderedDict[int, tuple[bytes, ...]] = OrderedDict()
-        # An agent that was frozen may answer a question of this balancer's last
-        # run; its number must not be one of this run's.
-        self._last_question = int(scope.started_at * MICROSECONDS)
-        self._send_at = 0.0
+        self._questions = HolderQuestions(scope=scope)
         self._looked_at = 0.0
 
     @property
     def is_waiting(self) -> bool:
         """Whether `retry` has something to look after."""
-        waits = self._asked or self._denied_early or self._to_ask_by_service
         return (
-            bool(waits or self._repeats)
+            bool(self._asked or self._denied_early or self._repeats)
+            or self._questions.is_waiting
             or self._directory.is_waiting
             or self._tries.is_waiting
         )
@@ -122,50 +105,8 @@
             if len(self._repeats) < MAX_REPEATED:
                 heapq.heappush(self._repeats, (now + REPEAT_SECONDS, flow))
         inquiry.asked_at = now
-        self._to_ask_by_service.setdefault(known.service, []).append(flow)
-        self._scope.counts_by_result["asked"] += 1
-        if now < self._send_at:
-            return []
-        return self._send_questions(now=now)
-
-    def _send_questions(self, *, now: float) -> list:
-        """Return the questions for all flows that have come up since the last."""
-        asked, self._to_ask_by_service = self._to_ask_by_service, {}
-        most = max(map(len, asked.values()), default=0)
-        wait = min(QUESTION_SECONDS * most, MAX_QUESTION_SECONDS)
-        self._send_at = now + max(QUESTION_SECONDS, wait)
-        actions: list = []
-        for service, flows in asked.items():
-            for start in range(0, len(flows), MAX_ASKED):
-                chunk = tuple(flows[start : start + MAX_ASKED])
-                names = self._askable(service, chunk)
-                actions += self._question(service, chunk, names, now=now)
-        return actions
-
-    def _askable(self, service: str, flows: tuple[bytes, ...]) -> list[str]:
-        """Return the agents that have not denied all of these flows."""
-        known_flows = [self._scope.flows.get(flow) for flow in flows]
-        denied = [
-            known.inquiry.denied
-            for known in known_flows
-            if known is not None and known.inquiry is not None
-        ]
-        by_all = set.intersection(*denied) if denied else set()
-        return sorted(self._scope.membership.table.names_of(service) - by_all)
-
-    def _question(
-        self, service: str, flows: tuple[bytes, ...], names: list[str], *, now: float
-    ) -> list:
-        self._last_question += 1
-        self._flows_by_question[self._last_question] = flows
-        if len(self._flows_by_question) > MAX_QUESTIONS:
-            self._flows_by_question.popitem(last=False)
-        for flow in flows:
-            self._scope.log.note(
-                "holder asked for", now=now, flow=flow, agents=len(names)
-            )
-        frame = Whose(question=self._last_question, service=service, flows=flows)
-        return self._scope.tell(frame, names=names)
+        self._questions.put(flow, service=known.service)
+        return self._questions.due(now=now)
 
     def _agents_of(self, known: KnownFlow, *, now: float) -> ServiceAgents:
         return self._scope.agents_of(known.service, now=now)
@@ -246,7 +187,7 @@
             now=now,
         )
         agents: ServiceAgents | None = None
-        for flow in self._flows_by_question.get(frame.question, ()):
+        for flow in self._questions.flows_of(frame.question):
             known = self._scope.flows.get(flow)
             if known is None or known.inquiry is None:
                 continue
@@ -373,8 +314,7 @@
         actions = self._register(now=now) + self._go_on(now=now)
         actions += self._repeat(now=now)
         actions += self._tries.flush()
-        if self._to_ask_by_service and now >= self._send_at:
-            actions += self._send_questions(now=now)
+        actions += self._questions.due(now=now)
         if self._denied_early and now - self._looked_at >= LOOK_AGAIN_SECONDS:
             actions += self._conclude_early(now=now)
         return actions
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -546,7 +546,7 @@
         rig.learn(record("maps-2", host=2, change=1, condition=condition), now=160.1)
         rig.caller(packet(2), now=then)
         sure = Holds(question=0, agent="maps-1", held=(), is_sure=True)
-        number = rig.steering._inquiries._last_question
+        number = rig.steering._inquiries._questions._last_question
         return resets(rig.agent(replace(sure, question=number), now=then + 0.01))
 
     def test_vacant_agent_that_has_ended(self) -> None:
