Evacuate a data centre of real processes, with balancers killed meanwhile

Now a deployment of two data centres is emptied by the store's key under load, both balancers are killed one after the other, and its target takes no new flow from a second after the order until it is deleted.

--- a/standins/packets/deployment.py
+++ b/standins/packets/deployment.py
@@ -89,6 +89,7 @@
     Attributes:
         has_proxies: Processes reach the store and their targets through proxies,
             which `links_by_name` has.
+        zones: All data centres, as settings name them.
         clock_offsets_by_name: Seconds that a process's wall clock is off at its
             next start.
     """
@@ -97,6 +98,7 @@
     seed: int = 0
     has_proxies: bool = False
     links_by_name: dict[str, "Links"] = field(default_factory=dict)
+    zones: tuple[str, ...] = ("dc-1",)
     clock_offsets_by_name: dict[str, float] = field(default_factory=dict)
     nodes_by_name: dict[str, Node] = field(default_factory=dict)
     targets_by_name: dict[str, PacketTarget] = field(default_factory=dict)
@@ -188,10 +190,12 @@
             self.rotate(name)
         return node
 
-    async def start_pair(self, name: str, service: str, *, slots: int = 3) -> Node:
+    async def start_pair(
+        self, name: str, service: str, *, slots: int = 3, zone: str = "dc-1"
+    ) -> Node:
         """Start a target and its agent; return the agent."""
         self.start_target(name, service, slots=slots)
-        return await self.start_agent(name, service)
+        return await self.start_agent(name, service, zone=zone)
 
     def start_target(self, name: str, service: str, *, slots: int = 3) -> None:
         """Start a target, which announces itself until its agent answers."""
@@ -212,12 +216,13 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
-    async def start_agent(self, name: str, service: str) -> Node:
+    async def start_agent(self, name: str, service: str, *, zone: str = "dc-1") -> Node:
         """Start the agent beside the target of that name."""
         ip = self.ip(name)
         more = {
             "app": f"{ip}:{APP_LINK_PORT if self.has_proxies else APP_PORT}",
             "service": service,
+            "zone": zone,
             "outbound": f"{ip}:{OUTBOUND_PORT}",
         }
         return await self._start("agent", name, more)
@@ -310,6 +315,7 @@
         *,
         app: str = "",
         service: str = "",
+        zone: str = "dc-1",
         outbound: str = "",
         link_megabits: float | None = None,
     ) -> Path:
@@ -321,7 +327,7 @@
         lines = [
             f'node_name = "{name}"',
             f'ip = "{ip}"',
-            'zone = "dc-1"',
+            f'zone = "{zone}"',
             f"internal_ports = [{FIRST_INTERNAL_PORT}, {FIRST_INTERNAL_PORT + 15}]",
             f"seeds = {json.dumps(seeds)}",
             f'app = "{app}"' if app else "",
@@ -336,7 +342,7 @@
             "[limits]" if link_megabits else "",
             f"link_mbps = {link_megabits}" if link_megabits else "",
             "[zones]",
-            'dc-1 = "region-1"',
+            *(f'{zone} = "region-1"' for zone in self.zones),
         ]
         file = self.folder / f"{name}.toml"
         file.write_text("\n".join(lines))
--- a/standins/packets/target.py
+++ b/standins/packets/target.py
@@ -49,6 +49,7 @@
     instance: str = ""
     runs_by_id: Counter = field(default_factory=Counter)
     is_draining: bool = False
+    opened: int = 0  # flows whose first SYN came here
     foreign: int = 0  # packets of flows that it doesn't hold
     _flows: dict = field(default_factory=dict)
     _sequence: int = 0
@@ -161,6 +162,7 @@
             if flow is None:
                 flow = self._new_flow(segment)
                 self._flows[key] = flow
+                self.opened += 1
             answer = Segment(
                 flags=SYN | ACK,
                 source=segment.destination,
--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -51,6 +51,41 @@
         await self._finish(load)
         self.assertEqual(load.counts["failed"], 0, load.reasons)
 
+    async def test_evacuated(self) -> None:
+        """A data centre takes no new flow while it is evacuated, also after kills.
+
+        Both balancers are killed meanwhile: who starts knows before it places.
+        """
+        deployment = PacketDeployment(net="127.84.12", seed=3, zones=("dc-1", "dc-2"))
+        await self.enterAsyncContext(deployment)
+        deployment.configure()
+        balancers = ("lb-1", "lb-2")
+        for name in balancers:
+            deployment.ip(name)
+        await asyncio.gather(
+            *(deployment.start_balancer(name) for name in balancers),
+            deployment.start_pair("maps-1", "maps"),
+            deployment.start_pair("maps-2", "maps", zone="dc-2"),
+            deployment.start_pair("logs-1", "logs"),
+        )
+        emptied = deployment.targets_by_name["maps-2"]
+        load = await self._load(deployment)
+        self.assertGreater(emptied.opened, 0)
+        deployment.store.put("op/evacuate/dc-2", b"{}")
+        await asyncio.sleep(1.0)  # the aim: in force everywhere by then
+        before = emptied.opened
+        await asyncio.sleep(1.0)
+        for name in balancers:
+            deployment.nodes_by_name[name].signal(signal.SIGKILL)
+            await deployment.start_balancer(name)
+        await asyncio.sleep(1.0)
+        self.assertEqual(emptied.opened, before)
+        deployment.store.remove("op/evacuate/dc-2")
+        await asyncio.sleep(2.0)
+        self.assertGreater(emptied.opened, before)
+        verdict = await load.stop()
+        self.assertTrue(verdict.is_clean, f"{verdict} {load.reasons}")
+
     async def test_changed_settings(self) -> None:
         """SIGHUP, which says that settings have changed, ends no process.
 
