Bring about what the test of killed processes checks

Cause: its callers' flows were busy, so on a slow machine the targets' own retransmissions told the restarted agents of every flow before a balancer had to ask. Now four flows are silent while all is killed and send when all is up: nobody can know of them, each must be answered, and packets must have been passed on.

--- a/standins/packets/deployment.py
+++ b/standins/packets/deployment.py
@@ -18,7 +18,7 @@
 from standins.processes import Node, kill_all, spawn
 from standins.proxy import LinkFaults, TcpProxy, UdpProxy
 
-__all__ = ["Links", "PacketDeployment"]
+__all__ = ["SERVICES", "Links", "PacketDeployment"]
 
 KEY = "5f" * 32
 STORE_PORT = 8169
--- a/standins/packets/load.py
+++ b/standins/packets/load.py
@@ -98,7 +98,7 @@
                 flow.close()
                 self.deployment.caller.forget(flow)
                 return
-            if not await self._request(flow, "maps", answer=READING_BYTES, work_ms=10):
+            if not await self.request(flow, "maps", answer=READING_BYTES, work_ms=10):
                 return
             await asyncio.sleep(draw.uniform(0.05, 0.3))
         if flow is not None:
@@ -107,13 +107,13 @@
     async def _write(self, draw: random.Random) -> None:
         flow = await self._open("maps")
         if flow is not None:
-            await self._request(flow, "maps", body=b"b" * 900, work_ms=15)
+            await self.request(flow, "maps", body=b"b" * 900, work_ms=15)
             flow.close()
 
     async def _upload(self, draw: random.Random) -> None:
         flow = await self._open("logs")
         if flow is not None:
-            await self._request(flow, "logs", body=b"u" * UPLOAD_BYTES)
+            await self.request(flow, "logs", body=b"u" * UPLOAD_BYTES)
             flow.close()
 
     async def _open(self, service: str) -> CallerFlow | None:
@@ -124,7 +124,8 @@
             self.reasons[f"open: {ended}"] += 1
             return None
 
-    async def _request(self, flow: CallerFlow, service: str, **fields) -> bool:
+    async def request(self, flow: CallerFlow, service: str, **fields) -> bool:
+        """Send a request of its own on a flow; tell whether it was answered."""
         self._number += 1
         request = f"{service}-{self._number}"
         self._services_by_request[request] = service
--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -4,7 +4,7 @@
 import signal
 import unittest
 
-from standins.packets.deployment import PacketDeployment
+from standins.packets.deployment import SERVICES, PacketDeployment
 from standins.packets.load import PacketLoad
 
 PAIRS = (("maps-1", "maps"), ("maps-2", "maps"), ("logs-1", "logs"))
@@ -142,11 +142,18 @@
         await self._finish(load)
 
     async def test_all_killed_beside_living_targets(self) -> None:
-        """Flows of living targets are found again, by way of agents too."""
+        """Flows of living targets are found again, by way of agents too.
+
+        Flows that are silent all the while are known to no process afterwards: the
+        targets say nothing on them, and the callers send when all is up again.
+        """
         deployment = await self._start("127.84.8")
         for number in range(3, 7):
             await deployment.start_pair(f"maps-{number}", "maps")
         load = await self._load(deployment)
+        silent = [await deployment.caller.open(SERVICES["maps"]) for _ in range(4)]
+        for flow in silent:
+            self.assertTrue(await load.request(flow, "maps"))
         nodes = list(deployment.nodes_by_name.values())
         deployment.rotate("lb-1", "lb-2", out=True)
         for node in nodes:
@@ -160,6 +167,8 @@
         before = load.counts["answered"]
         await asyncio.sleep(1.0)
         self.assertGreater(load.counts["answered"], before + 10, load.reasons)
+        for flow in silent:
+            self.assertTrue(await load.request(flow, "maps"), load.reasons)
         metric = 'monsoonpier_flow_decisions_total{result="passed_on"}'
         counts = [await deployment.metric(name, metric) for name, _ in agents]
         self.assertGreater(sum(count or 0 for count in counts), 0)
