Let a cold target take no more new flows a second than it bears

Cause: services of a configuration carry what a cold target bears; nothing read it.

The agent counts new flows over a sliding second, since it alone sees them all; balancers tell it the limit with each acknowledgement, and learn from its load that nothing more is taken. What can wait does so beside the target.

Ruled out: shares of the limit for balancers (they don't know of one another's flows), a second of the clock (bursts at its edge count twice).

--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -100,7 +100,7 @@
         """Decide on a SYN of a flow that the target doesn't hold."""
         if packet.flow in self._queue:
             return [self._queued(packet, sender=sender, now=now)]
-        reason = self._refusal(frame)
+        reason = self._refusal(frame, now=now)
         if reason == NO_SLOT and frame.wait_ms:
             return self._enqueue(frame, packet, sender=sender, now=now)
         syn = QueuedSyn(packet=packet, tried=frame.tried, balancer=sender)
@@ -119,13 +119,17 @@
         expired = self._queue.pop_expired(now=now)
         actions: list = [self.turn(syn, NO_SLOT_IN_TIME, now=now) for syn in expired]
         run_seconds = self._load.run_seconds
-        while self._load.busy < self._load.slots + self._ahead:
+        while self._may_begin(now=now):
             syn = self._queue.pop(run_seconds=run_seconds, now=now)
             if syn is None:
                 break
             actions.append(self._deliver(syn, now=now))
         return actions
 
+    def _may_begin(self, *, now: float) -> bool:
+        is_free = self._load.busy < self._load.slots + self._ahead
+        return is_free and self._load.cold.allows(now=now)
+
     @property
     def _ahead(self) -> int:
         """How many SYNs are delivered while all slots are still taken."""
@@ -173,7 +177,7 @@
         )
         return ToProcess(endpoint=syn.balancer, frame=frame)
 
-    def _refusal(self, frame: Carry) -> str | None:
+    def _refusal(self, frame: Carry, *, now: float) -> str | None:
         if frame.service != self._service:
             return "another service's"
         if self._closed is not None:
@@ -183,7 +187,8 @@
         allowed = self._load.slots
         if len(frame.tried) >= FORCED_TRIES:
             allowed += QUEUE_AHEAD
-        return NO_SLOT if self._load.busy >= allowed else None
+        is_full = self._load.busy >= allowed
+        return NO_SLOT if is_full or not self._load.cold.allows(now=now) else None
 
     @property
     def _closed(self) -> str | None:
@@ -205,6 +210,7 @@
             tried=syn.tried,
         )
         self._flows_by_address[packet.flow] = flow
+        self._load.cold.took(now=now)
         self.expect(packet.flow, flow, now=now)
         return ToTarget(raw=packet.raw)
 
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -3,10 +3,11 @@
 import math
 from typing import NamedTuple
 
+from monsoonpier.agent.packets.cold import ColdLimit
 from monsoonpier.agent.packets.evidence import FailureShare
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.queue import AdmissionQueue
-from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
 from monsoonpier.process.readings import Histogram
 
 __all__ = ["LoadLevel", "TargetLoad"]
@@ -51,6 +52,7 @@
         busy: Requests under way.
         open: Open flows.
         queue: New flows that wait for a slot.
+        cold: How many new flows the target takes while it is cold.
     """
 
     def __init__(self, *, slots: int) -> None:
@@ -58,9 +60,9 @@
         self.busy = 0
         self.open = 0
         self.queue = AdmissionQueue()
+        self.cold = ColdLimit()
         self._number = 0
         self._run_ms = 0.0
-        self._cold_until = 0.0
         self._failures = FailureShare()
         self._busy_share = 0.0
         self._share_at = 0.0
@@ -154,7 +156,7 @@
 
     def is_cold_until(self, until: float) -> None:
         """Note until when the target runs slower than later."""
-        self._cold_until = until
+        self.cold.until = until
 
     @property
     def run_seconds(self) -> float:
@@ -164,14 +166,17 @@
     def report(self, *, condition: Condition, now: float) -> LoadReport:
         """Return the present load, newer than all reports before."""
         self._number += 1
+        # Balancers send nothing where more are under way than may wait there.
+        is_closed = not self.cold.allows(now=now)
+        least = self.slots + QUEUE_AHEAD if is_closed else 0
         return LoadReport(
             number=self._number,
-            in_flight=self.busy,
+            in_flight=max(self.busy, least),
             queued=self.queue.timely,
             queued_late=self.queue.late,
             flows=self.open,
             service_ms=round(self._run_ms),
-            cold_ms=max(0, round((self._cold_until - now) * 1000)),
+            cold_ms=max(0, round((self.cold.until - now) * 1000)),
             condition=condition,
             failed_percent=self.failed_percent(now=now),
         )
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -123,6 +123,7 @@
         self._runs = RunHistory()
         self._has_left = False
         self._gone_at = 0.0
+        self._limited_by = 0  # the version whose limits are kept
         self._dropped_by_reason: dict[str, int] = {}
 
     @property
@@ -318,6 +319,12 @@
         self._report_soon()
         _log.info("target's condition", before=before.name, after=condition.name)
 
+    def _limit_cold(self, ack: HeartbeatAck) -> None:
+        """Take what the configuration allows, unless an older one says so."""
+        if ack.version >= self._limited_by:
+            self._limited_by = ack.version
+            self._holder.target_load.cold.per_second = ack.cold_per_second
+
     def _evacuate(self) -> None:
         """Obey a new order on the data centre, for flows that wait here too."""
         self._holder.is_evacuated = self._link.is_evacuated
@@ -340,6 +347,7 @@
                 self._do(self._holder.ask(frame, sender=sender, now=_now()))
             case HeartbeatAck():
                 self._link.acknowledged(frame)
+                self._limit_cold(frame)
             case Dropped(reason=reason):
                 self._drop(reason)
             case _:
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -101,11 +101,15 @@
         now: float,
     ) -> ToAgent:
         allowed = True
+        cold_per_second = 0.0
         near: tuple = ()
         if record is not None and self.configuration.version:
             allowed = self.configuration.allows(
                 service=record.service, target=record.name
             )
+        if record is not None:
+            limits = self.configuration.cold_per_second_by_service
+            cold_per_second = limits.get(record.service, 0.0)
         if record is not None and introduce:
             near = self.peers.near(record.name, count=NEAR_BALANCERS, now=now)
         ack = HeartbeatAck(
@@ -117,6 +121,7 @@
             balancers=near,
             held_epoch=record.epoch if record is not None else 0,
             evacuation=self.evacuations.of(record.data_centre) if record else None,
+            cold_per_second=cold_per_second,
         )
         return ToAgent(endpoint=sender, frame=ack)
 
--- a/monsoonpier/model/service.py
+++ b/monsoonpier/model/service.py
@@ -71,11 +71,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Configuration:
-    """One accepted version of the whole set of operators' files."""
+    """One accepted version of the whole set of operators' files.
+
+    ``cold_per_second_by_service`` has the new flows without a token that a cold target
+    bears in a second, where that is limited.
+    """
 
     version: int = 0
     services_by_name: dict[str, Service] = field(default_factory=dict)
     routes_by_address: dict[Address, PacketRoute] = field(default_factory=dict)
+    cold_per_second_by_service: dict[str, float] = field(default_factory=dict)
 
     def allows(self, *, service: str, target: str) -> bool:
         """Tell whether the target may serve the service in this version."""
--- a/monsoonpier/platform/configuration.py
+++ b/monsoonpier/platform/configuration.py
@@ -1,6 +1,7 @@
 """The operator's configuration as the platform's store holds it."""
 
 import zlib
+from typing import Annotated
 
 import msgspec
 
@@ -22,6 +23,11 @@
     priority: int = 0
 
 
+class _Service(msgspec.Struct, frozen=True, kw_only=True):
+    name: str
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0  # 0: no limit
+
+
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
     idle_timeout_ms: float = 15_000
 
@@ -29,6 +35,7 @@
 class _Stored(msgspec.Struct, frozen=True, kw_only=True):
     version: int
     routes: list[_Route]
+    services: list[_Service] = []
     limits: _Limits = _Limits()
 
 
@@ -41,7 +48,12 @@
         routes = {_address(route): _route(route) for route in stored.routes}
     except (msgspec.MsgspecError, ValueError) as error:
         raise ValueError(f"not a configuration of the operator: {error}") from error
-    return Configuration(version=stored.version, routes_by_address=routes)
+    limits = {s.name: s.cold_per_s for s in stored.services if s.cold_per_s}
+    return Configuration(
+        version=stored.version,
+        routes_by_address=routes,
+        cold_per_second_by_service=limits,
+    )
 
 
 def _address(route: _Route) -> Address:
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -126,7 +126,8 @@
 
     ``held_epoch`` is that of the record it holds of the agent: a larger one than
     the agent's own means that the agent's wall clock was set back. ``evacuation`` is
-    the last known order on the agent's data centre.
+    the last known order on the agent's data centre; ``cold_per_second`` is what its
+    target bears while it is cold, by that version, 0 if that isn't limited.
     """
 
     balancer: Name
@@ -139,6 +140,7 @@
     ] = ()
     held_epoch: int = 0
     evacuation: Evacuation | None = None
+    cold_per_second: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class Announce(_Frame, tag=7, kw_only=True, gc=False):
