--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -21,8 +21,9 @@
 from monsoonpier.agent.packets.load import TargetLoad
 from monsoonpier.agent.packets.load_reports import LoadReports
 from monsoonpier.agent.packets.queue import QueuedSyn
+from monsoonpier.agent.packets.target_knowledge import TargetKnowledge
 from monsoonpier.model.address import Address
-from monsoonpier.model.target import ABSENT_SECONDS, Condition, LoadReport
+from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
     Carry,
@@ -76,10 +77,7 @@
         self._log = log
         self._service = service
         self._flows_by_address: dict[bytes, PacketFlow] = {}
-        self._instance = b""
-        self._knows_all = False
-        self._began_at: float | None = None
-        self._absent_since: float | None = None
+        self._known = TargetKnowledge()
         self._questions: deque[tuple[tuple[str, int], Whose]] = deque(
             maxlen=MAX_QUESTIONS
         )
@@ -103,7 +101,7 @@
     @property
     def instance(self) -> bytes:
         """The target's present run."""
-        return self._instance
+        return self._known.instance
 
     @property
     def condition(self) -> Condition:
@@ -136,12 +134,12 @@
     @property
     def has_met_target(self) -> bool:
         """Whether a target has been heard or found listening since the start."""
-        return bool(self._instance) or self.condition is not Condition.STARTING
+        return bool(self._known.instance) or self.condition is not Condition.STARTING
 
     @property
     def has_no_target(self) -> bool:
         """Whether no target can be left there: it has been absent for long enough."""
-        return self.is_absent and self._knows_all
+        return self.is_absent and self._known.knows_all
 
     def started(
         self, instance: bytes, *, is_first: bool, is_young: bool = False, now: float
@@ -154,15 +152,14 @@
             is_young: The run began a moment ago, if not under this agent's eyes.
             now: The present time.
         """
-        if instance == self._instance:
-            return []
-        is_replaced = bool(self._instance)
-        self._instance = instance
-        if not is_replaced:
-            self._knows_all = is_first
-            self._began_at = now if is_first or is_young else None
-            return []
-        return self.ended(now=now)
+        known = self._known
+        if known.is_replaced_by(instance):
+            resets = self.ended(now=now)
+            known.began(instance, now=now)
+            return resets
+        if not known.instance:
+            known.met(instance, is_first=is_first, is_young=is_young, now=now)
+        return []
 
     def absent(self, *, now: float) -> None:
         """Note that nobody listens at the target's address, nor has before.
@@ -170,14 +167,8 @@
         Its VM may stand there without it: VMs whose targets have left start again
         like others after a loss of power.
         """
-        if self._instance:
-            return
-        if self._absent_since is None:
-            self._absent_since = now
+        if not self._known.instance and self._known.absent(now=now):
             self._log.note("no target listens", now=now)
-        # One that has stopped listening to leave is gone by then, and one that
-        # starts would have announced itself.
-        self._knows_all = now - self._absent_since >= ABSENT_SECONDS
 
     def ended(self, *, now: float) -> list:
         """Reset the open flows: the target that held them is gone.
@@ -192,8 +183,7 @@
         self._flows_by_address.clear()
         is_planned = self.condition is not Condition.SERVING
         self.target_load.ended(is_planned=is_planned, now=now)
-        self._knows_all = True
-        self._began_at = now
+        self._known.began(self._known.instance, now=now)
         self.counts_by_result["ended_with_target"] += len(resets)
         return resets
 
@@ -211,7 +201,7 @@
         self, question: Whose, *, sender: tuple[str, int], now: float
     ) -> list[ToProcess]:
         """Answer a balancer's question, or keep it until the target is met."""
-        if self._instance or self._knows_all:
+        if self._known.instance or self._known.knows_all:
             return [ToProcess(endpoint=sender, frame=self.answer(question, now=now))]
         if not self._questions:
             self._asked_at = now
@@ -220,7 +210,7 @@
 
     def answer_kept(self, *, now: float) -> list[ToProcess]:
         """Answer the questions that were kept, if the time has come."""
-        if not self._instance and now - self._asked_at < MEET_SECONDS:
+        if not self._known.instance and now - self._asked_at < MEET_SECONDS:
             return []
         kept = [
             ToProcess(endpoint=sender, frame=self.answer(question, now=now))
@@ -234,7 +224,7 @@
         held = tuple(flow for flow in question.flows if self._holds(flow))
         # Flows of another service can't be here, whatever the target does.
         is_sure = (
-            self._knows_all
+            self._known.knows_all
             or self.condition is Condition.GONE
             or question.service != self._service
         )
@@ -243,19 +233,14 @@
             agent=self._name,
             held=held,
             is_sure=is_sure,
-            run_ms=self._run_ms(now=now),
+            run_ms=self._known.run_ms(now=now),
             is_absent=self.is_absent,
         )
 
     @property
     def is_absent(self) -> bool:
         """Whether nobody has listened at the target's address since the start."""
-        return not self.has_met_target and self._absent_since is not None
-
-    def _run_ms(self, *, now: float) -> int | None:
-        if self._began_at is None:
-            return None
-        return round((now - self._began_at) * 1000)
+        return not self.has_met_target and self._known.is_absent
 
     def _holds(self, address: bytes) -> bool:
         flow = self._flows_by_address.get(address)
@@ -372,7 +357,7 @@
             packet.service_address in self._served_addresses
         )
         has_ended = self.condition is Condition.GONE
-        if self._knows_all or has_ended or not may_be_its:
+        if self._known.knows_all or has_ended or not may_be_its:
             return self._deny(packet, sender=sender, now=now, asks=frame.asks)
         self._flows_by_address[packet.flow] = PacketFlow(
             caller_ip=packet.caller_ip,
@@ -528,7 +513,7 @@
     ) -> list:
         self.counts_by_result["denied"] += 1
         self._log.note(
-            "flow denied", now=now, flow=packet.flow, knows_all=self._knows_all
+            "flow denied", now=now, flow=packet.flow, knows_all=self._known.knows_all
         )
         if not sender[1]:
             return []  # Nobody asked: the target's own packet made it known.
