--- a/monsoonpier/model/evacuation.py
+++ b/monsoonpier/model/evacuation.py
@@ -102,7 +102,6 @@
             )
             for order in self.known
             if order.is_active
-            and order.revision < revision
             and order.data_centre not in revisions_by_data_centre
         ]
         unheard = replace(self, read_at=0) if revision > self.read_at else self
