Tell callers of dead flows before the last agents are met

Cause: after a loss of power everywhere a verdict waited for each agent that had announced itself, the last target being up 0.25 s after the middle one, and a second for VMs without a target.

Where most targets of a service have told that they began with the balancer, in all data centres, agents that have met no target yet count as lost too. One that lives on has met its target, is asked and must answer, as before; a single older target ends the conclusion.

Questions as before.

--- a/monsoonpier/balancer/packets/inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -218,13 +218,13 @@
         inquiry = known.inquiry
         assert inquiry is not None
         heard = len(inquiry.denied) + len(inquiry.doubtful)
-        if heard + len(agents.absent) + len(agents.unmet) < len(agents.names):
+        if heard + len(agents.absent) + len(agents.starting) < len(agents.names):
             return []  # Most answers are not the last one: this costs them nothing.
         left = agents.names - inquiry.denied
         if not left:
             return self._all_denied(known, now=now)
         unheard = left - inquiry.doubtful
-        has_lost_power = unheard <= agents.unmet and (
+        has_lost_power = unheard <= agents.starting and (
             self._scope.lost_power_everywhere(known.service, now=now)
         )
         if has_lost_power:
--- a/monsoonpier/balancer/packets/runs.py
+++ b/monsoonpier/balancer/packets/runs.py
@@ -51,6 +51,10 @@
         if len(self._began_at_by_name) > MAX_NAMES:
             del self._began_at_by_name[next(iter(self._began_at_by_name))]
 
+    def has_told(self, name: str) -> bool:
+        """Tell whether an agent has spoken of its target's run."""
+        return name in self._began_at_by_name
+
     def is_absent(self, name: str, *, now: float) -> bool:
         """Tell whether no target can be left at an agent that has found none.
 
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -39,13 +39,13 @@
     Attributes:
         names: All that have not ended, without those where no target is left.
         absent: Those of them that have found no target since their start.
-        unmet: Those of them that had time to find one and have told of none; after
-            a loss of power everywhere no flow can be there.
+        starting: Those of them that have met no target yet; after a loss of power
+            everywhere no flow can be there.
     """
 
     names: frozenset[str]
     absent: frozenset[str]
-    unmet: frozenset[str]
+    starting: frozenset[str]
 
 
 class PacketScope:
@@ -114,8 +114,15 @@
         known = {record.data_centre for record in records}
         if not self._data_centres or not self._data_centres <= known:
             return False
-        met = [name for name in names if not self._is_unmet(name, now=now)]
-        return self.runs.all_began_with(met, started_at=self.started_at)
+        starting = self._starting(names)
+        met = set(names) - starting
+        if not self.runs.all_began_with(met, started_at=self.started_at):
+            return False
+        # Where most targets have begun anew in all data centres, those that are yet
+        # to be met have too: to wait for the last one costs its callers 0.3 s.
+        places = {record.data_centre for record in records if record.name in met}
+        is_plain = len(met) > len(starting) and self._data_centres <= places
+        return is_plain or all(self._had_time(name, now=now) for name in starting)
 
     def may_have_lost_power(self, service: str, *, now: float) -> bool:
         """Tell whether all may have begun with this balancer, a moment ago."""
@@ -128,11 +135,10 @@
         """Return the agents whose word on the service's flows counts now."""
         names = self.membership.table.names_of(service)
         vacant = {name for name in names if self._is_vacant(name, now=now)}
-        unmet = {name for name in names - vacant if self._is_unmet(name, now=now)}
         return ServiceAgents(
             names=frozenset(names - vacant),
             absent=frozenset(name for name in names - vacant if self._is_absent(name)),
-            unmet=frozenset(unmet),
+            starting=frozenset(self._starting(names - vacant)),
         )
 
     def _is_vacant(self, name: str, *, now: float) -> bool:
@@ -150,13 +156,22 @@
         record = self.membership.table.record(name)
         return record is not None and record.is_absent
 
-    def _is_unmet(self, name: str, *, now: float) -> bool:
-        """Tell whether an agent had time to meet its target, and has met none."""
+    def _starting(self, names: Collection[str]) -> set[str]:
+        """Return the agents that have met no target since their start."""
+        records = {name: self.membership.table.record(name) for name in names}
+        return {
+            name
+            for name, record in records.items()
+            if record is not None
+            and record.condition is Condition.STARTING
+            and not self.runs.has_told(name)
+        }
+
+    def _had_time(self, name: str, *, now: float) -> bool:
+        """Tell whether an agent would have told of its target by now."""
         record = self.membership.table.record(name)
-        if record is None or record.condition is not Condition.STARTING:
-            return False
         known_for = self.membership.table.known_for(name, now=now)
-        return record.is_absent or known_for >= UNMET_SECONDS
+        return known_for >= UNMET_SECONDS or (record is not None and record.is_absent)
 
     def may_hold(self, name: str) -> bool:
         """Tell whether a target of that name is known and has not ended."""
--- a/monsoonpier/model/evacuation.py
+++ b/monsoonpier/model/evacuation.py
@@ -101,8 +101,7 @@
                 data_centre=order.data_centre, revision=revision, is_active=False
             )
             for order in self.known
-            if order.is_active
-            and order.data_centre not in revisions_by_data_centre
+            if order.is_active and order.data_centre not in revisions_by_data_centre
         ]
         unheard = replace(self, read_at=0) if revision > self.read_at else self
         after = unheard.joined(found + missing)
--- a/tests/packets/test_verdicts.py
+++ b/tests/packets/test_verdicts.py
@@ -164,6 +164,8 @@
                 outage.play()
                 self.assertEqual(len(outage.told_after), FLOWS)
                 self.assertLess(max(outage.told_after), most)
+                # Most don't wait for the last agents: 1.2 s in the mean if they did.
+                self.assertLess(sum(outage.told_after) / FLOWS, 0.5)
 
     def test_questions_a_flow(self) -> None:
         """At 300 targets a dead flow costs few questions, and no answer much time.
