--- a/monsoonpier/cli.py
+++ b/monsoonpier/cli/operator.py
@@ -1,146 +1,25 @@
-"""The command line: one program, a subcommand for each process and command."""
+"""Operators' commands; what they do is in `monsoonpier.operator`."""
 
-import asyncio
-import json
-import sys
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated
 
-from cyclopts import App, Parameter
+from cyclopts import Parameter
 
-from monsoonpier import __version__
+from monsoonpier.cli.common import Failure, Level, app, load, run_loop
 from monsoonpier.exits import Exit
 
-__all__ = ["main"]
-
-Level = Literal["debug", "info", "warning", "error"]
-
-app = App(
-    name="monsoonpier",
-    version=__version__,
-    help="A layer-4 load balancer: its processes and its operators' commands.",
-)
-
-
-class Failure(Exception):
-    """Something a person can put right: a message and an exit status."""
-
-    def __init__(self, message: str, status: Exit) -> None:
-        super().__init__(message)
-        self.status = status
-
-
-def main() -> None:
-    """Run the command line; errors are one line each and have their status."""
-    try:
-        status = app(result_action="return_value")
-    except Failure as failure:
-        print(failure, file=sys.stderr)
-        sys.exit(failure.status)
-    except OSError as error:
-        print(f"monsoonpier: {error.strerror or error}", file=sys.stderr)
-        sys.exit(Exit.UNAVAILABLE)
-    except KeyboardInterrupt:
-        sys.exit(Exit.INTERRUPTED)
-    sys.exit(status or Exit.OK)
-
-
-@app.command
-def balancer(
-    settings: Path, *, print_settings: bool = False, log_level: Level = "info"
-) -> int:
-    """Run a balancer on an entry VM until SIGTERM.
-
-    Example: monsoonpier balancer /etc/monsoonpier/balancer.yaml
-
-    Args:
-        settings: The process's settings file; MONSOONPIER_<KEY> variables override it.
-        print_settings: Print the settings in force, keys masked, and exit.
-        log_level: The least level that is logged.
-    """
-    loaded = _settings(settings, "balancer")
-    if print_settings:
-        return _print_settings(loaded)
-    from monsoonpier.balancer.tokens.process import BalancerProcess
-
-    return _run_process(BalancerProcess, loaded.settings, log_level)
-
-
-@app.command
-def agent(
-    settings: Path, *, print_settings: bool = False, log_level: Level = "info"
-) -> int:
-    """Run an agent beside its target until SIGTERM.
-
-    Example: monsoonpier agent /etc/monsoonpier/agent.yaml
-
-    Args:
-        settings: The process's settings file; MONSOONPIER_<KEY> variables override it.
-        print_settings: Print the settings in force, keys masked, and exit.
-        log_level: The least level that is logged.
-    """
-    loaded = _settings(settings, "agent")
-    if print_settings:
-        return _print_settings(loaded)
-    from monsoonpier.agent.tokens.process import AgentProcess
-
-    return _run_process(AgentProcess, loaded.settings, log_level)
-
-
-@app.command
-def call(
-    address: str,
-    kind: str,
-    body: str = "",
-    *,
-    file: Path | None = None,
-    stream: bool = False,
-    after: int = 0,
-    items: int = 0,
-    idempotent: bool = False,
-    deadline: float = 10.0,
-    log_level: Level = "warning",
-) -> int:
-    """Call a service: one request, an upload from a file, or a stream.
-
-    Examples: monsoonpier call 192.0.2.10:7001 reading "14.2N 91.8W"
-    -- monsoonpier call 192.0.2.11:7002 log --file hull.csv
-    -- monsoonpier call 192.0.2.10:7001 map --stream --items 5
-
-    Args:
-        address: The service's address, ip:port.
-        kind: The kind of work, as the configuration names it.
-        body: The request's body.
-        file: Send this file's content as the body.
-        stream: Read a stream and write its items to stdout, one a line.
-        after: Begin the stream after this item.
-        items: End after so many items of the stream; 0 is without end.
-        idempotent: The work may be run again if it may have run.
-        deadline: Seconds after which the answer is of no use.
-        log_level: The least level that is logged.
-    """
-    from monsoonpier.caller.command import Call, run_call
-    from monsoonpier.process.logs import configure_logs
-
-    configure_logs(level=log_level, process="call")
-    content = body.encode()
-    if file is not None:
-        try:
-            content = file.read_bytes()
-        except OSError as error:
-            raise Failure(f"{file}: {error.strerror}", Exit.BAD_INPUT) from error
-    order = Call(
-        address=address,
-        kind=kind,
-        body=content,
-        stream=stream,
-        after=after,
-        items=items,
-        idempotent=idempotent,
-        deadline=deadline,
-    )
-    return _run(run_call(order))
-
+__all__ = [
+    "apply",
+    "check",
+    "diff",
+    "drain",
+    "evacuate",
+    "explain",
+    "history",
+    "readmit",
+    "rollback",
+    "status",
+]
 
 Files = Annotated[list[Path], Parameter(help="Operators' files, or a folder of them.")]
 SettingsFile = Annotated[
@@ -388,56 +267,15 @@
     return Exit.OK
 
 
-def _settings(file: Path, role: str):
-    """Return loaded settings; end with all findings if there are any."""
-    from monsoonpier.documents.settings import load_settings
-    from monsoonpier.model.findings import report
-
-    loaded = load_settings(file, role=role)
-    if loaded.settings is None:
-        raise Failure(report(loaded.findings), Exit.BAD_INPUT)
-    return loaded
-
-
-def _print_settings(loaded) -> int:
-    print(json.dumps(loaded.masked, indent=2))
-    return Exit.OK
-
-
-def _run_process(process, settings, log_level: str) -> int:
-    from monsoonpier.process.logs import STDOUT, configure_logs
-
-    configure_logs(
-        level=log_level,
-        descriptor=STDOUT,
-        process=settings.name,
-        role=settings.role,
-        data_centre=settings.data_centre,
-    )
-
-    async def run() -> int:
-        await process(settings=settings).run()
-        return Exit.OK
-
-    return _run(run())
-
-
 def _operate(settings_file: Path, log_level: str, command) -> int:
     from monsoonpier.operator.session import OperatorSession
     from monsoonpier.process.logs import configure_logs
 
-    settings = _settings(settings_file, "operator").settings
+    settings = load(settings_file, "operator").settings
     configure_logs(level=log_level, process=settings.name, role="operator")
 
     async def run() -> int:
         async with OperatorSession(settings=settings) as session:
             return await command(session)
 
-    return _run(run())
-
-
-def _run(coroutine) -> int:
-    import uvloop
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return runner.run(coroutine)
+    return run_loop(run())
