--- a/tests/operator/test_evacuate.py
+++ b/tests/operator/test_evacuate.py
@@ -1,10 +1,13 @@
 """Orders to evacuate: races, lost answers, what speaks against them."""
 
+import contextlib
+import io
 import random
 import unittest
 
 import msgspec
 
+from monsoonpier.exits import Exit
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.operator.evacuate import (
     Order,
@@ -14,7 +17,11 @@
     read_orders,
     take_back,
 )
-from monsoonpier.operator.evacuation_commands import evacuation_lines
+from monsoonpier.operator.evacuation_commands import (
+    evacuate,
+    evacuation_lines,
+    readmit,
+)
 from monsoonpier.operator.write import Refused, Written
 from monsoonpier.store.interface import Put
 from monsoonpier.store.keys import EVACUATIONS
@@ -148,3 +155,89 @@
         (line,) = evacuation_lines(await read_orders(platform), [status, status])
         self.assertIn("by ana", line)
         self.assertIn("7 flows still open", line)
+
+
+class Session:
+    """An operator's session with two balancers that obey the store at once."""
+
+    def __init__(self, *targets: TargetStatus) -> None:
+        self.platform = FakeStore()
+        self.draw = random.Random(1)
+        self.targets = targets
+        self.lagging: frozenset[str] = frozenset()
+
+    async def balancers(self) -> dict[str, None]:
+        """Return the names that `statuses` is asked for."""
+        return {"b1": None, "b2": None}
+
+    async def statuses(self, balancers) -> dict[str, StatusReply]:
+        """Return how the balancers stand."""
+        orders = tuple(sorted(await read_orders(self.platform)))
+        return {
+            name: StatusReply(
+                name=name,
+                role="balancer",
+                data_centre="dc-1",
+                state="running",
+                version=1,
+                uptime=1.0,
+                targets=self.targets,
+                evacuated=() if name in self.lagging else orders,
+            )
+            for name in balancers
+        }
+
+
+class CommandTests(unittest.IsolatedAsyncioTestCase):
+    """What ``evacuate`` and ``readmit`` do and say."""
+
+    async def asyncSetUp(self) -> None:
+        self.session = Session(target("maps-1"), target("maps-2", place="dc-2"))
+        self.out, self.err = io.StringIO(), io.StringIO()
+        self.enterContext(contextlib.redirect_stdout(self.out))
+        self.enterContext(contextlib.redirect_stderr(self.err))
+
+    async def evacuate(self, place: str, **options) -> int:
+        fields = {"who": "ana", "force": False, "wait_seconds": 0.2} | options
+        return await evacuate(self.session, place, **fields)
+
+    async def test_there_and_back(self):
+        """Both orders are in force on all balancers before the commands end."""
+        self.assertEqual(await self.evacuate("dc-1"), Exit.OK)
+        self.assertEqual(
+            await readmit(self.session, "dc-1", who="ana", wait_seconds=0.2), Exit.OK
+        )
+        self.assertEqual(self.out.getvalue().count("in force on 2 balancers"), 2)
+        self.assertEqual(await read_orders(self.session.platform), {})
+
+    async def test_refused(self):
+        """Unknown places, last ones and places evacuated already change nothing."""
+        self.assertEqual(await self.evacuate("dc-9"), Exit.BAD_INPUT)
+        await self.evacuate("dc-1")
+        self.assertEqual(await self.evacuate("dc-1"), Exit.CONFLICT)
+        self.assertEqual(await self.evacuate("dc-2"), Exit.BAD_INPUT)
+        self.assertIn("last data centre that serves 'maps'", self.err.getvalue())
+        self.assertEqual(set(await read_orders(self.session.platform)), {"dc-1"})
+
+    async def test_forced(self):
+        """The last one is evacuated on demand."""
+        await self.evacuate("dc-1")
+        self.assertEqual(await self.evacuate("dc-2", force=True), Exit.OK)
+
+    async def test_not_evacuated(self):
+        """Who readmits what isn't evacuated is told what is."""
+        await self.evacuate("dc-1")
+        status = await readmit(self.session, "dc-2", who="ana", wait_seconds=0.0)
+        self.assertEqual(status, Exit.BAD_INPUT)
+        self.assertIn("evacuated: dc-1", self.err.getvalue())
+
+    async def test_lagging(self):
+        """A balancer that doesn't obey in time is named."""
+        self.session.lagging = frozenset({"b2"})
+        self.assertEqual(await self.evacuate("dc-1"), Exit.LAGGING)
+        self.assertIn("b2", self.err.getvalue())
+
+    async def test_platform_away(self):
+        """Without the platform nothing is ordered."""
+        self.session.platform.is_down = True
+        self.assertEqual(await self.evacuate("dc-1"), Exit.UNAVAILABLE)
