--- a/monsoonpier/operator/commands.py
+++ b/monsoonpier/operator/commands.py
@@ -1,10 +1,8 @@
 """The operators' commands: what they print and their exit statuses."""
 
-import asyncio
 import getpass
 import json
 import sys
-import time
 import uuid
 from collections.abc import Iterable
 from datetime import UTC, datetime
@@ -34,6 +32,7 @@
 from monsoonpier.operator.evacuation_commands import entry_line, evacuation_lines
 from monsoonpier.operator.reports import newest_targets, report_unreachable
 from monsoonpier.operator.session import OperatorSession
+from monsoonpier.operator.waiting import wait_in_force
 from monsoonpier.process.control import NoAnswer
 from monsoonpier.store.interface import StoreError
 from monsoonpier.wire.control import StatusReply
@@ -49,8 +48,6 @@
     "show_status",
 ]
 
-ASK_AGAIN_SECONDS = 0.1
-
 
 def check_files(paths: Iterable[Path]) -> int:
     """Report all findings; print the services if there are none."""
@@ -226,7 +223,11 @@
             print(f"accepted as version {version}")
             print("\n".join(lines) or "no difference")
             if wait_seconds:
-                return await _wait_in_force(session, version, wait_seconds)
+                return await wait_in_force(
+                    session,
+                    lambda status: status.version >= version,
+                    seconds=wait_seconds,
+                )
             return Exit.OK
         case Conflict(by=by):
             print(
@@ -245,34 +246,6 @@
             return Exit.UNKNOWN
 
 
-async def _wait_in_force(
-    session: OperatorSession, version: int, wait_seconds: float
-) -> int:
-    """Wait until every balancer has the version; name those that lag."""
-    began = time.monotonic()
-    while True:
-        try:
-            statuses = await session.statuses(await session.balancers())
-        except StoreError as error:
-            return report_unreachable(error)
-        lagging = sorted(
-            name for name, s in statuses.items() if s is None or s.version < version
-        )
-        elapsed = time.monotonic() - began
-        if not lagging:
-            print(f"in force on {len(statuses)} balancers after {elapsed:.2f} s")
-            return Exit.OK
-        if elapsed >= wait_seconds:
-            in_force = len(statuses) - len(lagging)
-            print(
-                f"in force on {in_force} of {len(statuses)} balancers; "
-                f"lagging: {', '.join(lagging)}",
-                file=sys.stderr,
-            )
-            return Exit.LAGGING
-        await asyncio.sleep(ASK_AGAIN_SECONDS)
-
-
 def plain(value):
     """Return wire messages as JSON's types, with names where the wire has none."""
     match value:
--- a/monsoonpier/operator/evacuation_commands.py
+++ b/monsoonpier/operator/evacuation_commands.py
@@ -1,9 +1,7 @@
 """The commands ``evacuate`` and ``readmit``, and what ``status`` tells of them."""
 
-import asyncio
 import getpass
 import sys
-import time
 import uuid
 from collections.abc import Iterable
 from datetime import UTC, datetime
@@ -20,6 +18,7 @@
 )
 from monsoonpier.operator.reports import newest_targets, report_unreachable
 from monsoonpier.operator.session import OperatorSession
+from monsoonpier.operator.waiting import wait_in_force
 from monsoonpier.operator.write import Refused, Undecided, Written
 from monsoonpier.store.interface import StoreError
 from monsoonpier.wire.control import StatusReply, TargetStatus
@@ -31,8 +30,6 @@
     "readmit",
 ]
 
-ASK_AGAIN_SECONDS = 0.1
-
 
 async def evacuate(
     session: OperatorSession,
@@ -130,8 +127,10 @@
         case Written():
             print(f"accepted: {order.data_centre} is {what}")
             if seconds:
-                return await _wait_in_force(
-                    session, order.data_centre, is_active=is_active, seconds=seconds
+                return await wait_in_force(
+                    session,
+                    lambda status: (order.data_centre in status.evacuated) == is_active,
+                    seconds=seconds,
                 )
             return Exit.OK
         case Refused():
@@ -148,28 +147,3 @@
                 file=sys.stderr,
             )
             return Exit.UNKNOWN
-
-
-async def _wait_in_force(
-    session: OperatorSession, data_centre: str, *, is_active: bool, seconds: float
-) -> int:
-    """Wait until every balancer knows of the order; name those that lag."""
-    began = time.monotonic()
-    while True:
-        try:
-            statuses = await session.statuses(await session.balancers())
-        except StoreError as error:
-            return report_unreachable(error)
-        lagging = sorted(
-            name
-            for name, status in statuses.items()
-            if status is None or (data_centre in status.evacuated) != is_active
-        )
-        elapsed = time.monotonic() - began
-        if not lagging:
-            print(f"in force on {len(statuses)} balancers after {elapsed:.2f} s")
-            return Exit.OK
-        if elapsed >= seconds:
-            print(f"lagging: {', '.join(lagging)}", file=sys.stderr)
-            return Exit.LAGGING
-        await asyncio.sleep(ASK_AGAIN_SECONDS)
