See again the guard of silent agents, and drop what the change left over

Taking out all 103 guards on showed one that its test no longer saw: "no reset while an agent is silent". Cause: weighing an answer now counts first how many agents have spoken, which protects the old test's case by itself. The condition behind it still matters where an agent that had denied the flow has ended since; a new test has that case, sees the guard, and the old test stays.

Besides: a docstring that spoke of an order of loads which nothing uses any more, and a return value of `Membership.evacuate` that nobody read. No decision changes.

--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -21,7 +21,7 @@
 
 
 class LoadLevel(NamedTuple):
-    """What balancers need to know of a load; the greater one is the fuller one."""
+    """What balancers need to know of a load."""
 
     is_full: bool
     busy: int
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -255,15 +255,12 @@
         self.has_news = True
         return True
 
-    def evacuate(self, evacuations: Evacuations) -> bool:
-        """Take what is known of evacuations now; tell if anything of it is new."""
-        is_new = evacuations.known != self.evacuations.known
+    def evacuate(self, evacuations: Evacuations) -> None:
+        """Take what is known of evacuations now; spread it if anything is new."""
+        if evacuations.known != self.evacuations.known:
+            self.table.evacuated = evacuations.active
+            self.has_news = True
         self.evacuations = evacuations
-        if not is_new:
-            return False
-        self.table.evacuated = evacuations.active
-        self.has_news = True
-        return True
 
     def tell_witnessed(self, order: Evacuation, *, now: float) -> list[ToAgent]:
         """Return word of an order for the agents there that beat to this balancer.
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -458,6 +458,17 @@
         actions = self.rig.agent(denied("maps-2", packet()), packet(), now=100.51)
         self.assertEqual(resets(actions), ["nobody holds the flow"])
 
+    def test_silent_agent_beside_one_that_has_ended(self) -> None:
+        """As many denials as there are agents left are not the denials of all."""
+        self.rig.caller(packet())
+        for name in ("maps-1", "maps-3"):
+            self.rig.agent(denied(name, packet()), packet())
+        gone = record("maps-3", host=3, change=1, condition=Condition.GONE)
+        self.rig.membership.table.learn(gone, now=SETTLED)
+        actions = self.rig.agent(denied("maps-1", packet()), packet(), now=100.1)
+        actions += self.rig.caller(packet(), now=100.4)
+        self.assertEqual(resets(actions), [])
+
     def test_agent_that_becomes_known_is_asked(self) -> None:
         """After a loss of power agents are known one by one; none is forgotten."""
         self.rig.caller(packet())
