--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -4,6 +4,9 @@
 meets a free slot is delivered, one that doesn't waits in a short queue, and what has
 no room there goes back to its balancer at once, with the target's present load.
 
+Where flows wait at balancers, slots are not for whoever sends first: they are offered
+by the order of all that wait (`reservations`).
+
 Between a SYN and its first request a slot stands empty for a way to the caller and
 back. Where runs are short that is much of the time, so the next SYN is delivered
 while the slot is still taken: its handshake passes during the run before.
@@ -16,9 +19,11 @@
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.load import TargetLoad
 from monsoonpier.agent.packets.queue import AdmissionQueue, QueuedSyn
+from monsoonpier.agent.packets.reservations import Reservations
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
+from monsoonpier.model.waiting import MARGIN_RUNS
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import MAX_TRIED, Carry, Queued, Turned
+from monsoonpier.wire.frames import MAX_TRIED, Carry, Offer, Queued, Reserve, Turned
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["FlowAdmission"]
@@ -88,7 +93,11 @@
     @property
     def is_waiting(self) -> bool:
         """Whether `expire` has something to look after soon."""
-        return len(self._queue) > 0
+        return len(self._queue) > 0 or self._load.is_reserved
+
+    @property
+    def _reservations(self) -> Reservations:
+        return self._load.reservations
 
     @property
     def _queue(self) -> AdmissionQueue:
@@ -100,7 +109,8 @@
         """Decide on a SYN of a flow that the target doesn't hold."""
         if packet.flow in self._queue:
             return [self._queued(packet, sender=sender, now=now)]
-        reason = self._refusal(frame, now=now)
+        is_offered = frame.is_offered and self._reservations.taken(sender)
+        reason = self._refusal(frame, is_offered=is_offered, now=now)
         if reason == NO_SLOT and frame.wait_ms:
             return self._enqueue(frame, packet, sender=sender, now=now)
         syn = QueuedSyn(packet=packet, tried=frame.tried, balancer=sender)
@@ -114,6 +124,7 @@
             return []
         reason = self._closed
         if reason is not None:
+            self._reservations.clear()
             waiting = self._queue.pop_all()
             return [self.turn(syn, reason, now=now) for syn in waiting]
         expired = self._queue.pop_expired(now=now)
@@ -124,15 +135,65 @@
             if syn is None:
                 break
             actions.append(self._deliver(syn, now=now))
-        return actions
+        return actions + self._offer(now=now)
 
     def _may_begin(self, *, now: float) -> bool:
         is_free = self._load.busy < self._load.slots + self._ahead
         return is_free and self._load.cold.allows(now=now)
 
+    # Slots for flows that wait at balancers
+
+    def reserve(self, frame: Reserve, *, balancer: tuple[str, int], now: float) -> None:
+        """Note that a balancer wants a slot, unless no new flow is taken."""
+        if frame.service != self._service or self._closed is not None:
+            return
+        if not self._reservations.reserve(frame, balancer=balancer, now=now):
+            self._counts_by_result["not_reserved"] += 1
+
+    def declined(self, balancer: tuple[str, int]) -> None:
+        """Note that no flow waits at a balancer that had reserved a slot."""
+        self._counts_by_result["declined"] += 1
+        self._reservations.declined(balancer)
+
+    def _offer(self, *, now: float) -> list[ToProcess]:
+        """Offer slots that are free, or are about to be, to balancers."""
+        if self._reservations.is_empty:
+            return []
+        for balancer, count in self._reservations.expire(now=now).items():
+            self._counts_by_result["offers_passed"] += count
+            self._log.note("offers not answered", now=now, balancer=balancer)
+        actions: list[ToProcess] = []
+        while self._has_slot_to_offer(now=now):
+            offer = self._reservations.offer(
+                run_seconds=self._seconds_ahead / MARGIN_RUNS, now=now
+            )
+            if offer is None:
+                break
+            self._counts_by_result["offered"] += 1
+            frame = Offer(
+                agent=self._name,
+                load=self.report(now=now),
+                is_late_turn=offer.is_late_turn,
+            )
+            actions.append(ToProcess(endpoint=offer.balancer, frame=frame))
+        return actions
+
+    @property
+    def _seconds_ahead(self) -> float:
+        """How long an answer takes at least for a flow that begins behind a run."""
+        runs = MARGIN_RUNS + QUEUE_AHEAD / self._load.slots
+        return runs * self._load.run_seconds
+
+    def _has_slot_to_offer(self, *, now: float) -> bool:
+        taken = self._load.busy + len(self._queue) + self._reservations.offered
+        is_free = taken < self._load.slots + QUEUE_AHEAD
+        return is_free and self._load.cold.allows(now=now)
+
     @property
     def _ahead(self) -> int:
         """How many SYNs are delivered while all slots are still taken."""
+        if self._load.is_reserved:
+            return QUEUE_AHEAD
         run_seconds = self._load.run_seconds
         is_long = self._expectations.mean >= MIN_HANDSHAKE_SHARE * run_seconds
         return QUEUE_AHEAD if run_seconds and is_long else 0
@@ -177,7 +238,7 @@
         )
         return ToProcess(endpoint=syn.balancer, frame=frame)
 
-    def _refusal(self, frame: Carry, *, now: float) -> str | None:
+    def _refusal(self, frame: Carry, *, is_offered: bool, now: float) -> str | None:
         if frame.service != self._service:
             return "another service's"
         if self._closed is not None:
@@ -185,7 +246,7 @@
         if len(self._flows_by_address) >= self._connections:
             return "no connection is free"
         allowed = self._load.slots
-        if len(frame.tried) >= FORCED_TRIES:
+        if is_offered or len(frame.tried) >= FORCED_TRIES:
             allowed += QUEUE_AHEAD
         is_full = self._load.busy >= allowed
         return NO_SLOT if is_full or not self._load.cold.allows(now=now) else None
--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -30,8 +30,10 @@
     Held,
     Holds,
     NotHeld,
+    Offer,
     PassOn,
     Queued,
+    Reserve,
     Turned,
     Whose,
 )
@@ -257,11 +259,23 @@
         actions = self._carried(frame, packet, sender=sender, now=now)
         return self._noted(actions + self._admission.admit(now=now), now=now)
 
+    def reserve(self, frame: Reserve, *, balancer: tuple[str, int], now: float) -> list:
+        """Note that a balancer wants a slot for a flow that waits there."""
+        self._admission.reserve(frame, balancer=balancer, now=now)
+        return self._noted(self._admission.admit(now=now), now=now)
+
+    def declined(self, *, balancer: tuple[str, int], now: float) -> list:
+        """Offer a slot to another balancer: this one has no flow for it."""
+        self._admission.declined(balancer)
+        return self._noted(self._admission.admit(now=now), now=now)
+
     def _noted(self, actions: list, *, now: float) -> list:
         """Note which balancers are told of the load by these actions."""
         for action in actions:
             match action:
-                case ToProcess(endpoint=balancer, frame=Held() | Queued() | Turned()):
+                case ToProcess(
+                    endpoint=balancer, frame=Held() | Offer() | Queued() | Turned()
+                ):
                     condition = self._admission.offered
                     self._reports.told(balancer, condition=condition, now=now)
         return actions
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -7,6 +7,7 @@
 from monsoonpier.agent.packets.evidence import FailureShare
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.queue import AdmissionQueue
+from monsoonpier.agent.packets.reservations import Reservations
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
 from monsoonpier.process.readings import Histogram
 
@@ -52,6 +53,7 @@
         busy: Requests under way.
         open: Open flows.
         queue: New flows that wait for a slot.
+        reservations: Slots that balancers want for flows that wait there.
         cold: How many new flows the target takes while it is cold.
     """
 
@@ -60,6 +62,7 @@
         self.busy = 0
         self.open = 0
         self.queue = AdmissionQueue()
+        self.reservations = Reservations()
         self.cold = ColdLimit()
         self._number = 0
         self._run_ms = 0.0
@@ -74,13 +77,18 @@
     def level(self) -> LoadLevel:
         """What balancers need to know."""
         return LoadLevel(
-            is_full=self.busy >= self.slots,
+            is_full=self.busy >= self.slots or self.is_reserved,
             busy=self.busy,
             open=self.open,
             queued=len(self.queue),
             queued_in_time=self.queue.timely,
         )
 
+    @property
+    def is_reserved(self) -> bool:
+        """Whether the next slot is for a flow that waits at a balancer."""
+        return not self.reservations.is_empty
+
     def busy_share(self, *, now: float) -> float:
         """Return the share of the slots that were taken lately, 1.0 at the most."""
         passed = max(0.0, now - self._share_at)
@@ -166,8 +174,9 @@
     def report(self, *, condition: Condition, now: float) -> LoadReport:
         """Return the present load, newer than all reports before."""
         self._number += 1
-        # Balancers send nothing where more are under way than may wait there.
-        is_closed = not self.cold.allows(now=now)
+        # Balancers send nothing where more are under way than may wait there. What
+        # they send unasked would go before flows that have waited for longer.
+        is_closed = self.is_reserved or not self.cold.allows(now=now)
         least = self.slots + QUEUE_AHEAD if is_closed else 0
         return LoadReport(
             number=self._number,
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -32,7 +32,15 @@
 from monsoonpier.store.interface import Store
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.control import AskDrain, AskStatus, StatusReply
-from monsoonpier.wire.frames import Carry, FrameCodec, HeartbeatAck, PassOn, Whose
+from monsoonpier.wire.frames import (
+    Carry,
+    Decline,
+    FrameCodec,
+    HeartbeatAck,
+    PassOn,
+    Reserve,
+    Whose,
+)
 from monsoonpier.wire.packet import PacketCodec
 
 __all__ = ["PacketAgentProcess"]
@@ -345,6 +353,10 @@
                 self._receive_carried(own, sender=sender)
             case Whose():
                 self._do(self._holder.ask(frame, sender=sender, now=_now()))
+            case Reserve():
+                self._do(self._holder.reserve(frame, balancer=sender, now=_now()))
+            case Decline():
+                self._do(self._holder.declined(balancer=sender, now=_now()))
             case HeartbeatAck():
                 self._link.acknowledged(frame)
                 self._limit_cold(frame)
--- /dev/null
+++ b/monsoonpier/agent/packets/reservations.py
@@ -0,0 +1,125 @@
+"""Slots that balancers have reserved for flows that wait, and offers of them.
+
+The load that it answers: more flows than slots for seconds, at many balancers. A
+balancer that is told of a free slot sends a flow, and so does every other one that is
+told; all but one come back, and those that are told of none serve their callers last.
+So a flow waits at its balancer and reserves a slot at a few agents. Whoever has a slot
+to give offers it to one balancer, the one whose flow goes first by the order of all
+that wait, and that balancer sends the flow that is its first by then.
+
+Balancers reserve at agents that they draw, so what is reserved here is a fair sample
+of what waits for the service: how much of it can't be served before its callers give
+up is seen from it, with no one counting the whole.
+"""
+
+from collections import Counter, deque
+from typing import NamedTuple
+
+from monsoonpier.model.waiting import WaitingFlow, WaitingQueue
+from monsoonpier.wire.frames import Reserve
+
+__all__ = ["Reservations", "SlotOffer"]
+
+Endpoint = tuple[str, int]
+
+MAX_RESERVATIONS = 512  # of one agent: ten seconds of runs of 20 ms
+# A way to a balancer and back takes 3 ms at most in a region. One that hasn't sent a
+# flow in seven times as long has ended, or its link is full.
+OFFER_SECONDS = 0.02
+
+
+class SlotOffer(NamedTuple):
+    """Whom a slot is offered to."""
+
+    balancer: Endpoint
+    is_late_turn: bool
+
+
+class Reservations:
+    """What balancers have reserved at one agent. Does no I/O."""
+
+    def __init__(self, *, most: int = MAX_RESERVATIONS) -> None:
+        self._most = most
+        self._queue = WaitingQueue()
+        self._balancers_by_flow: dict[bytes, Endpoint] = {}
+        self._offers: deque[tuple[float, Endpoint]] = deque()
+
+    def __len__(self) -> int:
+        return len(self._balancers_by_flow)
+
+    @property
+    def offered(self) -> int:
+        """How many slots are kept for balancers that have yet to send a flow."""
+        return len(self._offers)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is reserved or offered."""
+        return not self._balancers_by_flow and not self._offers
+
+    def reserve(self, frame: Reserve, *, balancer: Endpoint, now: float) -> bool:
+        """Note a reservation; tell if there is room for it."""
+        if frame.flow in self._balancers_by_flow:
+            return True
+        if len(self._balancers_by_flow) >= self._most:
+            return False
+        self._balancers_by_flow[frame.flow] = balancer
+        self._queue.add(
+            WaitingFlow(
+                flow=frame.flow,
+                in_time_until=now + frame.in_time_ms / 1000,
+                expires=now + frame.wait_ms / 1000,
+                priority=frame.priority,
+            )
+        )
+        return True
+
+    def offer(self, *, run_seconds: float, now: float) -> SlotOffer | None:
+        """Offer a slot to the balancer whose flow goes first, if one waits."""
+        for waiting in self._queue.pop_expired(now=now):
+            self._balancers_by_flow.pop(waiting.flow, None)
+        if not self._balancers_by_flow:
+            return None
+        self._queue.sort_out(now=now, run_seconds=run_seconds)
+        is_late_turn = self._queue.is_late_turn
+        balancer = self._balancers_by_flow.pop(self._queue.pop().flow)
+        self._offers.append((now, balancer))
+        return SlotOffer(balancer=balancer, is_late_turn=is_late_turn)
+
+    def taken(self, balancer: Endpoint) -> bool:
+        """Note that a balancer has sent a flow; tell if a slot was offered to it."""
+        for offer in self._offers:
+            if offer[1] == balancer:
+                self._offers.remove(offer)
+                return True
+        return False
+
+    def declined(self, balancer: Endpoint) -> None:
+        """Forget a balancer's reservations: nothing waits there any more."""
+        self.taken(balancer)
+        self._forget({balancer})
+
+    def expire(self, *, now: float) -> Counter[Endpoint]:
+        """Take back offers that weren't answered; return how many, by balancer.
+
+        Whoever lets an offer pass has ended or can't be reached: its reservations
+        would cost a slot's time each. If it lives it reserves again.
+        """
+        passed: Counter[Endpoint] = Counter()
+        while self._offers and now - self._offers[0][0] >= OFFER_SECONDS:
+            passed[self._offers.popleft()[1]] += 1
+        if passed:
+            self._forget(set(passed))
+        return passed
+
+    def clear(self) -> None:
+        """Forget all: the target takes no new flows any more."""
+        self._queue = WaitingQueue()
+        self._balancers_by_flow.clear()
+        self._offers.clear()
+
+    def _forget(self, balancers: set[Endpoint]) -> None:
+        gone = {f for f, b in self._balancers_by_flow.items() if b in balancers}
+        for flow in gone:
+            del self._balancers_by_flow[flow]
+        self._queue.remove_all(gone)
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -12,6 +12,7 @@
     run_seconds,
     wait_for_slot,
 )
+from monsoonpier.balancer.packets.reservations import SlotReservations
 from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.balancer.packets.waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
@@ -19,7 +20,13 @@
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.waiting import MARGIN_RUNS, WaitingFlow
 from monsoonpier.process.readings import Histogram
-from monsoonpier.wire.frames import MAX_TRIED, Held, Queued, Turned
+from monsoonpier.wire.frames import (
+    MAX_TRIED,
+    Held,
+    Offer,
+    Queued,
+    Turned,
+)
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["FlowOpenings"]
@@ -41,13 +48,21 @@
 
 
 class FlowOpenings:
-    """Decides on SYNs and on what targets answer to them. Does no I/O."""
+    """Decides on SYNs and on what targets answer to them. Does no I/O.
+
+    Args:
+        scope: What the balancer knows.
+        reserves: Whether flows that wait reserve slots at agents.
+    """
 
-    def __init__(self, *, scope: PacketScope) -> None:
+    def __init__(self, *, scope: PacketScope, reserves: bool) -> None:
         self._scope = scope
         self._habits_by_address: dict[Address, FlowHabits] = {}
         self._unanswered: deque[tuple[float, bytes]] = deque()
         self._waiting_room = WaitingRoom()
+        self._reservations = SlotReservations(
+            scope=scope, waiting_room=self._waiting_room, is_on=reserves
+        )
         self._hedges_left = MAX_HEDGES
         self.wait_seconds = Histogram(
             name="flow_wait_seconds", help="From a flow's first SYN to a target."
@@ -150,9 +165,24 @@
             return []
         return self._place(packet, known, now=now, draw=draw)
 
+    def offered(self, frame: Offer, *, now: float) -> list:
+        """Send an agent that offers a slot the flow that goes first by now."""
+        self._scope.membership.table.heard(frame.agent, frame.load, now=now)
+        while (flow := self._reservations.take_up(frame, now=now)) is not None:
+            known = self._scope.flows.get(flow)
+            route = self._scope.route(known.syn) if known and known.syn else None
+            if known is None or known.syn is None or route is None:
+                continue
+            self._scope.counts_by_result["taken_up"] += 1
+            return self._send_syn(
+                known.syn, known, route, frame.agent, is_offered=True, now=now
+            )
+        return self._reservations.decline(frame)
+
     def retry(self, *, now: float, draw: random.Random) -> list:
         """Look after SYNs that wait for a slot or for a target's answer."""
         actions = self.place_waiting(now=now, draw=draw)
+        actions += self._reservations.renew(now=now, draw=draw)
         return actions + self._retry_unanswered(now=now, draw=draw)
 
     def _place(
@@ -161,7 +191,7 @@
         table = self._scope.membership.table
         candidates = reliable(table.candidates_of(known.service, now=now))
         if len(known.tried) >= MOST_PLACEMENTS:
-            return self._wait(packet, known, candidates, now=now)
+            return self._wait(packet, known, candidates, now=now, draw=draw)
         route = self._scope.route(packet)
         if route is None:
             return self._refuse(packet, known, "no route", now=now)
@@ -175,17 +205,31 @@
         )
         match place(query, candidates, draw=draw):
             case NoTarget():
-                return self._wait(packet, known, candidates, now=now)
+                return self._wait(packet, known, candidates, now=now, draw=draw)
             case Chosen(record=record):
-                self._note_placed(packet, known, candidates, record.name, now=now)
-                known.holders = (*known.holders, record.name)[-MAX_TRIED:]
-                known.tried = (*known.tried, record.name)
-                known.sent_at = now
-                table.sent_flow(record.name, now=now)
-                self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
-                self._hedges_left = min(MAX_HEDGES, self._hedges_left + HEDGE_SHARE)
-                self._scope.counts_by_result["placed"] += 1
-                return self._carry_syn(packet, known, route, record.name, now=now)
+                return self._send_syn(packet, known, route, record.name, now=now)
+
+    def _send_syn(
+        self,
+        packet: Packet,
+        known: KnownFlow,
+        route: PacketRoute,
+        name: str,
+        *,
+        is_offered: bool = False,
+        now: float,
+    ) -> list:
+        self._note_placed(packet, known, name, now=now)
+        known.holders = (*known.holders, name)[-MAX_TRIED:]
+        known.tried = (*known.tried, name)
+        known.sent_at = now
+        self._scope.membership.table.sent_flow(name, now=now)
+        self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
+        self._hedges_left = min(MAX_HEDGES, self._hedges_left + HEDGE_SHARE)
+        self._scope.counts_by_result["placed"] += 1
+        return self._carry_syn(
+            packet, known, route, name, is_offered=is_offered, now=now
+        )
 
     def _carry_syn(
         self,
@@ -194,6 +238,7 @@
         route: PacketRoute,
         name: str,
         *,
+        is_offered: bool,
         now: float,
     ) -> list:
         return self._scope.carry_syn(
@@ -203,6 +248,7 @@
             in_time_seconds=known.asked_at + route.aim_seconds - now,
             wait_seconds=_gives_up_at(known, route) - now,
             priority=route.priority,
+            is_offered=is_offered,
         )
 
     def _wait(
@@ -212,6 +258,7 @@
         candidates: list[Candidate],
         *,
         now: float,
+        draw: random.Random,
     ) -> list:
         """Keep a SYN until a slot comes free, or refuse it if that is too late."""
         route = self._scope.route(packet)
@@ -249,7 +296,9 @@
             expected_seconds=round(wait, 3),
             at_most_seconds=round(waiting.expires - now, 3),
         )
-        return []
+        return self._reservations.begin(
+            packet.flow, service=known.service, now=now, draw=draw
+        )
 
     def _refuse(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
@@ -274,6 +323,7 @@
         """Place flows for which a slot has come free, refuse those it's late for."""
         actions: list = []
         for flow in self._waiting_room.expired(now=now):
+            self._reservations.end(flow)
             known = self._scope.flows.get(flow)
             if known is not None and known.syn is not None:
                 actions += self._refuse(known.syn, known, "no slot came free", now=now)
@@ -294,6 +344,7 @@
             if not any(has_room(c, in_time=in_time) for c in usable):
                 break
             flow = self._waiting_room.pop(service)
+            self._reservations.end(flow)
             known = self._scope.flows.get(flow)
             if known is None or known.syn is None:
                 continue
@@ -341,11 +392,11 @@
         self,
         packet: Packet,
         known: KnownFlow,
-        candidates: list[Candidate],
         name: str,
         *,
         now: float,
     ) -> None:
+        candidates = self._scope.membership.table.candidates_of(known.service, now=now)
         chosen = next(c for c in candidates if c.record.name == name)
         load_age = self._scope.membership.table.load_age(name, now=now)
         self.wait_seconds.observe(now - known.created_at)
--- a/monsoonpier/balancer/packets/placement.py
+++ b/monsoonpier/balancer/packets/placement.py
@@ -16,10 +16,12 @@
 
 __all__ = [
     "PlacementQuery",
+    "fastest_run_seconds",
     "has_room",
     "place",
     "reliable",
     "run_seconds",
+    "speed",
     "wait_for_slot",
 ]
 
@@ -112,6 +114,19 @@
     return _median_ms(candidates) / 1000
 
 
+def fastest_run_seconds(candidates: Sequence[Candidate]) -> float:
+    """Return how long a run takes at the faster quarter of these targets."""
+    timed = sorted(c.load.service_ms for c in candidates if c.load.service_ms)
+    quarter = timed[len(timed) // 4] if timed else DEFAULT_SERVICE_MS
+    return quarter / 1000
+
+
+def speed(candidate: Candidate) -> float:
+    """Return how many runs a second the target does, as far as is known."""
+    service_ms = candidate.load.service_ms or DEFAULT_SERVICE_MS
+    return 1000 * candidate.record.slots / service_ms
+
+
 def has_room(candidate: Candidate, *, in_time: bool) -> bool:
     """Tell whether a new flow would wait for one run at the most."""
     if not candidate.takes_flows:
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -69,6 +69,7 @@
             membership=self._membership,
             log=DecisionLog("monsoonpier.balancer.packets.steering"),
             data_centres=settings.data_centres,
+            reserves=settings.reserve_slots,
         )
         self._sender = LinkSender(bits_per_second=settings.link_bits_per_second)
         self._member = Member(
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -13,8 +13,15 @@
 from monsoonpier.balancer.packets.runs import TargetRuns
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import ABSENT_SECONDS, Condition
+from monsoonpier.model.waiting import WaitingFlow
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import MAX_MILLISECONDS, MAX_PRIORITY, MAX_TRIED, Carry
+from monsoonpier.wire.frames import (
+    MAX_MILLISECONDS,
+    MAX_PRIORITY,
+    MAX_TRIED,
+    Carry,
+    Reserve,
+)
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketScope", "ResetCaller", "ServiceAgents"]
@@ -204,6 +211,7 @@
         in_time_seconds: float,
         wait_seconds: float,
         priority: int,
+        is_offered: bool = False,
     ) -> list[ToAgent]:
         """Return the frame that brings a SYN to a target, and says how it may wait."""
         frame = Carry(
@@ -213,9 +221,23 @@
             in_time_ms=_milliseconds(in_time_seconds),
             wait_ms=_milliseconds(wait_seconds),
             priority=min(priority, MAX_PRIORITY),
+            is_offered=is_offered,
         )
         return self.tell(frame, names=(name,), flow=packet.flow)
 
+    def reserve(
+        self, waiting: WaitingFlow, *, service: str, names: Iterable[str], now: float
+    ) -> list[ToAgent]:
+        """Return the frames that reserve a slot for a flow that waits."""
+        frame = Reserve(
+            service=service,
+            flow=waiting.flow,
+            in_time_ms=_milliseconds(waiting.in_time_until - now),
+            wait_ms=_milliseconds(waiting.expires - now),
+            priority=min(waiting.priority, MAX_PRIORITY),
+        )
+        return self.tell(frame, names=names)
+
     def tell(self, frame, *, names: Iterable[str], flow: bytes = b"") -> list[ToAgent]:
         """Return a frame to the agents of these targets, as far as they're known."""
         records = [self.membership.table.record(name) for name in names]
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -20,7 +20,15 @@
 from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
-from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Turned
+from monsoonpier.wire.frames import (
+    Held,
+    Holds,
+    Load,
+    NotHeld,
+    Offer,
+    Queued,
+    Turned,
+)
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketSteering"]
@@ -35,13 +43,14 @@
         membership: Membership,
         log: DecisionLog,
         data_centres: Collection[str] = (),
+        reserves: bool = False,
     ) -> None:
         self._scope = PacketScope(
             membership=membership,
             log=log,
             data_centres=data_centres,
         )
-        self._openings = FlowOpenings(scope=self._scope)
+        self._openings = FlowOpenings(scope=self._scope, reserves=reserves)
         self._inquiries = HolderInquiries(scope=self._scope)
 
     @property
@@ -116,6 +125,8 @@
                 return self._inquiries.denied(frame, packet, now=now)
             case Holds():
                 return self._inquiries.answered(frame, now=now)
+            case Offer():
+                return self._openings.offered(frame, now=now)
             case Queued():
                 return self._openings.queued(frame, now=now)
             case Turned() if packet is not None:
--- a/monsoonpier/balancer/packets/waiting.py
+++ b/monsoonpier/balancer/packets/waiting.py
@@ -70,6 +70,22 @@
         self._flows.discard(flow)
         return flow
 
+    def pop_for(self, service: str, *, is_late_turn: bool, answered_at: float) -> bytes:
+        """Return the flow that a certain slot is best given to; it waits no longer.
+
+        Raises:
+            LookupError: If none waits for the service.
+        """
+        queue = self._queues_by_service[service]
+        flow = queue.pop_for(is_late_turn=is_late_turn, answered_at=answered_at).flow
+        self._flows.discard(flow)
+        return flow
+
+    def find(self, flow: bytes, *, service: str) -> WaitingFlow | None:
+        """Return what is known of a flow that waits."""
+        queue = self._queues_by_service.get(service)
+        return queue.find(flow) if queue is not None else None
+
     def expired(self, *, now: float) -> list[bytes]:
         """Return the flows that have waited too long, which then no longer wait."""
         flows = [
--- a/monsoonpier/documents/settings.py
+++ b/monsoonpier/documents/settings.py
@@ -156,6 +156,7 @@
         service_bind_ip=content.get("service_bind_ip"),
         seeds=tuple(Address.parse(seed) for seed in content.get("seeds", [])),
         target=TargetSettings(**target) if target else None,
+        reserve_slots=content.get("reserve_slots", False),
         link_megabits=content.get("link_megabits"),
         **addresses,
     )
--- a/monsoonpier/model/settings.py
+++ b/monsoonpier/model/settings.py
@@ -34,6 +34,7 @@
     seeds: tuple[Address, ...] = ()
     data_centres: tuple[str, ...] = ()  # all of them, if they are known
     target: TargetSettings | None = None
+    reserve_slots: bool = False  # for flows without a token that wait
     link_megabits: float | None = None  # a second, of the VM; not known: no limit
 
     @property
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -10,7 +10,8 @@
 Replayed on a service that had lost power (`tests/packets/test_recovery.py`).
 """
 
-from bisect import bisect, insort
+from bisect import bisect, bisect_left, insort
+from collections.abc import Collection
 from dataclasses import dataclass
 from operator import attrgetter
 
@@ -83,6 +84,14 @@
         for flows in self._lists:
             flows[:] = [other for other in flows if other.flow != waiting.flow]
 
+    def find(self, flow: bytes) -> WaitingFlow | None:
+        """Return what is known of a flow that waits here."""
+        for flows in self._lists:
+            for waiting in flows:
+                if waiting.flow == flow:
+                    return waiting
+        return None
+
     def ahead(self, waiting: WaitingFlow, *, in_time: bool) -> int:
         """Return how many would go before one more; late turns aren't counted."""
         if not in_time:
@@ -110,18 +119,52 @@
                 count += 1
             del timely[:count]
 
+    def remove_all(self, gone: Collection[bytes]) -> None:
+        """Let these flows wait no longer."""
+        for flows in self._lists:
+            flows[:] = [other for other in flows if other.flow not in gone]
+
+    @property
+    def is_late_turn(self) -> bool:
+        """Whether `pop` would return a flow that can't be answered in time."""
+        is_turn = (self._turn + 1) % LATE_TURN == 0
+        return bool(self._late) and (is_turn or not self.timely)
+
     def pop(self) -> WaitingFlow:
         """Return the flow whose turn it is, which then no longer waits.
 
         Raises:
             LookupError: If none waits.
         """
+        is_late_turn = self.is_late_turn
         self._turn += 1
-        is_late_turn = self._turn % LATE_TURN == 0
-        if self._late and (is_late_turn or not self.timely):
+        return self._late.pop(0) if is_late_turn else self._pop_timely(0)
+
+    def pop_for(self, *, is_late_turn: bool, answered_at: float) -> WaitingFlow:
+        """Return the flow that a certain slot is best given to.
+
+        Slots of one service may differ in speed. One that would be answered too late
+        by a slow slot is left for a faster one, as long as others wait.
+
+        Args:
+            is_late_turn: Take a late one, if there is one.
+            answered_at: When this slot's answer may be expected.
+
+        Raises:
+            LookupError: If none waits.
+        """
+        if not is_late_turn:
+            for _, flows in sorted(self._timely_by_priority.items()):
+                first = bisect_left(flows, answered_at, key=_by_aim)
+                if first < len(flows):
+                    return flows.pop(first)
+        if self._late:
             return self._late.pop(0)
+        return self._pop_timely(-1)
+
+    def _pop_timely(self, place: int) -> WaitingFlow:
         urgent = min(p for p, flows in self._timely_by_priority.items() if flows)
-        return self._timely_by_priority[urgent].pop(0)
+        return self._timely_by_priority[urgent].pop(place)
 
     @property
     def last(self) -> WaitingFlow | None:
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -17,6 +17,7 @@
 
 SETTINGS_VARIABLE = "MONSOONPIER_SETTINGS"
 KEY_VARIABLE = "FRAME_KEY"
+RESERVE_VARIABLE = "RESERVE_SLOTS"
 KEY_BYTES = 32
 CONTROL_OFFSET = 1  # after the first internal port, which takes frames
 METRICS_PORT = 9464  # Prometheus exporters' usual one; also in deploy/system.toml
@@ -97,7 +98,12 @@
         raise ValueError(f"{path}: {error}") from error
     try:
         file = msgspec.convert(content, _File)
-        return _settings(file, role=role, keys=_keys(environment))
+        return _settings(
+            file,
+            role=role,
+            keys=_keys(environment),
+            reserve_slots=_is_on(environment, RESERVE_VARIABLE),
+        )
     except (ValueError, msgspec.ValidationError) as error:
         raise ValueError(_report(content, text, path, role, error)) from error
 
@@ -112,7 +118,9 @@
     return report(tuple(findings)) if findings else f"{path}: {error}"
 
 
-def _settings(file: _File, *, role: str, keys: KeyRing) -> PlatformSettings:
+def _settings(
+    file: _File, *, role: str, keys: KeyRing, reserve_slots: bool
+) -> PlatformSettings:
     first_port = file.internal_ports[0]
     internal = Address(ip=file.ip, port=first_port)
     target = None
@@ -136,6 +144,7 @@
             Address(ip=Address.parse(seed).ip, port=first_port) for seed in file.seeds
         ),
         target=target,
+        reserve_slots=reserve_slots,
         link_megabits=file.limits.link_mbps,
     )
     return PlatformSettings(
@@ -153,6 +162,16 @@
     return Address.parse(text) if text else None
 
 
+def _is_on(environment: Mapping[str, str], variable: str) -> bool:
+    match environment.get(variable, ""):
+        case "" | "off":
+            return False
+        case "on":
+            return True
+        case other:
+            raise ValueError(f"{variable} must be on or off, not {other!r}")
+
+
 def _keys(environment: Mapping[str, str]) -> KeyRing:
     try:
         secret = bytes.fromhex(environment.get(KEY_VARIABLE, ""))
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -15,6 +15,7 @@
     "BalancerRecord",
     "Bounce",
     "Carry",
+    "Decline",
     "Find",
     "Forward",
     "Found",
@@ -25,9 +26,11 @@
     "Holds",
     "Load",
     "NotHeld",
+    "Offer",
     "PassOn",
     "Queued",
     "Register",
+    "Reserve",
     "Turned",
     "Whose",
     "HeartbeatAck",
@@ -187,7 +190,8 @@
     answer in any case: the balancer doesn't know whether the flow is held there.
     ``reply_to`` names the balancer if the frame comes by way of another agent.
     With a SYN, ``in_time_ms`` is how much longer an answer would be in time,
-    ``wait_ms`` how long its caller still waits for a slot, ``priority`` its route's.
+    ``wait_ms`` how long its caller still waits for a slot, ``priority`` its route's;
+    ``is_offered`` says that it takes a slot that the agent has offered.
     """
 
     service: Name
@@ -198,6 +202,7 @@
     in_time_ms: Milliseconds = 0
     wait_ms: Milliseconds = 0
     priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
+    is_offered: bool = False
 
 
 class Held(_Frame, tag=10, kw_only=True, gc=False):
@@ -241,6 +246,38 @@
     load: LoadReport
 
 
+class Reserve(_Frame, tag=21, kw_only=True, gc=False):
+    """A balancer's wish for a slot, for a flow that waits there.
+
+    The SYN stays at the balancer, so that it can go to whichever slot is free first.
+    Times and priority are those of `Carry`.
+    """
+
+    service: Name
+    flow: FlowAddress
+    in_time_ms: Milliseconds
+    wait_ms: Milliseconds
+    priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
+
+
+class Offer(_Frame, tag=22, kw_only=True, gc=False):
+    """An agent's offer of a slot to a balancer that has reserved one.
+
+    It holds for a moment only. ``is_late_turn`` asks for the flow that gives up first
+    among those that can't be answered in time.
+    """
+
+    agent: Name
+    load: LoadReport
+    is_late_turn: bool = False
+
+
+class Decline(_Frame, tag=23, kw_only=True, gc=False):
+    """A balancer's answer to an `Offer` for which it has no flow left."""
+
+    service: Name
+
+
 class Load(_Frame, tag=13, kw_only=True, gc=False):
     """An agent's load as it has just changed, for balancers that send it flows.
 
@@ -329,6 +366,9 @@
     | Holds
     | PassOn
     | Queued
+    | Reserve
+    | Offer
+    | Decline
 )
 
 
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -29,7 +29,15 @@
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import BalancerRecord, Carry, NotHeld, Turned, Whose
+from monsoonpier.wire.frames import (
+    BalancerRecord,
+    Carry,
+    Decline,
+    NotHeld,
+    Reserve,
+    Turned,
+    Whose,
+)
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["Fault", "Outcome", "Simulation", "World"]
@@ -88,6 +96,7 @@
             and the last process is up, balancers and agents alike.
         cold_seconds, cold_ratio: How long and how much slower targets then are.
         caller_way_seconds: Between a VM and a caller.
+        reserves: Whether flows that wait reserve slots at agents.
         late_worth: What an answer after its aim is worth against one in time.
     """
 
@@ -109,6 +118,7 @@
     cold_ratio: float = 1.6
     caller_way_seconds: float = WAY_SECONDS
     late_worth: float = 0.3
+    reserves: bool = False
     seed: int = 1
 
 
@@ -282,6 +292,7 @@
             membership=membership,
             log=log,
             data_centres=tuple({f"dc-{t.number % DATA_CENTRES}" for t in self.targets}),
+            reserves=self.world.reserves,
         )
 
     def _record(self, target: _Target) -> TargetRecord:
@@ -554,8 +565,17 @@
             answer = target.holder.ask(frame, sender=sender, now=self.now)
             self._do_agent(target, answer)
             return
-        packet = self._packets_by_raw[frame.payload]
         sender = ("10.1.0.1", balancer)
+        match frame:
+            case Reserve():
+                actions = target.holder.reserve(frame, balancer=sender, now=self.now)
+                self._do_agent(target, actions)
+                return
+            case Decline():
+                actions = target.holder.declined(balancer=sender, now=self.now)
+                self._do_agent(target, actions)
+                return
+        packet = self._packets_by_raw[frame.payload]
         self._do_agent(
             target,
             target.holder.from_balancer(frame, packet, sender=sender, now=self.now),
