Sum up what a target's slots do with their time

Cause: whether slots stand empty at saturation was only modelled. An agent counted a slot that is kept for a caller's first request as taken, so neither its log nor its metrics told a handshake or a caller that has left from a run.

Each agent now sums up, for each slot: busy, kept, idle, idle while a flow waits at the agent; runs, slots kept in vain, and a histogram of the gap between two runs while a flow waits. One line 'slots used' in five seconds where anything ran, the sums in the line 'stopped', and metrics.

Ruled out: counting by hooks in the queue and the admission. State changes only at calls of the holder, so one look at the end of each is exact.

Conclusion: the use of slots at saturation can be read from logs.

--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -264,6 +264,8 @@
                 case ToProcess(endpoint=balancer, frame=Held() | Queued() | Turned()):
                     condition = self._admission.offered
                     self._reports.told(balancer, condition=condition, now=now)
+        is_serving = self._admission.offered is Condition.SERVING
+        self.target_load.observe_use(is_serving=is_serving, now=now)
         return actions
 
     def _carried(
@@ -471,8 +473,15 @@
             if now - flow.seen_at > _keep_seconds(flow):
                 self._drop(address)
         self._reports.forget(now=now)
+        self._note_use(now=now)
         return self.expire(now=now)
 
+    def _note_use(self, *, now: float) -> None:
+        used = self.target_load.use.line(now=now)
+        if used is not None:
+            slots = self.target_load.slots
+            self._log.note("slots used", now=now, slots=slots, **used.fields)
+
     @property
     def is_waiting(self) -> bool:
         """Whether `expire` has something to look after soon."""
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -7,6 +7,7 @@
 from monsoonpier.agent.packets.evidence import FailureShare
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.queue import AdmissionQueue
+from monsoonpier.agent.packets.slot_use import SlotUse
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
 from monsoonpier.process.readings import Histogram
 
@@ -53,6 +54,7 @@
         open: Open flows.
         queue: New flows that wait for a slot.
         cold: How many new flows the target takes while it is cold.
+        use: What the slots did with their time.
     """
 
     def __init__(self, *, slots: int) -> None:
@@ -61,6 +63,8 @@
         self.open = 0
         self.queue = AdmissionQueue()
         self.cold = ColdLimit()
+        self.use = SlotUse()
+        self._running = 0
         self._number = 0
         self._run_ms = 0.0
         self._failures = FailureShare()
@@ -94,9 +98,18 @@
 
     def enter(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
         """Move a flow to a phase."""
+        # What is expected and let go in the same moment has kept no slot.
+        is_let_go = flow.phase is Phase.EXPECTED and phase is Phase.IDLE
+        if is_let_go and now > flow.changed_at:
+            self.use.was_kept_in_vain()
+        self._move(flow, phase, now=now)
+
+    def _move(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
         self._busy_share = self.busy_share(now=now)
         self._share_at = now
         self.busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
+        self._running += int(phase is Phase.RUNNING)
+        self._running -= int(flow.phase is Phase.RUNNING)
         flow.phase = phase
         flow.changed_at = now
 
@@ -105,6 +118,7 @@
         if flow.phase is Phase.RUNNING:
             return
         self.enter(flow, Phase.RUNNING, now=now)
+        self.use.run_began(now=now)
         flow.is_overdue = False
         flow.is_queued = self.busy > self.slots
 
@@ -117,7 +131,16 @@
             # A failure takes no time and says nothing of a run's.
             if not flow.is_queued and not is_failure:
                 self._learn(max(MIN_RUN_MS, seconds * 1000))
-        self.enter(flow, Phase.IDLE, now=now)
+            self._note_run_ended(now=now)
+        self._move(flow, Phase.IDLE, now=now)
+
+    def _note_run_ended(self, *, now: float) -> None:
+        is_expecting = self.busy > self._running
+        self.use.run_ended(
+            is_free=self._running <= self.slots,
+            is_wanted=is_expecting or len(self.queue) > 0,
+            now=now,
+        )
 
     def broken_off(self, flow: PacketFlow, *, now: float) -> None:
         """Count a request that got no answer as failed."""
@@ -145,6 +168,9 @@
     def dropped(self, flow: PacketFlow) -> None:
         """Count a flow no more."""
         self.busy -= int(flow.phase is not Phase.IDLE)
+        self._running -= int(flow.phase is Phase.RUNNING)
+        if flow.phase is Phase.EXPECTED:
+            self.use.was_kept_in_vain()
         self.open -= int(flow.is_open)
 
     def ended(self, *, is_planned: bool, now: float) -> None:
@@ -152,7 +178,24 @@
         self._failures.run_ended(is_planned=is_planned, now=now)
         self.busy = 0
         self.open = 0
+        self._running = 0
         self._run_ms = 0.0
+        self.use.target_ended()
+
+    def observe_use(self, *, is_serving: bool, now: float) -> None:
+        """Count the time of the slots up to now.
+
+        Args:
+            is_serving: The target takes new flows: an empty slot is a loss.
+            now: The present time.
+        """
+        self.use.observe(
+            slots=self.slots if is_serving else min(self.slots, self._running),
+            running=self._running,
+            expected=self.busy - self._running,
+            queued=len(self.queue),
+            now=now,
+        )
 
     def is_cold_until(self, until: float) -> None:
         """Note until when the target runs slower than later."""
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -160,7 +160,7 @@
         self._control.stop()
         self._internal.close()
         self._outbound.close()
-        _log.info("stopped")
+        _log.info("stopped", **self._holder.target_load.use.total.fields)
 
     async def _leave_and_finish(self) -> None:
         await self._life.wait_for_leaving()
@@ -456,6 +456,7 @@
         failed = self._holder.target_load.failed_percent(now=_now())
         yield gauge("failed_percent", "Of the target's latest requests.", failed)
         yield self._holder.target_load.answer_seconds
+        yield from self._holder.target_load.use.readings
         yield from self._sender.readings
         results = self._holder.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
--- /dev/null
+++ b/tests/packets/test_slot_use.py
@@ -0,0 +1,102 @@
+"""What an agent sums up of its target's slots while all are wanted."""
+
+import unittest
+
+from monsoonpier.agent.packets.slot_use import LINE_SECONDS, SlotUse
+from monsoonpier.wire.frames import Carry
+from standins.packets.simulation import Simulation, World
+from tests.packets.rig import BALANCER, answer, holder, packet
+
+GONE_SECONDS = 0.4  # longer than any slot is kept for a caller's first request
+
+
+class SlotUseTests(unittest.TestCase):
+    """A target of one slot, whose run ends while flows wait at its agent."""
+
+    def setUp(self) -> None:
+        self.holder = holder(slots=1)
+        self.use = self.holder.target_load.use
+        self.holder.tick(now=1.0)
+        self.bring(1, syn=True, now=1.0)
+        self.open_and_ask(1, now=1.0)
+        self.bring(2, syn=True, now=1.01)
+        self.finish(1, now=1.1)
+
+    def bring(self, number: int, *, now: float, **fields) -> None:
+        sent = packet(number, **fields)
+        frame = Carry(service="maps", payload=sent.raw, in_time_ms=1_000, wait_ms=1_000)
+        self.holder.from_balancer(frame, sent, sender=BALANCER, now=now)
+
+    def open_and_ask(self, number: int, *, now: float) -> None:
+        self.holder.from_target(answer(number, syn=True), now=now)
+        self.bring(number, size=10, now=now)
+
+    def finish(self, number: int, *, now: float) -> None:
+        self.holder.from_target(answer(number, size=50), now=now)
+
+    def test_handshake_between_two_runs(self) -> None:
+        """The time from one run to the next is seen as kept, idle and a gap."""
+        self.open_and_ask(2, now=1.105)
+        self.finish(2, now=1.205)
+        total = self.use.total
+        self.assertAlmostEqual(total.busy, 0.2)
+        self.assertAlmostEqual(total.kept, 0.005)
+        self.assertAlmostEqual(total.idle, 0.005)
+        self.assertEqual(total.runs, 2)
+        self.assertEqual(total.kept_in_vain, 0)
+        self.assertAlmostEqual(self.use.gap_seconds.sums[0], 0.005)
+
+    def test_caller_that_has_left(self) -> None:
+        """A slot that is kept for nobody while another flow waits is seen as such."""
+        self.bring(3, syn=True, now=1.1)
+        self.holder.from_target(answer(2, syn=True), now=1.1)
+        self.holder.expire(now=1.1 + GONE_SECONDS)
+        total = self.use.total
+        self.assertAlmostEqual(total.idle_while_queued, GONE_SECONDS)
+        self.assertEqual(total.kept_in_vain, 1)
+
+    def test_ended_target(self) -> None:
+        """A target that takes no new flows has no slots that could stand empty."""
+        self.holder.ended(now=1.1)
+        self.holder.condition = self.holder.condition.UNRESPONSIVE
+        self.holder.tick(now=1.1)
+        self.holder.tick(now=9.1)
+        self.assertAlmostEqual(self.use.total.idle, 0.0)
+
+    def test_lines(self) -> None:
+        """One line in five seconds says what came to it, and an idle target's none."""
+        self.assertIsNone(self.use.line(now=1.0 + LINE_SECONDS - 0.1))
+        used = self.use.line(now=1.0 + LINE_SECONDS)
+        self.assertEqual(used.runs, 1)
+        self.assertIsNone(self.use.line(now=1.0 + 2 * LINE_SECONDS))
+
+
+class SaturationTests(unittest.TestCase):
+    """A service of ten slots that is asked for 1.3 times of what it can do."""
+
+    def test_sums(self) -> None:
+        """What is busy is the time of all runs, and each has its gap."""
+        world = World(targets=10, slots=1, utilisation=1.3, long_share=0.0)
+        simulation = Simulation(world)
+        simulation.run()
+        uses = [target.holder.target_load.use for target in simulation.targets]
+        busy = sum(use.total.busy for use in uses)
+        runs = sum(use.total.runs for use in uses)
+        gaps = [sum(use.gap_seconds.counts) for use in uses]
+        self.assertAlmostEqual(busy / runs, world.run_seconds, delta=0.003)
+        self.assertGreater(min(gaps), 50)
+
+
+class SumTests(unittest.TestCase):
+    """Slots by themselves."""
+
+    def test_every_slot_counts(self) -> None:
+        """Each second of each slot is either busy or idle."""
+        use = SlotUse()
+        use.observe(slots=4, running=1, expected=2, queued=0, now=0.0)
+        use.observe(slots=4, running=6, expected=0, queued=3, now=1.0)
+        use.observe(slots=4, running=3, expected=0, queued=3, now=2.0)
+        use.observe(slots=4, running=4, expected=0, queued=0, now=3.0)
+        total = use.total
+        self.assertEqual((total.busy, total.idle), (1 + 4 + 3, 3 + 0 + 1))
+        self.assertEqual((total.kept, total.idle_while_queued), (2, 1))
