Tell how callers of each class of work fare at a balancer

Cause: of new flows a balancer told sums over all services. Who waits, for how long, how late, who is refused why, and where flows are served was visible for nobody while a service had more callers than slots.

CallerWaits counts by service and priority as flows come, are taken or are told to go; what waits is looked through only when somebody asks (control, metrics, a line 'callers wait' in five seconds for a class that waits or was refused, eight classes at the most). Reasons beyond sixteen are counted as one; classes without a route are forgotten.

Ruled out: a count at _refuse. A copy that isn't placed tells its caller nothing; the reset does, and all refusals pass there.

--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -9,7 +9,7 @@
 from monsoonpier.agent.packets.queue import AdmissionQueue
 from monsoonpier.agent.packets.slot_use import SlotUse
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
-from monsoonpier.process.readings import Histogram
+from monsoonpier.process.readings import Histogram, Reading, Series, gauge
 
 __all__ = ["LoadLevel", "TargetLoad"]
 
@@ -197,6 +197,33 @@
             now=now,
         )
 
+    @property
+    def use_fields(self) -> dict[str, float]:
+        """The use of the slots, as the agent tells it when it is asked."""
+        present = {
+            "slots": self.slots,
+            "running": self._running,
+            "queued": self.queue.timely,
+            "queued_late": self.queue.late,
+        }
+        return present | self.use.total.fields
+
+    @property
+    def readings(self) -> tuple[Reading, ...]:
+        """What the metrics address shows of the slots and who waits for them."""
+        queued_by_class = {("in_time",): self.queue.timely, ("late",): self.queue.late}
+        return (
+            gauge("slots", "Requests that the target works on at once.", self.slots),
+            gauge("running", "Requests that it works on now.", self._running),
+            Series(
+                name="queued_flows",
+                help="New flows that wait at this agent.",
+                labels=("class",),
+                values_by_labels=queued_by_class,
+            ),
+            *self.use.readings,
+        )
+
     def is_cold_until(self, until: float) -> None:
         """Note until when the target runs slower than later."""
         self.cold.until = until
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -443,6 +443,7 @@
                     state=self._life.state,
                     version=0,
                     uptime=_now() - self._started,
+                    slot_use=self._holder.target_load.use_fields,
                 )
             case AskDrain():
                 name = self._settings.name
@@ -456,7 +457,7 @@
         failed = self._holder.target_load.failed_percent(now=_now())
         yield gauge("failed_percent", "Of the target's latest requests.", failed)
         yield self._holder.target_load.answer_seconds
-        yield from self._holder.target_load.use.readings
+        yield from self._holder.target_load.readings
         yield from self._sender.readings
         results = self._holder.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -20,6 +20,7 @@
 from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.settings import Settings
+from monsoonpier.model.waiting_summary import WaitingSummary
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
 from monsoonpier.process.frames import send_frame
 from monsoonpier.process.life import ProcessLife
@@ -80,6 +81,7 @@
         take_frame: Takes a frame that came to the internal address.
         on_configured: Called after a newer configuration is in force.
         configuration_format: How the store's value is read.
+        read_waiting: Tells how callers fare, where that is known.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         on_configured: Callable[[], None],
         draw: random.Random,
         configuration_format: ConfigurationFormat = STORED_FORMAT,
+        read_waiting: Callable[[], tuple[WaitingSummary, ...]] = tuple,
     ) -> None:
         assert settings.control
         self._settings = settings
@@ -101,6 +104,7 @@
         self._life = life
         self._sender = sender
         self._take_frame = take_frame
+        self._read_waiting = read_waiting
         self._draw = draw
         self._configuration = StoredConfiguration(
             membership=membership,
@@ -397,6 +401,7 @@
             ),
             balancers=tuple(membership.peers.records_by_name.values()),
             evacuated=tuple(sorted(membership.evacuations.active)),
+            waiting=self._read_waiting(),
         )
 
 
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -61,6 +61,11 @@
         """Whether `retry` has something to look after."""
         return bool(self._unanswered) or len(self._waiting_room) > 0
 
+    @property
+    def waiting_by_service(self) -> dict[str, list[WaitingFlow]]:
+        """All that wait here for a slot."""
+        return self._waiting_room.flows_by_service
+
     def configured(self) -> None:
         """Forget what was learned of addresses that have no route any more."""
         routes = self._scope.membership.configuration.routes_by_address
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -11,6 +11,7 @@
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packets.scope import ResetCaller
 from monsoonpier.balancer.packets.steering import PacketSteering
+from monsoonpier.balancer.packets.wait_readings import wait_readings
 from monsoonpier.balancer.stored_configuration import ConfigurationFormat
 from monsoonpier.link.schedule import Urgency
 from monsoonpier.link.sender import LinkSender
@@ -81,6 +82,7 @@
             on_configured=self._configured,
             draw=self._draw,
             configuration_format=configuration_format,
+            read_waiting=lambda: self._steering.waiting(now=_now()),
         )
         self._web = WebServer(
             address=settings.metrics,
@@ -202,6 +204,10 @@
         age = _now() - self._configured_at
         yield gauge("configuration_age_seconds", "Since it came in force.", age)
         yield from self._steering.histograms
+        yield from wait_readings(
+            self._steering.waiting(now=_now()),
+            data_centre=self._settings.data_centre,
+        )
         yield from self._sender.readings
         yield self._store.call_seconds
         results = self._steering.counts_by_result
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -8,6 +8,7 @@
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import ALONE_SECONDS, Membership
+from monsoonpier.balancer.packets.caller_waits import CallerWaits
 from monsoonpier.balancer.packets.flows import FlowTable, KnownFlow
 from monsoonpier.balancer.packets.returning import ReturningCallers
 from monsoonpier.balancer.packets.runs import TargetRuns
@@ -56,6 +57,7 @@
         flows: The flows seen last.
         runs: What agents have said of their targets' runs.
         returning: Callers that were reset and may come back.
+        waits: What became of new flows, by class of work.
         counts_by_result: Decisions, for metrics.
     """
 
@@ -70,6 +72,7 @@
         self.flows = FlowTable()
         self.runs = TargetRuns()
         self.returning = ReturningCallers()
+        self.waits = CallerWaits()
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
@@ -238,6 +241,9 @@
         """
         self.returning.refused(packet, asked_at=asked_at, now=now)
         self.counts_by_result["reset"] += 1
+        route = self.route(packet)
+        if packet.is_syn and route is not None:
+            self.waits.refused(route, reason, now=now)
         self.log.note(
             "caller reset",
             now=now,
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -14,10 +14,12 @@
 from collections.abc import Collection
 
 from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.packets.caller_waits import ServiceWaits
 from monsoonpier.balancer.packets.flows import KnownFlow
 from monsoonpier.balancer.packets.inquiries import HolderInquiries
 from monsoonpier.balancer.packets.openings import FlowOpenings
 from monsoonpier.balancer.packets.scope import PacketScope
+from monsoonpier.model.waiting_summary import WaitingSummary
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
 from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Turned
@@ -67,15 +69,43 @@
     def configured(self) -> None:
         """Take a newer configuration into account."""
         self._openings.configured()
+        routes = self._scope.membership.configuration.routes_by_address
+        self._scope.waits.configured(routes.values())
+
+    def waiting(self, *, now: float) -> tuple[WaitingSummary, ...]:
+        """Return how callers fare, by service and priority."""
+        routes = self._scope.membership.configuration.routes_by_address
+        flows_by_service = self._openings.waiting_by_service
+        waits_by_service = {
+            service: ServiceWaits(
+                flows=flows_by_service.get(service, ()),
+                candidates=self._scope.membership.table.candidates_of(service, now=now),
+            )
+            for service in {route.service for route in routes.values()}
+        }
+        return self._scope.waits.summaries(
+            waits_by_service, asked_at=self._asked_at, now=now
+        )
+
+    def _asked_at(self, flow: bytes) -> float | None:
+        known = self._scope.flows.get(flow)
+        return None if known is None else known.asked_at
 
     def retry(self, *, now: float, draw: random.Random) -> list:
         """Look after what waits; to be called soon again while `is_waiting`."""
+        if self._scope.waits.is_line_due(now=now):
+            self._note_waits(now=now)
         return self._openings.retry(now=now, draw=draw) + self._inquiries.retry(now=now)
 
+    def _note_waits(self, *, now: float) -> None:
+        for fields in self._scope.waits.lines(self.waiting(now=now)):
+            self._scope.log.note("callers wait", now=now, **fields)
+
     def from_caller(self, packet: Packet, *, now: float, draw: random.Random) -> list:
         """Decide on a packet that a caller sent."""
         known = self._scope.flows.touch(packet.flow)
         if packet.is_syn:
+            self._note_asked(packet, known)
             return self._openings.open(packet, known, now=now, draw=draw)
         if known is None:
             return self._inquiries.ask(packet, now=now)
@@ -87,6 +117,11 @@
             return self._holders_ended(packet, known, now=now)
         return self._scope.carry(packet, known, names=known.holders)
 
+    def _note_asked(self, packet: Packet, known: KnownFlow | None) -> None:
+        route = self._scope.route(packet) if known is None else None
+        if route is not None:
+            self._scope.waits.asked(route)
+
     def from_process(
         self,
         frame,
@@ -132,11 +167,22 @@
         if known is None:
             known = KnownFlow(service=record.service, created_at=now)
             self._scope.flows.put(frame.flow, known)
+        self._note_served(known, data_centre=record.data_centre, now=now)
         if frame.is_open:
             return self._opened(frame, known, now=now)
         self._openings.accepted(frame, now=now)
         return []
 
+    def _note_served(self, known: KnownFlow, *, data_centre: str, now: float) -> None:
+        """Count a flow that a target takes; each counts once."""
+        if known.is_accepted or known.is_confirmed or known.syn is None:
+            return
+        route = self._scope.route(known.syn)
+        if route is not None:
+            self._scope.waits.served(
+                route, asked_at=known.asked_at, data_centre=data_centre, now=now
+            )
+
     def _opened(self, frame: Held, known: KnownFlow, *, now: float) -> list:
         if known.holders != (frame.agent,):
             self._scope.log.note(
--- a/monsoonpier/balancer/packets/waiting.py
+++ b/monsoonpier/balancer/packets/waiting.py
@@ -31,6 +31,11 @@
         """Names of services that flows wait for."""
         return [name for name, queue in self._queues_by_service.items() if len(queue)]
 
+    @property
+    def flows_by_service(self) -> dict[str, list[WaitingFlow]]:
+        """All that wait; to be asked for now and then, never for each packet."""
+        return {name: queue.flows for name, queue in self._queues_by_service.items()}
+
     def ahead(self, waiting: WaitingFlow, *, service: str, in_time: bool) -> int:
         """Return how many flows wait that would go before one more.
 
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -63,6 +63,11 @@
     def _lists(self) -> tuple[list[WaitingFlow], ...]:
         return (self._late, *self._timely_by_priority.values())
 
+    @property
+    def flows(self) -> list[WaitingFlow]:
+        """All that wait, in no order."""
+        return [waiting for flows in self._lists for waiting in flows]
+
     @property
     def timely(self) -> int:
         """How many can still be answered in time, as of the last `sort_out`."""
--- a/monsoonpier/process/exposition.py
+++ b/monsoonpier/process/exposition.py
@@ -15,7 +15,14 @@
     HistogramMetricFamily,
 )
 
-from monsoonpier.process.readings import BOUNDS, Counter, Gauge, Histogram, Reading
+from monsoonpier.process.readings import (
+    BOUNDS,
+    Counter,
+    Gauge,
+    Histogram,
+    Reading,
+    Series,
+)
 
 __all__ = ["expose"]
 
@@ -47,6 +54,12 @@
             for key, value in values.items():
                 family.add_metric([str(key)], value)
             return family
+        case Series(help=text, labels=labels, values_by_labels=values_by_labels):
+            kind = CounterMetricFamily if reading.is_counter else GaugeMetricFamily
+            family = kind(name, text, labels=labels)
+            for key, value in values_by_labels.items():
+                family.add_metric(key, value)
+            return family
         case Histogram(help=text, counts=counts, sums=sums):
             bounds = [str(bound) for bound in BOUNDS] + ["+Inf"]
             buckets = list(zip(bounds, accumulate(counts), strict=True))
--- a/monsoonpier/process/readings.py
+++ b/monsoonpier/process/readings.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-__all__ = ["Counter", "Gauge", "Histogram", "Reading", "counter", "gauge"]
+__all__ = ["Counter", "Gauge", "Histogram", "Reading", "Series", "counter", "gauge"]
 
 # Seconds; from a packet's way through one process to a caller's patience.
 BOUNDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
@@ -44,7 +44,24 @@
         self.sums[0] += seconds
 
 
-Reading = Gauge | Counter | Histogram
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Series:
+    """Values by several labels; the caller sees to it that they are few.
+
+    Attributes:
+        labels: Their names.
+        values_by_labels: The values, by what the labels say in that order.
+        is_counter: The values only grow.
+    """
+
+    name: str
+    help: str
+    labels: tuple[str, ...]
+    values_by_labels: Mapping[tuple[str, ...], float]
+    is_counter: bool = False
+
+
+Reading = Gauge | Counter | Histogram | Series
 
 
 def gauge(name: str, text: str, value: float) -> Gauge:
--- a/monsoonpier/wire/control.py
+++ b/monsoonpier/wire/control.py
@@ -7,6 +7,7 @@
 
 from monsoonpier.model.keys import FRAME, KeyRing
 from monsoonpier.model.target import LoadReport, TargetRecord
+from monsoonpier.model.waiting_summary import WaitingSummary
 from monsoonpier.wire.codec import Codec, Dropped, Name, Short
 from monsoonpier.wire.frames import BalancerRecord
 
@@ -74,7 +75,11 @@
 
 
 class StatusReply(_Control, tag=6, kw_only=True):
-    """How a process stands; targets and what follows only from balancers."""
+    """How a process stands; targets and what follows only from balancers.
+
+    Of flows without a token balancers tell ``waiting``, agents ``slot_use``: the sums
+    of what their target's slots did, by name.
+    """
 
     name: Name
     role: Name
@@ -85,6 +90,8 @@
     targets: tuple[TargetStatus, ...] = ()
     balancers: tuple[BalancerRecord, ...] = ()
     evacuated: tuple[Name, ...] = ()
+    waiting: tuple[WaitingSummary, ...] = ()
+    slot_use: dict[Name, float] = {}
 
 
 class AskDrain(_Control, tag=7, kw_only=True):
--- /dev/null
+++ b/tests/packets/test_caller_waits.py
@@ -0,0 +1,134 @@
+"""What a balancer tells of callers that wait or are refused."""
+
+import unittest
+from unittest import mock
+
+from monsoonpier.balancer.packets.caller_waits import (
+    LINE_SECONDS,
+    MAX_LINES,
+    MAX_REASONS,
+    CallerWaits,
+)
+from monsoonpier.balancer.packets.wait_readings import wait_readings
+from monsoonpier.model.address import Address
+from monsoonpier.model.service import Configuration, PacketRoute
+from monsoonpier.model.waiting_summary import WaitingSummary
+from monsoonpier.process.exposition import expose
+from monsoonpier.wire.frames import Held
+from tests.packets.rig import SERVICE, SETTLED, SteeringRig, load, packet
+
+AIM_SECONDS = 0.2
+OTHER_SERVICE = Address(ip="198.18.0.2", port=8443)
+
+
+def route(number: int = 0, *, priority: int = 0) -> PacketRoute:
+    return PacketRoute(
+        service=f"maps-{number}",
+        aim_seconds=AIM_SECONDS,
+        timeout_seconds=3.0,
+        priority=priority,
+    )
+
+
+class SummaryTests(unittest.TestCase):
+    """One target of two slots, both taken; three callers come one after the other."""
+
+    def setUp(self) -> None:
+        self.rig = SteeringRig(targets=1)
+        self.rig.report("maps-1", now=SETTLED, in_flight=9, service_ms=40)
+        for number in (1, 2, 3):
+            self.ask(number, now=SETTLED + number / 10)
+
+    def ask(self, number: int, *, now: float) -> list:
+        return self.rig.caller(packet(number, syn=True), now=now)
+
+    def summary(self, *, now: float) -> WaitingSummary:
+        (found,) = self.rig.steering.waiting(now=now)
+        return found
+
+    def test_waiting(self) -> None:
+        """Who waits is told by what it can still get, with the oldest wait."""
+        found = self.summary(now=SETTLED + 0.35)
+        self.assertEqual((found.service, found.priority), ("maps", 0))
+        self.assertEqual((found.in_time, found.late, found.asked), (1, 2, 3))
+        self.assertAlmostEqual(found.oldest_seconds, 0.25)
+        self.assertAlmostEqual(found.waited_seconds, 0.25 + 0.15 + 0.05)
+        # One goes before; two slots of 40 ms take one more after a run.
+        self.assertAlmostEqual(found.expected_seconds, 0.04)
+
+    def test_served(self) -> None:
+        """A flow that a target takes counts once, from when its caller asked."""
+        self.rig.report("maps-1", now=SETTLED + 0.4, in_flight=0)
+        self.rig.steering.retry(now=SETTLED + 0.4, draw=self.rig.draw)
+        for is_open in (False, False, True):
+            held = Held(
+                flow=packet(3).flow, agent="maps-1", load=load(9), is_open=is_open
+            )
+            self.rig.agent(held, now=SETTLED + 0.45)
+        found = self.summary(now=SETTLED + 0.45)
+        self.assertEqual(found.served_by_data_centre, {"dc-1": 1})
+        self.assertAlmostEqual(found.wait_seconds, 0.15)
+        self.assertEqual(found.served_late, 0)
+
+    def test_refused(self) -> None:
+        """Callers that are told to go are counted by reason, now and lately."""
+        self.rig.steering.retry(now=SETTLED + 2.0, draw=self.rig.draw)
+        found = self.summary(now=SETTLED + 2.0)
+        self.assertEqual(found.waiting, 0)
+        self.assertEqual(found.refused_by_reason, {"no slot came free": 3})
+        self.assertAlmostEqual(found.lately.refused, 3.0)
+        self.assertLess(self.summary(now=SETTLED + 60.0).lately.refused, 0.1)
+
+    def test_without_its_route(self) -> None:
+        """A class of work that has no route any more isn't shown for ever."""
+        self.rig.configure(version=2, service="logs")
+        self.assertEqual(self.rig.steering.waiting(now=SETTLED + 1.0), ())
+
+    def test_lines(self) -> None:
+        """One line in five seconds tells what waits and what has come since."""
+        with mock.patch.object(self.rig.steering._scope.log, "note") as note:
+            for seconds in (0.0, LINE_SECONDS - 0.1, LINE_SECONDS):
+                self.rig.steering.retry(now=SETTLED + seconds, draw=self.rig.draw)
+        (line,) = [c for c in note.call_args_list if c.args == ("callers wait",)]
+        self.assertEqual(line.kwargs["refused"], {"no slot came free": 3})
+        self.assertEqual(line.kwargs["asked"], 3)
+
+
+class BoundsTests(unittest.TestCase):
+    """Many services and mistaken reasons."""
+
+    def test_metrics(self) -> None:
+        """Each reading has its labels; reasons beyond the usual are one."""
+        waits = CallerWaits()
+        for number in range(3 * MAX_REASONS):
+            waits.refused(route(), f"reason {number}", now=1.0)
+        waits.asked(route(priority=2))
+        summaries = waits.summaries({}, asked_at=lambda flow: None, now=1.0)
+        readings = wait_readings(summaries, data_centre="dc-1")
+        lines = expose(lambda: readings).decode().splitlines()
+        refused = [line for line in lines if line.startswith("monsoonpier_refused")]
+        self.assertEqual(len(refused), MAX_REASONS + 1)
+        others = 'priority="0",reason="other",service="maps-0"} 32.0'
+        self.assertTrue(any(line.endswith(others) for line in refused), refused)
+        asked = 'data_centre="dc-1",priority="2",result="asked",service="maps-0"} 1.0'
+        self.assertTrue(any(line.endswith(asked) for line in lines))
+
+    def test_lines(self) -> None:
+        """A line each for those that are worst off, whatever the services are."""
+        waits = CallerWaits()
+        for number in range(3 * MAX_LINES):
+            waits.refused(route(number), "would be late", now=1.0)
+        summaries = waits.summaries({}, asked_at=lambda flow: None, now=1.0)
+        self.assertEqual(len(waits.lines(summaries)), MAX_LINES)
+        self.assertEqual(waits.lines(summaries), [])
+
+    def test_classes(self) -> None:
+        """Priorities of a service are classes of their own."""
+        rig = SteeringRig()
+        routes = {SERVICE: route(), OTHER_SERVICE: route(priority=1)}
+        rig.membership.configure(Configuration(version=2, routes_by_address=routes))
+        rig.steering.configured()
+        for number, address in ((1, SERVICE), (2, OTHER_SERVICE), (3, OTHER_SERVICE)):
+            rig.caller(packet(number, syn=True, address=address))
+        found = rig.steering.waiting(now=SETTLED)
+        self.assertEqual([(s.priority, s.asked) for s in found], [(0, 1), (1, 2)])
--- a/tests/packets/test_slot_use.py
+++ b/tests/packets/test_slot_use.py
@@ -3,6 +3,7 @@
 import unittest
 
 from monsoonpier.agent.packets.slot_use import LINE_SECONDS, SlotUse
+from monsoonpier.process.exposition import expose
 from monsoonpier.wire.frames import Carry
 from standins.packets.simulation import Simulation, World
 from tests.packets.rig import BALANCER, answer, holder, packet
@@ -63,6 +64,18 @@
         self.holder.tick(now=9.1)
         self.assertAlmostEqual(self.use.total.idle, 0.0)
 
+    def test_metrics(self) -> None:
+        """The metrics address shows the use of the slots and who waits for them."""
+        readings = self.holder.target_load.readings
+        lines = expose(lambda: readings).decode().splitlines()
+        for line in (
+            "monsoonpier_slots 1.0",
+            'monsoonpier_queued_flows{class="in_time"} 0.0',
+            'monsoonpier_slot_turns_total{outcome="ran"} 1.0',
+            "monsoonpier_slot_gap_seconds_count 0.0",
+        ):
+            self.assertIn(line, lines)
+
     def test_lines(self) -> None:
         """One line in five seconds says what came to it, and an idle target's none."""
         self.assertIsNone(self.use.line(now=1.0 + LINE_SECONDS - 0.1))
