Let status compare data centres, and ask agents for their slots

Cause: whose callers wait longer could only be found by adding up logs.

Ruled out: the use of slots in load reports. It costs bytes in each frame for a figure that nobody places by.

--- a/monsoonpier/cli/operator.py
+++ b/monsoonpier/cli/operator.py
@@ -89,14 +89,19 @@
 
 @app.command
 def status(
-    *, settings: SettingsFile, as_json: bool = False, log_level: Level = "warning"
+    *,
+    settings: SettingsFile,
+    as_json: bool = False,
+    slots: bool = False,
+    log_level: Level = "warning",
 ) -> int:
-    """Show balancers, targets, their load, and the versions in force.
+    """Show balancers, targets, how callers fare, and the versions in force.
 
     Example: monsoonpier status --settings operator.yaml
 
     Args:
         as_json: Print one JSON object instead of a table.
+        slots: Ask the targets' agents too, what their slots do for two seconds.
         log_level: The least level that is logged.
     """
     from monsoonpier.operator import commands
@@ -104,7 +109,9 @@
     return _operate(
         settings,
         log_level,
-        lambda session: commands.show_status(session, as_json=as_json),
+        lambda session: commands.show_status(
+            session, as_json=as_json, with_slots=slots
+        ),
     )
 
 
--- a/monsoonpier/operator/commands.py
+++ b/monsoonpier/operator/commands.py
@@ -5,6 +5,7 @@
 import sys
 import uuid
 from collections.abc import Iterable
+from dataclasses import asdict
 from datetime import UTC, datetime
 from enum import Enum
 from pathlib import Path
@@ -19,6 +20,7 @@
 )
 from monsoonpier.exits import Exit
 from monsoonpier.model.findings import report
+from monsoonpier.operator.caller_waits import caller_waits, waiting_lines
 from monsoonpier.operator.change import (
     Accepted,
     Change,
@@ -32,6 +34,7 @@
 from monsoonpier.operator.evacuation_commands import entry_line, evacuation_lines
 from monsoonpier.operator.reports import newest_targets, report_unreachable
 from monsoonpier.operator.session import OperatorSession
+from monsoonpier.operator.slot_use import slot_lines, slot_uses
 from monsoonpier.operator.waiting import wait_in_force
 from monsoonpier.process.control import NoAnswer
 from monsoonpier.store.interface import StoreError
@@ -128,18 +131,24 @@
     return Exit.OK
 
 
-async def show_status(session: OperatorSession, *, as_json: bool) -> int:
-    """Print balancers, targets and the versions in force."""
+async def show_status(
+    session: OperatorSession, *, as_json: bool, with_slots: bool = False
+) -> int:
+    """Print balancers, targets, how callers fare, and the versions in force."""
     try:
         stored = (await read_stored(session.platform)).stored
         orders = await read_orders(session.platform)
         statuses = await session.statuses(await session.balancers())
     except StoreError as error:
         return report_unreachable(error)
+    waits = caller_waits(statuses.values())
+    slots = await slot_uses(session, statuses.values()) if with_slots else ()
     if as_json:
         content = {
             "accepted": stored.version,
             "evacuated": sorted(orders),
+            "callers": [asdict(each) for each in waits],
+            "slots": [asdict(each) for each in slots],
             "balancers": plain(statuses),
         }
         print(json.dumps(content))
@@ -151,6 +160,8 @@
         print(line)
     for line in _target_lines(statuses.values()):
         print(line)
+    for line in waiting_lines(waits) + slot_lines(slots):
+        print(line)
     return Exit.OK
 
 
@@ -279,6 +290,7 @@
         f"{target.load.condition.name.lower()}"
         f"{', suspected' if target.suspected else ''}, "
         f"{target.load.in_flight} of {target.record.slots} slots, "
-        f"{target.load.queued} queued, {target.load.flows} flows"
+        f"{target.load.queued + target.load.queued_late} queued, "
+        f"{target.load.flows} flows"
         for name, target in sorted(newest_targets(statuses).items())
     ]
