Tell silent callers from flows that ended before their first request

One count for callers that left and for SYN copies opened elsewhere answers neither question.

Both are counted, and the time that slots were kept for silent callers.

--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -101,7 +101,7 @@
         # What is expected and let go in the same moment has kept no slot.
         is_let_go = flow.phase is Phase.EXPECTED and phase is Phase.IDLE
         if is_let_go and now > flow.changed_at:
-            self.use.was_kept_in_vain()
+            self.use.was_silent(seconds=now - flow.changed_at)
         self._move(flow, phase, now=now)
 
     def _move(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
@@ -170,7 +170,7 @@
         self.busy -= int(flow.phase is not Phase.IDLE)
         self._running -= int(flow.phase is Phase.RUNNING)
         if flow.phase is Phase.EXPECTED:
-            self.use.was_kept_in_vain()
+            self.use.was_dropped()
         self.open -= int(flow.is_open)
 
     def ended(self, *, is_planned: bool, now: float) -> None:
--- a/monsoonpier/agent/packets/slot_use.py
+++ b/monsoonpier/agent/packets/slot_use.py
@@ -27,16 +27,22 @@
             has left.
         idle: Seconds in which slots ran nothing, the kept ones with them.
         idle_while_queued: Those of them in which a flow waited at this agent.
+        kept_in_vain: Those in which slots were kept for a caller that then was
+            silent for too long.
         runs: Requests answered.
-        kept_in_vain: Slots kept for a request that didn't come in time.
+        silent: Slots so kept.
+        dropped: Slots kept for a flow that ended before its first request, or was
+            opened at another target.
     """
 
     busy: float = 0.0
     kept: float = 0.0
     idle: float = 0.0
     idle_while_queued: float = 0.0
+    kept_in_vain: float = 0.0
     runs: int = 0
-    kept_in_vain: int = 0
+    silent: int = 0
+    dropped: int = 0
 
     def since(self, before: "SlotSeconds") -> "SlotSeconds":
         """Return what has come to it since an earlier moment."""
@@ -52,12 +58,13 @@
             "kept": self.kept,
             "idle": self.idle,
             "idle_while_queued": self.idle_while_queued,
+            "kept_in_vain": self.kept_in_vain,
         }
 
     @property
     def turns_by_outcome(self) -> dict[str, float]:
         """What became of slots that were given to a flow, as metrics label it."""
-        return {"ran": self.runs, "kept_in_vain": self.kept_in_vain}
+        return {"ran": self.runs, "silent": self.silent, "dropped": self.dropped}
 
     @property
     def fields(self) -> dict[str, float]:
@@ -66,7 +73,11 @@
             f"{use}_seconds": round(seconds, ROUNDED_TO)
             for use, seconds in self.seconds_by_use.items()
         }
-        return times | {"runs": self.runs, "kept_in_vain": self.kept_in_vain}
+        return times | {
+            "runs": self.runs,
+            "silent": self.silent,
+            "dropped": self.dropped,
+        }
 
 
 class SlotUse:
@@ -82,8 +93,10 @@
         self._kept = 0.0
         self._idle = 0.0
         self._idle_while_queued = 0.0
+        self._kept_in_vain = 0.0
         self._runs = 0
-        self._kept_in_vain = 0
+        self._silent = 0
+        self._dropped = 0
         self._at: float | None = None
         self._slots = 0
         self._running = 0
@@ -105,8 +118,10 @@
             kept=self._kept,
             idle=self._idle,
             idle_while_queued=self._idle_while_queued,
-            runs=self._runs,
             kept_in_vain=self._kept_in_vain,
+            runs=self._runs,
+            silent=self._silent,
+            dropped=self._dropped,
         )
 
     @property
@@ -116,7 +131,7 @@
         return (
             counter(
                 "slot_seconds",
-                "Of the target's slots; idle has the kept and the waited for in it.",
+                "Of the target's slots; idle holds all others but busy.",
                 total.seconds_by_use,
                 "use",
             ),
@@ -180,9 +195,14 @@
         else:
             self.gap_seconds.observe(0.0)
 
-    def was_kept_in_vain(self) -> None:
-        """Count a slot that was kept for a request that didn't come."""
-        self._kept_in_vain += 1
+    def was_silent(self, *, seconds: float) -> None:
+        """Count a slot that was kept so long for a request that didn't come."""
+        self._silent += 1
+        self._kept_in_vain += seconds
+
+    def was_dropped(self) -> None:
+        """Count a slot that was kept for a flow that didn't come to a request."""
+        self._dropped += 1
 
     def target_ended(self) -> None:
         """Forget the gaps of a run of the target that has ended."""
--- a/monsoonpier/operator/slot_use.py
+++ b/monsoonpier/operator/slot_use.py
@@ -28,8 +28,10 @@
         kept_share: In which they were kept for a flow's first request.
         idle_share: In which they ran nothing, the kept time with it.
         idle_while_queued_share: Of that, while a flow waited at the agent.
+        kept_in_vain_share: In which they were kept for a caller that then was silent
+            for too long.
         runs: Requests answered meanwhile.
-        kept_in_vain: Slots kept for a request that didn't come in time.
+        silent: Slots so kept.
     """
 
     service: str
@@ -41,8 +43,9 @@
     kept_share: float
     idle_share: float
     idle_while_queued_share: float
+    kept_in_vain_share: float
     runs: int
-    kept_in_vain: int
+    silent: int
 
 
 async def slot_uses(
@@ -101,8 +104,9 @@
         f"targets, {use.queued} flows wait at their agents; "
         f"busy {use.busy_share:.0%}, idle {use.idle_share:.0%} "
         f"(kept for a first request {use.kept_share:.0%}, "
+        f"in vain {use.kept_in_vain_share:.0%}, "
         f"while a flow waited {use.idle_while_queued_share:.0%}); "
-        f"{use.runs} runs, {use.kept_in_vain} kept in vain"
+        f"{use.runs} runs, {use.silent} callers silent"
         for use in uses
     ]
 
@@ -135,8 +139,9 @@
         kept_share=_share(gained["kept_seconds"], seconds),
         idle_share=_share(idle, seconds),
         idle_while_queued_share=_share(gained["idle_while_queued_seconds"], seconds),
+        kept_in_vain_share=_share(gained["kept_in_vain_seconds"], seconds),
         runs=int(gained["runs"]),
-        kept_in_vain=int(gained["kept_in_vain"]),
+        silent=int(gained["silent"]),
     )
 
 
--- a/tests/operator/test_caller_waits.py
+++ b/tests/operator/test_caller_waits.py
@@ -112,8 +112,9 @@
             "kept_seconds": 9.0,
             "idle_seconds": 50.0,
             "idle_while_queued_seconds": 1.0,
+            "kept_in_vain_seconds": 3.0,
             "runs": 1000,
-            "kept_in_vain": 7,
+            "silent": 7,
         }
         gains = {"busy_seconds": 3.0, "idle_seconds": 1.0, "runs": 60}
         gains["idle_while_queued_seconds"] = 0.4
@@ -127,7 +128,7 @@
         self.assertEqual((found.agents, found.slots, found.queued), (1, 2, 2))
         self.assertAlmostEqual(found.busy_share, 0.75)
         self.assertAlmostEqual(found.idle_while_queued_share, 0.1)
-        self.assertEqual((found.runs, found.kept_in_vain), (60, 0))
+        self.assertEqual((found.runs, found.silent), (60, 0))
         self.assertIn("while a flow waited 10%", slot_lines([found])[0])
 
 
--- a/tests/packets/test_slot_use.py
+++ b/tests/packets/test_slot_use.py
@@ -44,7 +44,7 @@
         self.assertAlmostEqual(total.kept, 0.005)
         self.assertAlmostEqual(total.idle, 0.005)
         self.assertEqual(total.runs, 2)
-        self.assertEqual(total.kept_in_vain, 0)
+        self.assertEqual((total.silent, total.dropped), (0, 0))
         self.assertAlmostEqual(self.use.gap_seconds.sums[0], 0.005)
 
     def test_caller_that_has_left(self) -> None:
@@ -54,7 +54,8 @@
         self.holder.expire(now=1.1 + GONE_SECONDS)
         total = self.use.total
         self.assertAlmostEqual(total.idle_while_queued, GONE_SECONDS)
-        self.assertEqual(total.kept_in_vain, 1)
+        self.assertEqual(total.silent, 1)
+        self.assertAlmostEqual(total.kept_in_vain, GONE_SECONDS)
 
     def test_ended_target(self) -> None:
         """A target that takes no new flows has no slots that could stand empty."""
