Count callers by the service that was chosen, where they are refused

Cause: a count at the reset would have taken the route's service, which is one of several where a route names more than one; and what waits is kept by the service that was chosen. A copy that isn't placed is no refusal: its caller is told nothing.

The lines in five seconds look only at services that flows wait for: all targets of a large site would keep packets waiting.

--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -138,7 +138,7 @@
         is_expecting = self.busy > self._running
         self.use.run_ended(
             is_free=self._running <= self.slots,
-            is_wanted=is_expecting or len(self.queue) > 0,
+            is_wanted=is_expecting or self._waiting > 0,
             now=now,
         )
 
@@ -182,6 +182,11 @@
         self._run_ms = 0.0
         self.use.target_ended()
 
+    @property
+    def _waiting(self) -> int:
+        """How many flows are known here to wait for a slot."""
+        return len(self.queue)
+
     def observe_use(self, *, is_serving: bool, now: float) -> None:
         """Count the time of the slots up to now.
 
@@ -193,7 +198,7 @@
             slots=self.slots if is_serving else min(self.slots, self._running),
             running=self._running,
             expected=self.busy - self._running,
-            queued=len(self.queue),
+            queued=self._waiting,
             now=now,
         )
 
--- a/monsoonpier/balancer/packets/caller_waits.py
+++ b/monsoonpier/balancer/packets/caller_waits.py
@@ -7,7 +7,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from monsoonpier.balancer.packets.placement import run_seconds, wait_for_slot
@@ -71,31 +71,39 @@
         self._lined_at: float | None = None
         self._lined_by_class: dict[Class, WaitingSummary] = {}
 
-    def configured(self, routes: Iterable[PacketRoute]) -> None:
-        """Forget classes that have no route any more."""
-        kept = {_class(route) for route in routes}
-        for gone in self._counts_by_class.keys() - kept:
-            del self._counts_by_class[gone]
-            self._lined_by_class.pop(gone, None)
-
-    def asked(self, route: PacketRoute) -> None:
-        """Count a new flow."""
-        counts = self._counts(route)
+    def configured(self, services: Collection[str]) -> None:
+        """Forget all services but these, which have a route."""
+        for key in list(self._counts_by_class):
+            service, _ = key
+            if service not in services:
+                del self._counts_by_class[key]
+                self._lined_by_class.pop(key, None)
+
+    def asked(self, service: str, route: PacketRoute) -> None:
+        """Count a new flow to a service, and its route."""
+        counts = self._counts(service, route)
         counts.asked += 1
         counts.aim_seconds = route.aim_seconds
 
     def served(
-        self, route: PacketRoute, *, asked_at: float, data_centre: str, now: float
+        self,
+        service: str,
+        route: PacketRoute,
+        *,
+        asked_at: float,
+        data_centre: str,
+        now: float,
     ) -> None:
         """Count a flow that a target took.
 
         Args:
+            service: The target's.
             route: Where its address leads.
             asked_at: When its caller asked first.
             data_centre: The target's.
             now: The present time.
         """
-        counts = self._counts(route)
+        counts = self._counts(service, route)
         wait = max(0.0, now - asked_at)
         _count(counts.served_by_data_centre, data_centre, most=MAX_DATA_CENTRES)
         counts.served_late += int(wait > route.aim_seconds)
@@ -104,9 +112,11 @@
         counts.lately.served += 1
         counts.lately.wait_seconds += wait
 
-    def refused(self, route: PacketRoute, reason: str, *, now: float) -> None:
+    def refused(
+        self, service: str, route: PacketRoute, reason: str, *, now: float
+    ) -> None:
         """Count a flow whose caller is told to go."""
-        counts = self._counts(route)
+        counts = self._counts(service, route)
         _count(counts.refused_by_reason, reason, most=MAX_REASONS)
         counts.lately.fade(now=now)
         counts.lately.refused += 1
@@ -121,7 +131,7 @@
         """Return how each class fares.
 
         Args:
-            waits_by_service: What waits now, for all services with a class.
+            waits_by_service: What waits now, for the services that are looked at.
             asked_at: Tells when a waiting flow's caller asked first.
             now: The present time.
         """
@@ -175,18 +185,15 @@
         found.sort(key=lambda fields: fields["oldest_seconds"], reverse=True)
         return found[:MAX_LINES]
 
-    def _counts(self, route: PacketRoute) -> _Counts:
-        counts = self._counts_by_class.get(_class(route))
+    def _counts(self, service: str, route: PacketRoute) -> _Counts:
+        key = (service, route.priority)
+        counts = self._counts_by_class.get(key)
         if counts is None:
             counts = _Counts(aim_seconds=route.aim_seconds)
-            self._counts_by_class[_class(route)] = counts
+            self._counts_by_class[key] = counts
         return counts
 
 
-def _class(route: PacketRoute) -> Class:
-    return (route.service, route.priority)
-
-
 def _count(counts: Counter[str], name: str, *, most: int) -> None:
     """Count under a name, or under one for all others if there are too many."""
     is_known = name in counts or len(counts) < most
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -103,6 +103,7 @@
             syn=packet,
         )
         self._scope.flows.put(packet.flow, known)
+        self._scope.waits.asked(known.service, route)
         return self._place(packet, known, now=now, draw=draw)
 
     def accepted(self, frame: Held, *, now: float) -> None:
@@ -261,6 +262,7 @@
     ) -> list:
         self._scope.flows.drop(packet.flow)
         self._scope.counts_by_result["refused"] += 1
+        self._note_refused(packet, known, reason, now=now)
         if packet.waited:
             # The first SYN may wait at another balancer, or be placed by now: a
             # reset would end what that one is about to serve.
@@ -275,6 +277,14 @@
             return []
         return [self._scope.reset(packet, reason, asked_at=known.asked_at, now=now)]
 
+    def _note_refused(
+        self, packet: Packet, known: KnownFlow, reason: str, *, now: float
+    ) -> None:
+        """Count a caller that is told to go; a copy's isn't told anything."""
+        route = self._scope.route(packet)
+        if route is not None and not packet.waited:
+            self._scope.waits.refused(known.service, route, reason, now=now)
+
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
         actions: list = []
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -57,8 +57,8 @@
         flows: The flows seen last.
         runs: What agents have said of their targets' runs.
         returning: Callers that were reset and may come back.
-        waits: What became of new flows, by class of work.
         counts_by_result: Decisions, for metrics.
+        waits: What became of new flows, by class of work.
     """
 
     def __init__(
@@ -72,10 +72,10 @@
         self.flows = FlowTable()
         self.runs = TargetRuns()
         self.returning = ReturningCallers()
-        self.waits = CallerWaits()
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
+        self.waits = CallerWaits()
 
     @property
     def started_at(self) -> float:
@@ -241,9 +241,6 @@
         """
         self.returning.refused(packet, asked_at=asked_at, now=now)
         self.counts_by_result["reset"] += 1
-        route = self.route(packet)
-        if packet.is_syn and route is not None:
-            self.waits.refused(route, reason, now=now)
         self.log.note(
             "caller reset",
             now=now,
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -69,19 +69,29 @@
     def configured(self) -> None:
         """Take a newer configuration into account."""
         self._openings.configured()
-        routes = self._scope.membership.configuration.routes_by_address
-        self._scope.waits.configured(routes.values())
+        self._scope.waits.configured(self._services)
 
     def waiting(self, *, now: float) -> tuple[WaitingSummary, ...]:
         """Return how callers fare, by service and priority."""
+        return self._summaries(self._services, now=now)
+
+    @property
+    def _services(self) -> set[str]:
+        """All services that the present configuration has a route to."""
         routes = self._scope.membership.configuration.routes_by_address
+        return {route.service for route in routes.values()}
+
+    def _summaries(
+        self, services: Collection[str], *, now: float
+    ) -> tuple[WaitingSummary, ...]:
+        """Return how callers fare; who waits and how long only of these services."""
         flows_by_service = self._openings.waiting_by_service
         waits_by_service = {
             service: ServiceWaits(
                 flows=flows_by_service.get(service, ()),
                 candidates=self._scope.membership.table.candidates_of(service, now=now),
             )
-            for service in {route.service for route in routes.values()}
+            for service in services
         }
         return self._scope.waits.summaries(
             waits_by_service, asked_at=self._asked_at, now=now
@@ -98,14 +108,17 @@
         return self._openings.retry(now=now, draw=draw) + self._inquiries.retry(now=now)
 
     def _note_waits(self, *, now: float) -> None:
-        for fields in self._scope.waits.lines(self.waiting(now=now)):
+        # To look at all targets of a large site would keep packets waiting.
+        flows_by_service = self._openings.waiting_by_service
+        services = [name for name, flows in flows_by_service.items() if flows]
+        summaries = self._summaries(services, now=now)
+        for fields in self._scope.waits.lines(summaries):
             self._scope.log.note("callers wait", now=now, **fields)
 
     def from_caller(self, packet: Packet, *, now: float, draw: random.Random) -> list:
         """Decide on a packet that a caller sent."""
         known = self._scope.flows.touch(packet.flow)
         if packet.is_syn:
-            self._note_asked(packet, known)
             return self._openings.open(packet, known, now=now, draw=draw)
         if known is None:
             return self._inquiries.ask(packet, now=now)
@@ -117,11 +130,6 @@
             return self._holders_ended(packet, known, now=now)
         return self._scope.carry(packet, known, names=known.holders)
 
-    def _note_asked(self, packet: Packet, known: KnownFlow | None) -> None:
-        route = self._scope.route(packet) if known is None else None
-        if route is not None:
-            self._scope.waits.asked(route)
-
     def from_process(
         self,
         frame,
@@ -180,7 +188,11 @@
         route = self._scope.route(known.syn)
         if route is not None:
             self._scope.waits.served(
-                route, asked_at=known.asked_at, data_centre=data_centre, now=now
+                known.service,
+                route,
+                asked_at=known.asked_at,
+                data_centre=data_centre,
+                now=now,
             )
 
     def _opened(self, frame: Held, known: KnownFlow, *, now: float) -> list:
--- a/tests/packets/test_caller_waits.py
+++ b/tests/packets/test_caller_waits.py
@@ -15,15 +15,15 @@
 from monsoonpier.model.waiting_summary import WaitingSummary
 from monsoonpier.process.exposition import expose
 from monsoonpier.wire.frames import Held
-from tests.packets.rig import SERVICE, SETTLED, SteeringRig, load, packet
+from tests.packets.rig import SERVICE, SETTLED, SteeringRig, load, packet, replace
 
 AIM_SECONDS = 0.2
 OTHER_SERVICE = Address(ip="198.18.0.2", port=8443)
 
 
-def route(number: int = 0, *, priority: int = 0) -> PacketRoute:
+def route(*, priority: int = 0) -> PacketRoute:
     return PacketRoute(
-        service=f"maps-{number}",
+        service="maps-0",
         aim_seconds=AIM_SECONDS,
         timeout_seconds=3.0,
         priority=priority,
@@ -79,6 +79,14 @@
         self.assertAlmostEqual(found.lately.refused, 3.0)
         self.assertLess(self.summary(now=SETTLED + 60.0).lately.refused, 0.1)
 
+    def test_copy(self) -> None:
+        """A copy's caller is told nothing: its first SYN may wait elsewhere."""
+        copy = replace(packet(4, syn=True), waited=0.2)
+        self.rig.caller(copy, now=SETTLED + 0.4)
+        self.rig.steering.retry(now=SETTLED + 2.0, draw=self.rig.draw)
+        found = self.summary(now=SETTLED + 2.0)
+        self.assertEqual((found.asked, found.refused), (4, 3))
+
     def test_without_its_route(self) -> None:
         """A class of work that has no route any more isn't shown for ever."""
         self.rig.configure(version=2, service="logs")
@@ -101,8 +109,8 @@
         """Each reading has its labels; reasons beyond the usual are one."""
         waits = CallerWaits()
         for number in range(3 * MAX_REASONS):
-            waits.refused(route(), f"reason {number}", now=1.0)
-        waits.asked(route(priority=2))
+            waits.refused("maps-0", route(), f"reason {number}", now=1.0)
+        waits.asked("maps-0", route(priority=2))
         summaries = waits.summaries({}, asked_at=lambda flow: None, now=1.0)
         readings = wait_readings(summaries, data_centre="dc-1")
         lines = expose(lambda: readings).decode().splitlines()
@@ -117,7 +125,7 @@
         """A line each for those that are worst off, whatever the services are."""
         waits = CallerWaits()
         for number in range(3 * MAX_LINES):
-            waits.refused(route(number), "would be late", now=1.0)
+            waits.refused(f"maps-{number}", route(), "would be late", now=1.0)
         summaries = waits.summaries({}, asked_at=lambda flow: None, now=1.0)
         self.assertEqual(len(waits.lines(summaries)), MAX_LINES)
         self.assertEqual(waits.lines(summaries), [])
