Count the use of slots only when it changes

Cause: each packet of an open flow cost 1.29 us of counting, of 2.45 us for the whole decision (timeit, one flow, a packet without data).

Packets that change nothing of slots, runs and queue are passed over, and the time is settled with each tick.

--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -477,6 +477,7 @@
         return self.expire(now=now)
 
     def _note_use(self, *, now: float) -> None:
+        self.target_load.use.settle(now=now)
         used = self.target_load.use.line(now=now)
         if used is not None:
             slots = self.target_load.slots
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -65,6 +65,7 @@
         self.cold = ColdLimit()
         self.use = SlotUse()
         self._running = 0
+        self._observed: tuple | None = None
         self._number = 0
         self._run_ms = 0.0
         self._failures = FailureShare()
@@ -191,12 +192,16 @@
         return len(self.queue)
 
     def observe_use(self, *, is_serving: bool, now: float) -> None:
-        """Count the time of the slots up to now.
+        """Count the time of the slots up to now, if anything has changed.
 
         Args:
             is_serving: The target takes new flows: an empty slot is a loss.
             now: The present time.
         """
+        present = (self.slots, self._running, self.busy, self._waiting, is_serving)
+        if present == self._observed:
+            return  # Most packets change nothing of it.
+        self._observed = present
         self.use.observe(
             slots=self.slots if is_serving else min(self.slots, self._running),
             running=self._running,
--- a/monsoonpier/agent/packets/slot_use.py
+++ b/monsoonpier/agent/packets/slot_use.py
@@ -157,9 +157,7 @@
             queued: Flows that wait at the agent.
             now: The present time.
         """
-        if self._at is not None:
-            self._count(max(0.0, now - self._at))
-        self._at = now
+        self.settle(now=now)
         self._slots = slots
         self._running = min(slots, running)
         self._expected = expected
@@ -168,6 +166,12 @@
         if not queued and not expected:
             self._wanted_since.clear()
 
+    def settle(self, *, now: float) -> None:
+        """Count the time since the last call; what held goes on."""
+        if self._at is not None:
+            self._count(max(0.0, now - self._at))
+        self._at = now
+
     def kept_each(self, *, now: float) -> float:
         """Return the seconds that each flow has kept a slot that was always expected.
 
