--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -8,8 +8,9 @@
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.queue import AdmissionQueue
 from monsoonpier.agent.packets.reservations import Reservations
+from monsoonpier.agent.packets.slot_use import SlotUse
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
-from monsoonpier.process.readings import Histogram
+from monsoonpier.process.readings import Histogram, Reading, Series, gauge
 
 __all__ = ["LoadLevel", "TargetLoad"]
 
@@ -55,6 +56,7 @@
         queue: New flows that wait for a slot.
         reservations: Slots that balancers want for flows that wait there.
         cold: How many new flows the target takes while it is cold.
+        use: What the slots did with their time.
     """
 
     def __init__(self, *, slots: int) -> None:
@@ -64,6 +66,9 @@
         self.queue = AdmissionQueue()
         self.reservations = Reservations()
         self.cold = ColdLimit()
+        self.use = SlotUse()
+        self._running = 0
+        self._observed: tuple | None = None
         self._number = 0
         self._run_ms = 0.0
         self._failures = FailureShare()
@@ -102,9 +107,21 @@
 
     def enter(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
         """Move a flow to a phase."""
+        # What is expected and let go in the same moment has kept no slot.
+        is_let_go = flow.phase is Phase.EXPECTED and phase is Phase.IDLE
+        if is_let_go and now > flow.changed_at:
+            kept = self.use.kept_each(now=now) - flow.kept_from
+            self.use.was_silent(seconds=kept)
+        self._move(flow, phase, now=now)
+
+    def _move(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
+        if phase is Phase.EXPECTED and flow.phase is not Phase.EXPECTED:
+            flow.kept_from = self.use.kept_each(now=now)
         self._busy_share = self.busy_share(now=now)
         self._share_at = now
         self.busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
+        self._running += int(phase is Phase.RUNNING)
+        self._running -= int(flow.phase is Phase.RUNNING)
         flow.phase = phase
         flow.changed_at = now
 
@@ -113,6 +130,7 @@
         if flow.phase is Phase.RUNNING:
             return
         self.enter(flow, Phase.RUNNING, now=now)
+        self.use.run_began(now=now)
         flow.is_overdue = False
         flow.is_queued = self.busy > self.slots
 
@@ -125,7 +143,16 @@
             # A failure takes no time and says nothing of a run's.
             if not flow.is_queued and not is_failure:
                 self._learn(max(MIN_RUN_MS, seconds * 1000))
-        self.enter(flow, Phase.IDLE, now=now)
+            self._note_run_ended(now=now)
+        self._move(flow, Phase.IDLE, now=now)
+
+    def _note_run_ended(self, *, now: float) -> None:
+        is_expecting = self.busy > self._running
+        self.use.run_ended(
+            is_free=self._running <= self.slots,
+            is_wanted=is_expecting or self._waiting > 0,
+            now=now,
+        )
 
     def broken_off(self, flow: PacketFlow, *, now: float) -> None:
         """Count a request that got no answer as failed."""
@@ -153,6 +180,9 @@
     def dropped(self, flow: PacketFlow) -> None:
         """Count a flow no more."""
         self.busy -= int(flow.phase is not Phase.IDLE)
+        self._running -= int(flow.phase is Phase.RUNNING)
+        if flow.phase is Phase.EXPECTED:
+            self.use.was_dropped()
         self.open -= int(flow.is_open)
 
     def ended(self, *, is_planned: bool, now: float) -> None:
@@ -160,7 +190,60 @@
         self._failures.run_ended(is_planned=is_planned, now=now)
         self.busy = 0
         self.open = 0
+        self._running = 0
         self._run_ms = 0.0
+        self.use.target_ended()
+
+    @property
+    def _waiting(self) -> int:
+        """How many flows are known here to wait for a slot."""
+        return len(self.queue)
+
+    def observe_use(self, *, is_serving: bool, now: float) -> None:
+        """Count the time of the slots up to now, if anything has changed.
+
+        Args:
+            is_serving: The target takes new flows: an empty slot is a loss.
+            now: The present time.
+        """
+        present = (self.slots, self._running, self.busy, self._waiting, is_serving)
+        if present == self._observed:
+            return  # Most packets change nothing of it.
+        self._observed = present
+        self.use.observe(
+            slots=self.slots if is_serving else min(self.slots, self._running),
+            running=self._running,
+            expected=self.busy - self._running,
+            queued=self._waiting,
+            now=now,
+        )
+
+    @property
+    def use_fields(self) -> dict[str, float]:
+        """The use of the slots, as the agent tells it when it is asked."""
+        present = {
+            "slots": self.slots,
+            "running": self._running,
+            "queued": self.queue.timely,
+            "queued_late": self.queue.late,
+        }
+        return present | self.use.total.fields
+
+    @property
+    def readings(self) -> tuple[Reading, ...]:
+        """What the metrics address shows of the slots and who waits for them."""
+        queued_by_class = {("in_time",): self.queue.timely, ("late",): self.queue.late}
+        return (
+            gauge("slots", "Requests that the target works on at once.", self.slots),
+            gauge("running", "Requests that it works on now.", self._running),
+            Series(
+                name="queued_flows",
+                help="New flows that wait at this agent.",
+                labels=("class",),
+                values_by_labels=queued_by_class,
+            ),
+            *self.use.readings,
+        )
 
     def is_cold_until(self, until: float) -> None:
         """Note until when the target runs slower than later."""
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -168,7 +168,7 @@
         self._control.stop()
         self._internal.close()
         self._outbound.close()
-        _log.info("stopped")
+        _log.info("stopped", **self._holder.target_load.use.total.fields)
 
     async def _leave_and_finish(self) -> None:
         await self._life.wait_for_leaving()
@@ -455,6 +455,7 @@
                     state=self._life.state,
                     version=0,
                     uptime=_now() - self._started,
+                    slot_use=self._holder.target_load.use_fields,
                 )
             case AskDrain():
                 name = self._settings.name
@@ -468,6 +469,7 @@
         failed = self._holder.target_load.failed_percent(now=_now())
         yield gauge("failed_percent", "Of the target's latest requests.", failed)
         yield self._holder.target_load.answer_seconds
+        yield from self._holder.target_load.readings
         yield from self._sender.readings
         results = self._holder.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -8,6 +8,7 @@
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import ALONE_SECONDS, Membership
+from monsoonpier.balancer.packets.caller_waits import CallerWaits
 from monsoonpier.balancer.packets.flows import FlowTable, KnownFlow
 from monsoonpier.balancer.packets.returning import ReturningCallers
 from monsoonpier.balancer.packets.runs import TargetRuns
@@ -64,6 +65,7 @@
         runs: What agents have said of their targets' runs.
         returning: Callers that were reset and may come back.
         counts_by_result: Decisions, for metrics.
+        waits: What became of new flows, by class of work.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
+        self.waits = CallerWaits()
 
     @property
     def started_at(self) -> float:
