Keep when callers first asked, for all balancers of a data centre

Cause: a caller whose try ends opens another flow, which the fabric hands to any balancer of its data centre. Only the one that had refused it knew since when it asks. Elsewhere it went before callers that could still be answered in time, and waited longer than it was there, so that slots were given to callers that had left.

Now one balancer, chosen by rendezvous hashing over the caller's address and the service's, is told of refusals and asked for flows that have to wait (frames 30 to 32). A flow asks once.

Ruled out: a record at the refusing balancer beside the keeper's (two users of one address would both count as late for one refusal); asking for each flow (a message for each new flow while slots are free); refusing at once on the keeper's answer (each balancer knows only its own waiting flows, and three tries are soon used up).

--- /dev/null
+++ b/monsoonpier/balancer/packets/first_asked.py
@@ -0,0 +1,122 @@
+"""When callers first asked, for all balancers of a data centre.
+
+The load that it answers: more callers than slots. A caller whose try ends opens
+another flow from another port, which the fabric hands to any balancer of its data
+centre. Taken for a new caller there it goes before those who can still be answered in
+time, and it waits longer than it is there: its own deadline counts from its first try.
+A slot that is given to it then stands empty.
+
+One balancer, the caller's keeper, is told of each refusal. It is asked only for flows
+that have to wait, and answers only if it knows something. A keeper may be lost: its
+callers then count as new ones, as they do with an answer that comes too late.
+"""
+
+from monsoonpier.balancer.actions import ToAgent
+from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.packets.returning import ReturningCallers
+from monsoonpier.model.address import Address
+from monsoonpier.model.rendezvous import top
+from monsoonpier.wire.frames import (
+    MAX_MILLISECONDS,
+    BalancerRecord,
+    FirstAsked,
+    Refused,
+    WhenAsked,
+)
+from monsoonpier.wire.packet import Packet
+
+__all__ = ["FirstAskedTimes"]
+
+
+class FirstAskedTimes:
+    """This balancer's part of what is kept, and its words to other keepers."""
+
+    def __init__(self, *, membership: Membership, returning: ReturningCallers) -> None:
+        self._membership = membership
+        self._returning = returning
+
+    def refused(
+        self, packet: Packet, *, asked_at: float, back_at: float, now: float
+    ) -> list[ToAgent]:
+        """Keep a caller's first ask, or tell its keeper.
+
+        Args:
+            packet: The refused one, which names the caller and the service's address.
+            asked_at: When the caller asked first, as far as is known here.
+            back_at: When it learns of the refusal, or gives up by itself.
+            now: The present time.
+        """
+        keeper = self._keeper_of(packet)
+        if keeper is None:
+            self._returning.refused(packet, asked_at=asked_at, now=back_at)
+            return []
+        frame = Refused(
+            caller=packet.caller_ip,
+            service=_endpoint(packet.service_address),
+            asked_ms=_milliseconds(now - asked_at),
+            back_ms=_milliseconds(back_at - now),
+        )
+        return [ToAgent(endpoint=keeper.endpoint, frame=frame)]
+
+    def ask(self, packet: Packet) -> list[ToAgent]:
+        """Return the question when a flow's caller asked first.
+
+        There is none if this balancer is the keeper, which knew when the flow came.
+        """
+        keeper = self._keeper_of(packet)
+        if keeper is None:
+            return []
+        frame = WhenAsked(
+            flow=packet.flow,
+            caller=packet.caller_ip,
+            service=_endpoint(packet.service_address),
+            waited_ms=_milliseconds(packet.waited),
+        )
+        return [ToAgent(endpoint=keeper.endpoint, frame=frame)]
+
+    def told(self, frame: Refused, *, now: float) -> None:
+        """Keep what another balancer says of a caller that it has refused."""
+        self._returning.keep(
+            frame.caller,
+            _address(frame.service),
+            asked_at=now - frame.asked_ms / 1000,
+            back_at=now + frame.back_ms / 1000,
+        )
+
+    def answer(
+        self, frame: WhenAsked, *, sender: tuple[str, int], now: float
+    ) -> list[ToAgent]:
+        """Answer another balancer's question; a caller that isn't known is new."""
+        came_at = now - frame.waited_ms / 1000
+        asked_at = self._returning.take(
+            frame.caller, _address(frame.service), came_at=came_at, now=now
+        )
+        if asked_at is None:
+            return []
+        answer = FirstAsked(flow=frame.flow, asked_ms=_milliseconds(now - asked_at))
+        return [ToAgent(endpoint=sender, frame=answer)]
+
+    def _keeper_of(self, packet: Packet) -> BalancerRecord | None:
+        """Return the balancer that keeps a caller; ``None`` if it is this one."""
+        own = self._membership.peers.own
+        near_by_name = {
+            name: record
+            for name, record in self._membership.peers.records_by_name.items()
+            if record.data_centre == own.data_centre and name != own.name
+        }
+        subject = f"{packet.caller_ip} {packet.service_address}"
+        (keeper,) = top(subject, (*near_by_name, own.name), count=1)
+        return near_by_name.get(keeper)
+
+
+def _endpoint(address: Address) -> tuple[str, int]:
+    return (address.ip, address.port)
+
+
+def _address(endpoint: tuple[str, int]) -> Address:
+    ip, port = endpoint
+    return Address(ip=ip, port=port)
+
+
+def _milliseconds(seconds: float) -> int:
+    return min(MAX_MILLISECONDS, max(0, round(seconds * 1000)))
--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -59,7 +59,8 @@
     ``holders`` names the targets that may hold it: several while copies of its
     SYN are on their way, one after its agent has said so. ``is_queued`` says that
     the SYN waits at the last of them for a slot. ``asked_at`` is when its caller
-    asked first, on this flow or on one that it was refused before. ``sent_bytes``
+    asked first, on this flow or on one that it was refused before;
+    ``is_asked_for`` says that its keeper was asked when that was. ``sent_bytes``
     are the caller's; what it has acknowledged since ``first_acknowledged`` are the
     answer's.
     """
@@ -67,6 +68,7 @@
     service: str
     created_at: float
     asked_at: float = 0.0
+    is_asked_for: bool = False
     holders: tuple[str, ...] = ()
     is_confirmed: bool = False
     is_accepted: bool = False
--- a/monsoonpier/balancer/packets/inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -301,7 +301,8 @@
         packet = inquiry.packets[-1]
         self._scope.flows.drop(packet.flow)
         reason = "nobody holds the flow"
-        return [self._scope.reset(packet, reason, asked_at=inquiry.began_at, now=now)]
+        self._scope.returning.refused(packet, asked_at=inquiry.began_at, now=now)
+        return [self._scope.reset(packet, reason, now=now)]
 
     # Time
 
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -19,7 +19,7 @@
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.waiting import MARGIN_RUNS, WaitingFlow
 from monsoonpier.process.readings import Histogram
-from monsoonpier.wire.frames import MAX_TRIED, Held, Queued, Turned
+from monsoonpier.wire.frames import MAX_TRIED, FirstAsked, Held, Queued, Turned
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["FlowOpenings"]
@@ -90,7 +90,7 @@
             self._scope.counts_by_result["no_route"] += 1
             if not self._scope.membership.configuration.version:
                 return []
-            return [self._scope.reset(packet, "no route", asked_at=now, now=now)]
+            return [self._scope.reset(packet, "no route", now=now)]
         known = KnownFlow(
             service=route.service,
             created_at=now - packet.waited,
@@ -185,13 +185,16 @@
                 self._unanswered.append((now + HEDGE_SECONDS, packet.flow))
                 self._hedges_left = min(MAX_HEDGES, self._hedges_left + HEDGE_SHARE)
                 self._scope.counts_by_result["placed"] += 1
-                return self._carry_syn(packet, known, route, record.name, now=now)
+                return self._carry_syn(
+                    packet, known, route, candidates, record.name, now=now
+                )
 
     def _carry_syn(
         self,
         packet: Packet,
         known: KnownFlow,
         route: PacketRoute,
+        candidates: list[Candidate],
         name: str,
         *,
         now: float,
@@ -201,7 +204,7 @@
             known,
             name=name,
             in_time_seconds=known.asked_at + route.aim_seconds - now,
-            wait_seconds=_gives_up_at(known, route) - now,
+            wait_seconds=_gives_up_at(known, route, candidates) - now,
             priority=route.priority,
         )
 
@@ -217,12 +220,7 @@
         route = self._scope.route(packet)
         if known.holders or route is None:
             return []  # One that was asked earlier may still answer.
-        waiting = WaitingFlow(
-            flow=packet.flow,
-            in_time_until=known.asked_at + route.aim_seconds,
-            expires=_gives_up_at(known, route),
-            priority=route.priority,
-        )
+        waiting = _waiting_flow(packet.flow, known, route, candidates)
         # Others may wait elsewhere too: what waits here is the least.
         ahead = self._waiting_room.ahead(
             waiting,
@@ -249,6 +247,33 @@
             expected_seconds=round(wait, 3),
             at_most_seconds=round(waiting.expires - now, 3),
         )
+        return self._ask_keeper(packet, known)
+
+    def _ask_keeper(self, packet: Packet, known: KnownFlow) -> list:
+        """Ask once a flow whether its caller has been refused elsewhere."""
+        if known.is_asked_for or known.asked_at < known.created_at:
+            return []
+        known.is_asked_for = True
+        return self._scope.first_asked.ask(packet)
+
+    def first_asked(self, frame: FirstAsked, *, now: float) -> list:
+        """Take a keeper's word that a flow's caller has asked before."""
+        known = self._scope.flows.get(frame.flow)
+        route = self._scope.route(known.syn) if known and known.syn else None
+        if known is None or route is None:
+            return []
+        known.asked_at = min(known.asked_at, now - frame.asked_ms / 1000)
+        self._scope.counts_by_result["asked_before"] += 1
+        self._scope.log.note(
+            "caller asked before",
+            now=now,
+            flow=frame.flow,
+            first_asked_seconds=round(now - known.asked_at, 3),
+        )
+        table = self._scope.membership.table
+        candidates = reliable(table.candidates_of(known.service, now=now))
+        waiting = _waiting_flow(frame.flow, known, route, candidates)
+        self._waiting_room.rekey(waiting, service=known.service)
         return []
 
     def _refuse(
@@ -262,13 +287,18 @@
             self._scope.log.note(
                 "copy not placed", now=now, flow=packet.flow, reason=reason
             )
-            self._scope.returning.refused(
-                packet,
-                asked_at=known.asked_at,
-                now=known.created_at + GIVE_UP_SECONDS,
+            return self._tell_keeper(
+                packet, known, back_at=known.created_at + GIVE_UP_SECONDS, now=now
             )
-            return []
-        return [self._scope.reset(packet, reason, asked_at=known.asked_at, now=now)]
+        told = self._tell_keeper(packet, known, back_at=now, now=now)
+        return [*told, self._scope.reset(packet, reason, now=now)]
+
+    def _tell_keeper(
+        self, packet: Packet, known: KnownFlow, *, back_at: float, now: float
+    ) -> list:
+        return self._scope.first_asked.refused(
+            packet, asked_at=known.asked_at, back_at=back_at, now=now
+        )
 
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
@@ -366,13 +396,29 @@
         )
 
 
-def _gives_up_at(known: KnownFlow, route: PacketRoute) -> float:
+def _waiting_flow(
+    flow: bytes, known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
+) -> WaitingFlow:
+    return WaitingFlow(
+        flow=flow,
+        in_time_until=known.asked_at + route.aim_seconds,
+        expires=_gives_up_at(known, route, candidates),
+        priority=route.priority,
+    )
+
+
+def _gives_up_at(
+    known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
+) -> float:
     """Return until when a SYN may wait for a slot.
 
-    A caller that was refused before has less time left for the whole request.
+    A caller that was refused before has less time left for the whole request: a run
+    that begins at its end is for one that has left.
     """
     most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
-    return min(known.created_at + most, known.asked_at + route.timeout_seconds)
+    needed = MARGIN_RUNS * run_seconds(candidates)
+    left_at = known.asked_at + route.timeout_seconds - needed
+    return min(known.created_at + most, left_at)
 
 
 def _is_in_time(
--- a/monsoonpier/balancer/packets/returning.py
+++ b/monsoonpier/balancer/packets/returning.py
@@ -10,12 +10,14 @@
 
 from collections import OrderedDict, deque
 
+from monsoonpier.model.address import Address
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["ReturningCallers"]
 
 RETURN_SECONDS = 1.0  # callers open another flow in 0.1 s, those that time out later
 MAX_CALLERS = 8_192  # as many as may wait, twice
+MAX_REFUSALS = 64  # of one address in a second, that several users share
 
 
 class ReturningCallers:
@@ -34,9 +36,18 @@
             asked_at: When it asked first, as far as is known here.
             now: When it learns so, or gives up by itself.
         """
-        refusals = self._refusals_by_caller.setdefault(_key(packet), deque())
-        refusals.append((now, asked_at))
-        self._refusals_by_caller.move_to_end(_key(packet))
+        self.keep(
+            packet.caller_ip, packet.service_address, asked_at=asked_at, back_at=now
+        )
+
+    def keep(
+        self, caller: str, service: Address, *, asked_at: float, back_at: float
+    ) -> None:
+        """Note that a caller of a service's address may come back from then on."""
+        key = (caller, service)
+        refusals = self._refusals_by_caller.setdefault(key, deque(maxlen=MAX_REFUSALS))
+        refusals.append((back_at, asked_at))
+        self._refusals_by_caller.move_to_end(key)
         while len(self._refusals_by_caller) > self._most:
             self._refusals_by_caller.popitem(last=False)
 
@@ -46,13 +57,23 @@
         That is now, less the time of the SYN's earlier copies, for one that was
         not refused.
         """
-        refusals = self._refusals_by_caller.get(_key(packet), deque())
+        came_at = now - packet.waited
+        asked_at = self.take(
+            packet.caller_ip, packet.service_address, came_at=now, now=now
+        )
+        return came_at if asked_at is None else asked_at
+
+    def take(
+        self, caller: str, service: Address, *, came_at: float, now: float
+    ) -> float | None:
+        """Return when a caller that has come back asked first, once a refusal."""
+        refusals = self._refusals_by_caller.get((caller, service), deque())
         while refusals and now - refusals[0][0] > RETURN_SECONDS:
             refusals.popleft()
-        if refusals and refusals[0][0] <= now:
-            return refusals.popleft()[1]
-        return now - packet.waited
-
-
-def _key(packet: Packet) -> tuple:
-    return (packet.caller_ip, packet.service_address)
+        # One that gives up by itself later on may stand before one that is back.
+        for refusal in refusals:
+            back_at, asked_at = refusal
+            if back_at <= came_at:
+                refusals.remove(refusal)
+                return asked_at
+        return None
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -8,6 +8,7 @@
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import ALONE_SECONDS, Membership
+from monsoonpier.balancer.packets.first_asked import FirstAskedTimes
 from monsoonpier.balancer.packets.flows import FlowTable, KnownFlow
 from monsoonpier.balancer.packets.returning import ReturningCallers
 from monsoonpier.balancer.packets.runs import TargetRuns
@@ -55,7 +56,8 @@
         membership: Targets, peers and the configuration.
         flows: The flows seen last.
         runs: What agents have said of their targets' runs.
-        returning: Callers that were reset and may come back.
+        returning: Callers that were reset and may come back, as far as kept here.
+        first_asked: The same, shared with the other balancers of the data centre.
         counts_by_result: Decisions, for metrics.
     """
 
@@ -70,6 +72,9 @@
         self.flows = FlowTable()
         self.runs = TargetRuns()
         self.returning = ReturningCallers()
+        self.first_asked = FirstAskedTimes(
+            membership=membership, returning=self.returning
+        )
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
@@ -225,18 +230,8 @@
             if record is not None
         ]
 
-    def reset(
-        self, packet: Packet, reason: str, *, asked_at: float, now: float
-    ) -> ResetCaller:
-        """Return the reset of a packet's flow, and leave a line why.
-
-        Args:
-            packet: The packet that is answered.
-            reason: Why.
-            asked_at: When its caller asked first, as far as is known.
-            now: The present time.
-        """
-        self.returning.refused(packet, asked_at=asked_at, now=now)
+    def reset(self, packet: Packet, reason: str, *, now: float) -> ResetCaller:
+        """Return the reset of a packet's flow, and leave a line why."""
         self.counts_by_result["reset"] += 1
         self.log.note(
             "caller reset",
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -20,7 +20,17 @@
 from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.process.readings import Reading
-from monsoonpier.wire.frames import Held, Holds, Load, NotHeld, Queued, Turned
+from monsoonpier.wire.frames import (
+    FirstAsked,
+    Held,
+    Holds,
+    Load,
+    NotHeld,
+    Queued,
+    Refused,
+    Turned,
+    WhenAsked,
+)
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["PacketSteering"]
@@ -120,6 +130,13 @@
                 return self._openings.queued(frame, now=now)
             case Turned() if packet is not None:
                 return self._openings.turned(frame, packet, now=now, draw=draw)
+            case FirstAsked():
+                return self._openings.first_asked(frame, now=now)
+            case Refused():
+                self._scope.first_asked.told(frame, now=now)
+                return []
+            case WhenAsked():
+                return self._scope.first_asked.answer(frame, sender=sender, now=now)
         return self._inquiries.from_balancer(frame, sender=sender, now=now)
 
     def _held(self, frame: Held, *, now: float) -> list:
@@ -157,4 +174,4 @@
         self._scope.flows.drop(packet.flow)
         if not known.is_confirmed:
             return self._inquiries.ask(packet, now=now)
-        return [self._scope.reset(packet, "target gone", asked_at=now, now=now)]
+        return [self._scope.reset(packet, "target gone", now=now)]
--- a/monsoonpier/balancer/packets/waiting.py
+++ b/monsoonpier/balancer/packets/waiting.py
@@ -58,6 +58,13 @@
         self._flows.add(waiting.flow)
         return True
 
+    def rekey(self, waiting: WaitingFlow, *, service: str) -> None:
+        """Give a flow that waits another place; one that doesn't has none."""
+        if waiting.flow in self._flows:
+            queue = self._queues_by_service[service]
+            queue.remove(waiting)
+            queue.add(waiting)
+
     def sort_out(self, service: str, *, now: float, run_seconds: float) -> bool:
         """Count again who is late; tell whether one in time is left."""
         queue = self._queues_by_service[service]
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -18,6 +18,7 @@
     "Find",
     "Forward",
     "Found",
+    "FirstAsked",
     "FrameCodec",
     "Gossip",
     "Heartbeat",
@@ -27,8 +28,10 @@
     "NotHeld",
     "PassOn",
     "Queued",
+    "Refused",
     "Register",
     "Turned",
+    "WhenAsked",
     "Whose",
     "HeartbeatAck",
     "Return",
@@ -308,6 +311,38 @@
     endpoints: Annotated[tuple[Endpoint, ...], Meta(max_length=MAX_PASSED_ON)]
 
 
+class Refused(_Frame, tag=30, kw_only=True, gc=False):
+    """Tells a caller's keeper that one of its tries has ended without a slot.
+
+    ``asked_ms`` is how long ago the caller asked first, ``back_ms`` how long it is
+    until it may come back: 0 if it is reset now.
+    """
+
+    caller: Ip
+    service: Endpoint
+    asked_ms: Milliseconds
+    back_ms: Milliseconds = 0
+
+
+class WhenAsked(_Frame, tag=31, kw_only=True, gc=False):
+    """Asks a caller's keeper when the caller of a flow asked first.
+
+    ``waited_ms`` is how long ago the flow's first SYN was sent.
+    """
+
+    flow: FlowAddress
+    caller: Ip
+    service: Endpoint
+    waited_ms: Milliseconds = 0
+
+
+class FirstAsked(_Frame, tag=32, kw_only=True, gc=False):
+    """A keeper's answer, if it knows: how long ago the caller asked first."""
+
+    flow: FlowAddress
+    asked_ms: Milliseconds
+
+
 Frame = (
     Forward
     | Return
@@ -329,6 +364,9 @@
     | Holds
     | PassOn
     | Queued
+    | Refused
+    | WhenAsked
+    | FirstAsked
 )
 
 
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -88,6 +88,9 @@
             and the last process is up, balancers and agents alike.
         cold_seconds, cold_ratio: How long and how much slower targets then are.
         caller_way_seconds: Between a VM and a caller.
+        addresses: How many the callers share; with 0 each has its own.
+        rotates_seconds: How often all flows move to other balancers; 0 for never.
+        lost_copies: The share of callers' later copies of a SYN that get lost.
         late_worth: What an answer after its aim is worth against one in time.
     """
 
@@ -108,6 +111,9 @@
     cold_seconds: float = 2.0
     cold_ratio: float = 1.6
     caller_way_seconds: float = WAY_SECONDS
+    addresses: int = 0
+    rotates_seconds: float = 0.0
+    lost_copies: float = 0.0
     late_worth: float = 0.3
     seed: int = 1
 
@@ -125,6 +131,7 @@
     resets: int
     reports: int  # of load, beside those that ride on other frames
     imbalance: float
+    left_share: float  # of SYNs that targets got, whose callers had gone on
     remote_share: float
 
 
@@ -200,6 +207,8 @@
         self._reports = 0
         self._placed = 0
         self._remote = 0
+        self._delivered = 0
+        self._delivered_late = 0
         self._runs_by_target: Counter[int] = Counter()
         self._is_out = False
         self._up_at_by_number: dict[int, float] = {}
@@ -258,15 +267,10 @@
     def _balancer(
         self, number: int, log: DecisionLog, *, started_at: float
     ) -> PacketSteering:
-        own = BalancerRecord(
-            name=f"lb-{number}",
-            data_centre=f"dc-{number % DATA_CENTRES}",
-            ip="10.1.0.1",
-            port=number,
-            control="10.1.0.1:1",
-            epoch=1,
-        )
+        own = _balancer_record(number)
         membership = Membership(own=own, started_at=started_at)
+        for other in range(self.world.balancers):
+            membership.peers.learn(_balancer_record(other))
         for target in self.targets:
             membership.table.learn(self._record(target), now=0.0)
         route = PacketRoute(
@@ -337,6 +341,7 @@
             resets=self._resets,
             reports=self._reports,
             imbalance=self._imbalance,
+            left_share=self._delivered_late / max(1, self._delivered),
             remote_share=self._remote / max(1, self._placed),
         )
 
@@ -415,19 +420,29 @@
         address = self._work.randbytes(12)
         if request is not None:
             # Another try comes from the same caller.
-            request.caller = request.caller or address[:4]
+            request.caller = request.caller or self._caller_address(address)
             address = request.caller + address[4:]
         flow = _Flow(address=address, request=request, is_long=is_long)
         self._flows_by_address[address] = flow
         for copy, seconds in enumerate((0.0, *COPY_SECONDS)):
             self._after(seconds, self._send_syn, flow, copy)
         self._after(GIVE_UP_SECONDS, self._give_up_opening, flow)
+        if request is not None:
+            left = request.since + self.world.timeout_seconds - self.now
+            self._after(max(0.0, left), self._give_up_opening, flow)
         return flow
 
+    def _caller_address(self, address: bytes) -> bytes:
+        if not self.world.addresses:
+            return address[:4]
+        return self._work.randrange(self.world.addresses).to_bytes(4, "little")
+
     def _send_syn(self, flow: _Flow, copy: int) -> None:
         if flow.is_open or flow.is_over:
             return
         waited = (0.0, *COPY_SECONDS)[copy]
+        if copy and self.draw.random() < self.world.lost_copies:
+            return
         self._to_balancer(flow, copy=copy, is_syn=True, waited=waited)
 
     def _give_up_opening(self, flow: _Flow) -> None:
@@ -445,7 +460,7 @@
         if request is None or request.answered_at is not None:
             return
         request.is_failed = True
-        is_hopeless = self.now - request.since > self.world.timeout_seconds
+        is_hopeless = self.now >= request.since + self.world.timeout_seconds
         if request.tries >= TRIES or is_hopeless:
             return
         if flow.is_long:
@@ -491,7 +506,8 @@
         """
         data_centre = flow.address[0] % DATA_CENTRES
         own = range(data_centre, len(self._balancers), DATA_CENTRES)
-        return own[flow.address[-1] % len(own)]
+        turn = self.world.rotates_seconds and self.now // self.world.rotates_seconds
+        return own[int(flow.address[-1] + turn) % len(own)]
 
     def _is_up(self, number: int) -> bool:
         return not self._is_out and self.now >= self._up_at_by_number.get(number, 0.0)
@@ -612,6 +628,8 @@
     def _target_takes(self, target: _Target, packet: Packet) -> None:
         flow = self._flows_by_address[packet.flow]
         if packet.is_syn:
+            self._delivered += 1
+            self._delivered_late += flow.is_over or flow.is_open
             answer = self._packet(flow, kind=2, sequence=FIRST_SEQUENCE, is_syn=True)
             self._from_target(target, answer)
             return
@@ -723,3 +741,14 @@
         flow = self._flows_by_address[address]
         if not flow.is_over:
             self._broken(flow)
+
+
+def _balancer_record(number: int) -> BalancerRecord:
+    return BalancerRecord(
+        name=f"lb-{number}",
+        data_centre=f"dc-{number % DATA_CENTRES}",
+        ip="10.1.0.1",
+        port=number,
+        control="10.1.0.1:1",
+        epoch=1,
+    )
