--- a/tests/packets/test_first_asked.py
+++ b/tests/packets/test_first_asked.py
@@ -6,9 +6,9 @@
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.first_asked import FirstAskedTimes
 from monsoonpier.balancer.packets.returning import MAX_REFUSALS, ReturningCallers
-from monsoonpier.wire.frames import FirstAsked, Refused, WhenAsked
+from monsoonpier.wire.frames import FirstAsked, Refused, Turned, WhenAsked
 from standins.packets.simulation import Simulation, World
-from tests.packets.rig import SERVICE, SETTLED, packet, replace, resets
+from tests.packets.rig import SERVICE, SETTLED, load, packet, replace, resets
 from tests.packets.test_directory import _Group
 
 FULL = {"in_flight": 2, "queued": 1}
@@ -91,8 +91,14 @@
         rig.report("maps-1", now=SETTLED, in_flight=2)
         rig.steering.retry(now=SETTLED + 0.01, draw=rig.draw)
         self.fill(self.first, now=SETTLED + 0.02)
-        again = rig.steering.retry(now=SETTLED + 0.08, draw=rig.draw)
-        self.assertFalse([a for a in again if isinstance(a.frame, WhenAsked)])
+        turned = Turned(
+            agent="maps-1",
+            payload=syn(1).raw,
+            tried=("maps-1",),
+            reason="no slot is free",
+            load=load(number=90, **FULL),
+        )
+        self.assertEqual(rig.agent(turned, syn(1), now=SETTLED + 0.02), [])
 
     def test_answer_after_all(self) -> None:
         """An answer for a flow that is gone changes nothing."""
