Merge branch 'part-callers': keep first-asked times with reservations

A flow whose caller turns out to have asked before tells the agents where it has reserved of its new times; else it would be offered slots as one that asks anew.

--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -58,20 +58,20 @@
         return not self._balancers_by_flow and not self._offers
 
     def reserve(self, frame: Reserve, *, balancer: Endpoint, now: float) -> bool:
-        """Note a reservation; tell if there is room for it."""
+        """Note a reservation, or its new times; tell if there is room for it."""
+        waiting = WaitingFlow(
+            flow=frame.flow,
+            in_time_until=now + frame.in_time_ms / 1000,
+            expires=now + frame.wait_ms / 1000,
+            priority=frame.priority,
+        )
         if frame.flow in self._balancers_by_flow:
-            return True
-        if len(self._balancers_by_flow) >= self._most:
+            # Its caller has turned out to have asked before.
+            self._queue.remove(waiting)
+        elif len(self._balancers_by_flow) >= self._most:
             return False
         self._balancers_by_flow[frame.flow] = balancer
-        self._queue.add(
-            WaitingFlow(
-                flow=frame.flow,
-                in_time_until=now + frame.in_time_ms / 1000,
-                expires=now + frame.wait_ms / 1000,
-                priority=frame.priority,
-            )
-        )
+        self._queue.add(waiting)
         return True
 
     def offer(self, *, run_seconds: float, now: float) -> SlotOffer | None:
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -22,6 +22,7 @@
 from monsoonpier.process.readings import Histogram
 from monsoonpier.wire.frames import (
     MAX_TRIED,
+    FirstAsked,
     Held,
     Offer,
     Queued,
@@ -110,7 +111,7 @@
             self._scope.counts_by_result["no_route"] += 1
             if not self._scope.membership.configuration.version:
                 return []
-            return [self._scope.reset(packet, "no route", asked_at=now, now=now)]
+            return [self._scope.reset(packet, "no route", now=now)]
         known = KnownFlow(
             service=route.service,
             created_at=now - packet.waited,
@@ -180,8 +181,15 @@
             if known is None or known.syn is None or route is None:
                 continue
             self._scope.counts_by_result["taken_up"] += 1
+            table = self._scope.membership.table
             return self._send_syn(
-                known.syn, known, route, frame.agent, is_offered=True, now=now
+                known.syn,
+                known,
+                route,
+                table.candidates_of(known.service, now=now),
+                frame.agent,
+                is_offered=True,
+                now=now,
             )
         return self._reservations.decline(frame)
 
@@ -213,19 +221,22 @@
             case NoTarget():
                 return self._wait(packet, known, candidates, now=now, draw=draw)
             case Chosen(record=record):
-                return self._send_syn(packet, known, route, record.name, now=now)
+                return self._send_syn(
+                    packet, known, route, candidates, record.name, now=now
+                )
 
     def _send_syn(
         self,
         packet: Packet,
         known: KnownFlow,
         route: PacketRoute,
+        candidates: list[Candidate],
         name: str,
         *,
         is_offered: bool = False,
         now: float,
     ) -> list:
-        self._note_placed(packet, known, name, now=now)
+        self._note_placed(packet, known, candidates, name, now=now)
         known.holders = (*known.holders, name)[-MAX_TRIED:]
         known.tried = (*known.tried, name)
         known.sent_at = now
@@ -234,7 +245,7 @@
         self._hedges_left = min(MAX_HEDGES, self._hedges_left + HEDGE_SHARE)
         self._scope.counts_by_result["placed"] += 1
         return self._carry_syn(
-            packet, known, route, name, is_offered=is_offered, now=now
+            packet, known, route, candidates, name, is_offered=is_offered, now=now
         )
 
     def _carry_syn(
@@ -242,6 +253,7 @@
         packet: Packet,
         known: KnownFlow,
         route: PacketRoute,
+        candidates: list[Candidate],
         name: str,
         *,
         is_offered: bool,
@@ -252,7 +264,7 @@
             known,
             name=name,
             in_time_seconds=known.asked_at + route.aim_seconds - now,
-            wait_seconds=_gives_up_at(known, route) - now,
+            wait_seconds=_gives_up_at(known, route, candidates) - now,
             priority=route.priority,
             is_offered=is_offered,
         )
@@ -270,12 +282,7 @@
         route = self._scope.route(packet)
         if known.holders or route is None:
             return []  # One that was asked earlier may still answer.
-        waiting = WaitingFlow(
-            flow=packet.flow,
-            in_time_until=known.asked_at + route.aim_seconds,
-            expires=_gives_up_at(known, route),
-            priority=route.priority,
-        )
+        waiting = _waiting_flow(packet.flow, known, route, candidates)
         # Others may wait elsewhere too: what waits here is the least.
         ahead = self._waiting_room.ahead(
             waiting,
@@ -302,9 +309,37 @@
             expected_seconds=round(wait, 3),
             at_most_seconds=round(waiting.expires - now, 3),
         )
-        return self._reservations.begin(
+        reserved = self._reservations.begin(
             packet.flow, service=known.service, now=now, draw=draw
         )
+        return self._ask_keeper(packet, known) + reserved
+
+    def _ask_keeper(self, packet: Packet, known: KnownFlow) -> list:
+        """Ask once a flow whether its caller has been refused elsewhere."""
+        if known.is_asked_for or known.asked_at < known.created_at:
+            return []
+        known.is_asked_for = True
+        return self._scope.first_asked.ask(packet)
+
+    def first_asked(self, frame: FirstAsked, *, now: float) -> list:
+        """Take a keeper's word that a flow's caller has asked before."""
+        known = self._scope.flows.get(frame.flow)
+        route = self._scope.route(known.syn) if known and known.syn else None
+        if known is None or route is None:
+            return []
+        known.asked_at = min(known.asked_at, now - frame.asked_ms / 1000)
+        self._scope.counts_by_result["asked_before"] += 1
+        self._scope.log.note(
+            "caller asked before",
+            now=now,
+            flow=frame.flow,
+            first_asked_seconds=round(now - known.asked_at, 3),
+        )
+        table = self._scope.membership.table
+        candidates = reliable(table.candidates_of(known.service, now=now))
+        waiting = _waiting_flow(frame.flow, known, route, candidates)
+        self._waiting_room.rekey(waiting, service=known.service)
+        return self._reservations.restate(frame.flow, service=known.service, now=now)
 
     def _refuse(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
@@ -318,13 +353,18 @@
             self._scope.log.note(
                 "copy not placed", now=now, flow=packet.flow, reason=reason
             )
-            self._scope.returning.refused(
-                packet,
-                asked_at=known.asked_at,
-                now=known.created_at + GIVE_UP_SECONDS,
+            return self._tell_keeper(
+                packet, known, back_at=known.created_at + GIVE_UP_SECONDS, now=now
             )
-            return []
-        return [self._scope.reset(packet, reason, asked_at=known.asked_at, now=now)]
+        told = self._tell_keeper(packet, known, back_at=now, now=now)
+        return [*told, self._scope.reset(packet, reason, now=now)]
+
+    def _tell_keeper(
+        self, packet: Packet, known: KnownFlow, *, back_at: float, now: float
+    ) -> list:
+        return self._scope.first_asked.refused(
+            packet, asked_at=known.asked_at, back_at=back_at, now=now
+        )
 
     def _note_refused(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
@@ -407,11 +447,11 @@
         self,
         packet: Packet,
         known: KnownFlow,
+        candidates: list[Candidate],
         name: str,
         *,
         now: float,
     ) -> None:
-        candidates = self._scope.membership.table.candidates_of(known.service, now=now)
         chosen = next(c for c in candidates if c.record.name == name)
         load_age = self._scope.membership.table.load_age(name, now=now)
         self.wait_seconds.observe(now - known.created_at)
@@ -432,13 +472,29 @@
         )
 
 
-def _gives_up_at(known: KnownFlow, route: PacketRoute) -> float:
+def _waiting_flow(
+    flow: bytes, known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
+) -> WaitingFlow:
+    return WaitingFlow(
+        flow=flow,
+        in_time_until=known.asked_at + route.aim_seconds,
+        expires=_gives_up_at(known, route, candidates),
+        priority=route.priority,
+    )
+
+
+def _gives_up_at(
+    known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
+) -> float:
     """Return until when a SYN may wait for a slot.
 
-    A caller that was refused before has less time left for the whole request.
+    A caller that was refused before has less time left for the whole request: a run
+    that begins at its end is for one that has left.
     """
     most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
-    return min(known.created_at + most, known.asked_at + route.timeout_seconds)
+    needed = MARGIN_RUNS * run_seconds(candidates)
+    left_at = known.asked_at + route.timeout_seconds - needed
+    return min(known.created_at + most, left_at)
 
 
 def _is_in_time(
--- a/monsoonpier/balancer/packets/reservations.py
+++ b/monsoonpier/balancer/packets/reservations.py
@@ -77,6 +77,15 @@
             )
         ]
 
+    def restate(self, flow: bytes, *, service: str, now: float) -> list[ToAgent]:
+        """Return the frames that tell where a flow has reserved of its new times."""
+        reserved = self._reserved_by_flow.get(flow)
+        waiting = self._waiting_room.find(flow, service=service)
+        if reserved is None or waiting is None:
+            return []
+        names = reserved.agents
+        return self._scope.reserve(waiting, service=service, names=names, now=now)
+
     def end(self, flow: bytes) -> None:
         """Forget a flow that waits no longer; its agents' offers go to others."""
         self._reserved_by_flow.pop(flow, None)
