--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -197,7 +197,7 @@
     @property
     def _waiting(self) -> int:
         """How many flows are known here to wait for a slot."""
-        return len(self.queue)
+        return len(self.queue) + len(self.reservations)
 
     def observe_use(self, *, is_serving: bool, now: float) -> None:
         """Count the time of the slots up to now, if anything has changed.
@@ -226,6 +226,7 @@
             "running": self._running,
             "queued": self.queue.timely,
             "queued_late": self.queue.late,
+            "reserved": len(self.reservations),
         }
         return present | self.use.total.fields
 
@@ -242,6 +243,9 @@
                 labels=("class",),
                 values_by_labels=queued_by_class,
             ),
+            gauge(
+                "reserved", "Flows that reserve a slot here.", len(self.reservations)
+            ),
             *self.use.readings,
         )
 
