Learn how long runs take while all slots are taken

Cause: a request that waits at its target was left out of what is learnt, and at saturation each one waits there, most of all with one flow ahead of each slot. A run now begins when the one before it ends. The test of a target that turns slow at the worst of load fails without (0.05 s learnt, 0.15 s true).

--- a/monsoonpier/agent/packets/flows.py
+++ b/monsoonpier/agent/packets/flows.py
@@ -31,8 +31,7 @@
             the target has yet to tell.
         acknowledged: The caller's last one, which a reset must be near to.
         asks: The balancer keeps the guessed packet itself.
-        is_queued: All slots were taken when its request came: the time to its
-            answer isn't that of a run.
+        run_began_at: When the target began its request; ``None`` while it waits there.
         is_overdue: Its request is counted as failed; it may still be answered.
         kept_from: What a flow whose request is expected had of empty slots when it
             began to be (`SlotUse.kept_each`).
@@ -51,7 +50,7 @@
     guessed: Packet | None = None
     phase: Phase = Phase.IDLE
     asks: bool = False
-    is_queued: bool = False
+    run_began_at: float | None = None
     is_overdue: bool = False
     kept_from: float = 0.0
     has_caller_fin: bool = False
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -8,18 +8,17 @@
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.queue import AdmissionQueue
 from monsoonpier.agent.packets.reservations import Reservations
+from monsoonpier.agent.packets.run_times import RunTimes
 from monsoonpier.agent.packets.slot_use import SlotUse
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
 from monsoonpier.process.readings import Histogram, Reading, Series, gauge
 
 __all__ = ["LoadLevel", "TargetLoad"]
 
-SMOOTHING = 0.1
 BUSY_SHARE_SECONDS = 1.0  # over which the use of slots is smoothed: many runs
 BUSY_STEP = 2  # requests; a step of one doubles the reports and places no better
 OPEN_STEP = 4  # flows, a tenth of what a target has when it is well used
 FAILED_STEP = 10  # percent: 0.8 runs in the balancers' cost
-MIN_RUN_MS = 1
 
 
 class LoadLevel(NamedTuple):
@@ -70,7 +69,7 @@
         self._running = 0
         self._observed: tuple | None = None
         self._number = 0
-        self._run_ms = 0.0
+        self._runs = RunTimes()
         self._failures = FailureShare()
         self._busy_share = 0.0
         self._share_at = 0.0
@@ -132,7 +131,8 @@
         self.enter(flow, Phase.RUNNING, now=now)
         self.use.run_began(now=now)
         flow.is_overdue = False
-        flow.is_queued = self.busy > self.slots
+        is_slot_free = self._running <= self.slots
+        self._runs.asked(flow, is_slot_free=is_slot_free, now=now)
 
     def answered(self, flow: PacketFlow, *, is_failure: bool, now: float) -> None:
         """Count the flow's request as done, and learn how long runs take."""
@@ -140,9 +140,7 @@
             seconds = now - flow.changed_at
             self.answer_seconds.observe(seconds)
             self._failures.count(is_failure=is_failure, now=now)
-            # A failure takes no time and says nothing of a run's.
-            if not flow.is_queued and not is_failure:
-                self._learn(max(MIN_RUN_MS, seconds * 1000))
+            self._runs.answered(flow, is_failure=is_failure, now=now)
             self._note_run_ended(now=now)
         self._move(flow, Phase.IDLE, now=now)
 
@@ -158,6 +156,7 @@
         """Count a request that got no answer as failed."""
         if flow.phase is Phase.RUNNING:
             self._failures.count(is_failure=True, now=now)
+            self._runs.broken_off(flow, now=now)
             self.enter(flow, Phase.IDLE, now=now)
 
     def overdue(self, flow: PacketFlow, *, now: float) -> None:
@@ -166,12 +165,6 @@
             flow.is_overdue = True
             self._failures.count(is_failure=True, now=now)
 
-    def _learn(self, run_ms: float) -> None:
-        if self._run_ms:
-            self._run_ms += SMOOTHING * (run_ms - self._run_ms)
-        else:
-            self._run_ms = run_ms
-
     def opened(self, flow: PacketFlow) -> None:
         """Count an open flow."""
         flow.is_open = True
@@ -191,7 +184,7 @@
         self.busy = 0
         self.open = 0
         self._running = 0
-        self._run_ms = 0.0
+        self._runs.target_ended()
         self.use.target_ended()
 
     @property
@@ -256,7 +249,7 @@
     @property
     def run_seconds(self) -> float:
         """How long a run takes here; 0 before the first one was timed."""
-        return self._run_ms / 1000
+        return self._runs.run_ms / 1000
 
     def report(self, *, condition: Condition, now: float) -> LoadReport:
         """Return the present load, newer than all reports before."""
@@ -271,7 +264,7 @@
             queued=self.queue.timely,
             queued_late=self.queue.late,
             flows=self.open,
-            service_ms=round(self._run_ms),
+            service_ms=round(self._runs.run_ms),
             cold_ms=max(0, round((self.cold.until - now) * 1000)),
             condition=condition,
             failed_percent=self.failed_percent(now=now),
--- /dev/null
+++ b/tests/packets/test_run_times.py
@@ -0,0 +1,57 @@
+"""How long a target's runs take."""
+
+import unittest
+
+from tests.packets.rig import BALANCER, answer, carry, holder, packet
+
+
+class RunTimesTests(unittest.TestCase):
+    """A target of one slot that always has one request more than it works on."""
+
+    RUN_SECONDS = 0.05
+
+    def setUp(self) -> None:
+        self.holder = holder(slots=1)
+        self.now = 1.0
+        self.number = 0
+        self.ask(0, now=self.now)
+
+    def ask(self, number: int, *, now: float) -> None:
+        for sent in (packet(number, syn=True), packet(number, size=10)):
+            frame = carry(sent, tried=("a", "b", "c"))
+            self.holder.from_balancer(frame, sent, sender=BALANCER, now=now)
+            if sent.is_syn:
+                self.holder.from_target(answer(number, syn=True), now=now)
+
+    def play(self, *, runs: int, seconds: float) -> None:
+        for _ in range(runs):
+            self.ask(self.number + 1, now=self.now + seconds / 2)
+            self.now += seconds
+            done = answer(self.number, size=50)
+            self.holder.from_target(done, now=self.now)
+            self.number += 1
+
+    def test_learnt_while_all_slots_are_taken(self) -> None:
+        """The time at the target counts, not the time that a request waited there."""
+        self.play(runs=40, seconds=self.RUN_SECONDS)
+        learnt = self.holder.target_load.run_seconds
+        self.assertAlmostEqual(learnt, self.RUN_SECONDS, delta=0.002)
+
+    def test_target_that_turns_slow(self) -> None:
+        """A target that turns slow at the worst of load is known to be slow."""
+        self.play(runs=10, seconds=self.RUN_SECONDS)
+        self.play(runs=40, seconds=3 * self.RUN_SECONDS)
+        learnt = self.holder.target_load.run_seconds
+        self.assertAlmostEqual(learnt, 3 * self.RUN_SECONDS, delta=0.01)
+
+    def test_failures_say_nothing(self) -> None:
+        """A request that fails at once leaves the time of a run as it was."""
+        self.play(runs=40, seconds=self.RUN_SECONDS)
+        failed = answer(self.number, size=50, failure=True)
+        self.holder.from_target(failed, now=self.now + 0.001)
+        learnt = self.holder.target_load.run_seconds
+        self.assertAlmostEqual(learnt, self.RUN_SECONDS, delta=0.002)
+
+
+if __name__ == "__main__":
+    unittest.main()
