Give late flows what all of them need, unless that is too much

Load: a rush that passes. Late ones had one slot in 16 whatever waited; now the share with which all of them are served before their callers give up, up to three in ten.

--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -21,7 +21,6 @@
 from monsoonpier.agent.packets.queue import AdmissionQueue, QueuedSyn
 from monsoonpier.agent.packets.reservations import Reservations
 from monsoonpier.model.target import QUEUE_AHEAD, Condition, LoadReport
-from monsoonpier.model.waiting import MARGIN_RUNS
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_TRIED, Carry, Offer, Queued, Reserve, Turned
 from monsoonpier.wire.packet import Packet
@@ -165,7 +164,7 @@
         actions: list[ToProcess] = []
         while self._has_slot_to_offer(now=now):
             offer = self._reservations.offer(
-                run_seconds=self._seconds_ahead / MARGIN_RUNS, now=now
+                run_seconds=self._load.run_seconds, slots=self._load.slots, now=now
             )
             if offer is None:
                 break
@@ -178,12 +177,6 @@
             actions.append(ToProcess(endpoint=offer.balancer, frame=frame))
         return actions
 
-    @property
-    def _seconds_ahead(self) -> float:
-        """How long an answer takes at least for a flow that begins behind a run."""
-        runs = MARGIN_RUNS + QUEUE_AHEAD / self._load.slots
-        return runs * self._load.run_seconds
-
     def _has_slot_to_offer(self, *, now: float) -> bool:
         taken = self._load.busy + len(self._queue) + self._reservations.offered
         is_free = taken < self._load.slots + QUEUE_AHEAD
--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -15,7 +15,14 @@
 from collections import Counter, deque
 from typing import NamedTuple
 
-from monsoonpier.model.waiting import WaitingFlow, WaitingQueue
+from monsoonpier.model.target import QUEUE_AHEAD
+from monsoonpier.model.waiting import (
+    LATE_TURN,
+    MARGIN_RUNS,
+    RESERVED_AT,
+    WaitingFlow,
+    WaitingQueue,
+)
 from monsoonpier.wire.frames import Reserve
 
 __all__ = ["Reservations", "SlotOffer"]
@@ -26,6 +33,10 @@
 # A way to a balancer and back takes 3 ms at most in a region. One that hasn't sent a
 # flow in seven times as long has ended, or its link is full.
 OFFER_SECONDS = 0.02
+# Late ones get what they need for all of them to be served, as long as that is no more
+# than this. Where more than that is late the rush is too large to serve all, and slots
+# that go to late ones only make others late.
+MOST_LATE_SHARE = 0.3
 
 
 class SlotOffer(NamedTuple):
@@ -42,6 +53,7 @@
         self._most = most
         self._queue = WaitingQueue()
         self._balancers_by_flow: dict[bytes, Endpoint] = {}
+        self._late_due = 0.0  # turns of late ones, in parts
         self._offers: deque[tuple[float, Endpoint]] = deque()
 
     def __len__(self) -> int:
@@ -74,18 +86,39 @@
         self._queue.add(waiting)
         return True
 
-    def offer(self, *, run_seconds: float, now: float) -> SlotOffer | None:
-        """Offer a slot to the balancer whose flow goes first, if one waits."""
+    def offer(self, *, run_seconds: float, slots: int, now: float) -> SlotOffer | None:
+        """Offer a slot to the balancer whose flow goes first, if one waits.
+
+        Args:
+            run_seconds: How long a run takes here.
+            slots: The target's.
+            now: The present time.
+        """
         for waiting in self._queue.pop_expired(now=now):
             self._balancers_by_flow.pop(waiting.flow, None)
         if not self._balancers_by_flow:
             return None
-        self._queue.sort_out(now=now, run_seconds=run_seconds)
-        is_late_turn = self._queue.is_late_turn
-        balancer = self._balancers_by_flow.pop(self._queue.pop().flow)
+        # It begins behind the run that is under way.
+        behind = QUEUE_AHEAD / slots / MARGIN_RUNS
+        self._queue.sort_out(now=now, run_seconds=run_seconds * (1 + behind))
+        seconds_each = run_seconds / slots / RESERVED_AT
+        is_late_turn = self._is_late_turn(seconds_each=seconds_each, now=now)
+        waiting = self._queue.pop_for(is_late_turn=is_late_turn, answered_at=now)
+        balancer = self._balancers_by_flow.pop(waiting.flow)
         self._offers.append((now, balancer))
         return SlotOffer(balancer=balancer, is_late_turn=is_late_turn)
 
+    def _is_late_turn(self, *, seconds_each: float, now: float) -> bool:
+        """Tell whether a late one is due, by the share that they need."""
+        if not self._queue.late or not self._queue.timely:
+            return self._queue.late > 0
+        needed = self._queue.needed_late_share(now=now, seconds_each=seconds_each)
+        share = needed if needed <= MOST_LATE_SHARE else 0.0
+        self._late_due += max(share, 1 / LATE_TURN)
+        is_due = self._late_due >= 1
+        self._late_due -= int(is_due)
+        return is_due
+
     def taken(self, balancer: Endpoint) -> bool:
         """Note that a balancer has sent a flow; tell if a slot was offered to it."""
         for offer in self._offers:
--- a/monsoonpier/balancer/packets/reservations.py
+++ b/monsoonpier/balancer/packets/reservations.py
@@ -18,12 +18,11 @@
 from monsoonpier.balancer.packets.waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate
 from monsoonpier.model.target import QUEUE_AHEAD
-from monsoonpier.model.waiting import MARGIN_RUNS
+from monsoonpier.model.waiting import MARGIN_RUNS, RESERVED_AT
 from monsoonpier.wire.frames import Decline, Offer
 
 __all__ = ["SlotReservations"]
 
-AGENTS = 2  # that a flow reserves at; one of them may end, or be the fullest
 # An agent that ends forgets what was reserved there. After so long one more is asked,
 # so that a flow has several chances before its caller gives up.
 RENEW_SECONDS = 0.4
@@ -60,7 +59,9 @@
         """Return the frames that reserve a slot for a flow that begins to wait."""
         if not self._is_on:
             return []
-        return self._reserve(flow, service=service, count=AGENTS, now=now, draw=draw)
+        return self._reserve(
+            flow, service=service, count=RESERVED_AT, now=now, draw=draw
+        )
 
     def renew(self, *, now: float, draw: random.Random) -> list[ToAgent]:
         """Return the frames that reserve anew for those that wait for long."""
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -15,11 +15,14 @@
 from dataclasses import dataclass
 from operator import attrgetter
 
-__all__ = ["MARGIN_RUNS", "WaitingFlow", "WaitingQueue"]
+__all__ = ["LATE_TURN", "MARGIN_RUNS", "RESERVED_AT", "WaitingFlow", "WaitingQueue"]
 
 # One slot in so many goes to the late one that gives up first, so that nobody is
 # starved by those in time. Each costs one of those its slot where all are taken.
 LATE_TURN = 16
+# Agents that a flow that waits reserves a slot at; one of them may end, or be the
+# fullest. Balancers and agents must agree on it.
+RESERVED_AT = 2
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -128,6 +131,21 @@
         for flows in self._lists:
             flows[:] = [other for other in flows if other.flow not in gone]
 
+    def needed_late_share(self, *, now: float, seconds_each: float) -> float:
+        """Return the share of the slots with which all late ones can be served.
+
+        Args:
+            now: The present time.
+            seconds_each: How long a slot takes that is given to one of them.
+        """
+        return max(
+            (
+                (place + 1) * seconds_each / max(seconds_each, waiting.expires - now)
+                for place, waiting in enumerate(self._late)
+            ),
+            default=0.0,
+        )
+
     @property
     def is_late_turn(self) -> bool:
         """Whether `pop` would return a flow that can't be answered in time."""
--- a/tests/packets/test_reservations.py
+++ b/tests/packets/test_reservations.py
@@ -9,12 +9,10 @@
     Reservations,
 )
 from monsoonpier.balancer.packets.reservations import (
-    AGENTS,
-    MAX_AGENTS,
     RENEW_SECONDS,
 )
 from monsoonpier.model.target import Condition
-from monsoonpier.model.waiting import WaitingFlow, WaitingQueue
+from monsoonpier.model.waiting import LATE_TURN, RESERVED_AT, WaitingFlow, WaitingQueue
 from monsoonpier.wire.frames import Carry, Decline, Offer, Reserve, Turned
 from standins.packets.simulation import Simulation, World
 from tests.packets.rig import (
@@ -56,7 +54,7 @@
         return self.reservations.reserve(frame, balancer=balancer, now=0.0)
 
     def offer(self, *, now: float = 0.0):
-        found = self.reservations.offer(run_seconds=0.02, now=now)
+        found = self.reservations.offer(run_seconds=0.02, slots=1, now=now)
         return None if found is None else found.balancer
 
     def test_one_order_for_all_balancers(self) -> None:
@@ -96,6 +94,41 @@
         self.assertEqual(taken.count(False), 1)
 
 
+class LateTests(unittest.TestCase):
+    """Flows in time that take all slots, and late ones that wait beside them."""
+
+    RUN_SECONDS = 0.04
+
+    def late_turns(self, *, late: int, wait_ms: int, offers: int = 64) -> int:
+        """Return how many of the offers are for late ones."""
+        reservations = Reservations()
+        for number in range(offers):
+            frame = reserve(number, in_time_ms=3_000)
+            reservations.reserve(frame, balancer=BALANCER, now=0.0)
+        for number in range(offers, offers + late):
+            frame = reserve(number, in_time_ms=0, wait_ms=wait_ms)
+            reservations.reserve(frame, balancer=OTHER_BALANCER, now=0.0)
+        found = [
+            reservations.offer(run_seconds=self.RUN_SECONDS, slots=1, now=0.0)
+            for _ in range(offers)
+        ]
+        return sum(offer.is_late_turn for offer in found if offer is not None)
+
+    def test_few_wait_their_turn(self) -> None:
+        """With time enough left they get one slot in sixteen, and nobody starves."""
+        self.assertEqual(self.late_turns(late=4, wait_ms=2_900), 64 // LATE_TURN)
+
+    def test_what_can_be_served_is_served(self) -> None:
+        """A rush that passes leaves nobody behind: they get what they need."""
+        turns = self.late_turns(late=16, wait_ms=1_200)
+        self.assertGreater(turns, 2 * 64 // LATE_TURN)
+        self.assertLessEqual(turns, 16)
+
+    def test_more_than_can_be_served(self) -> None:
+        """Where most of the late ones give up anyway, those in time aren't lost too."""
+        self.assertEqual(self.late_turns(late=200, wait_ms=1_200), 64 // LATE_TURN)
+
+
 class AgentTests(unittest.TestCase):
     """A target of one slot, taken by flow 1, with a flow behind it on its way."""
 
@@ -187,8 +220,8 @@
     def test_reserves_at_two_agents(self) -> None:
         """A flow that waits reserves at two different agents, and stays here."""
         actions = self.rig.caller(packet(syn=True))
-        self.assertEqual(len(frames(actions, Reserve)), AGENTS)
-        self.assertEqual(len(set(self.rig.names(actions))), AGENTS)
+        self.assertEqual(len(frames(actions, Reserve)), RESERVED_AT)
+        self.assertEqual(len(set(self.rig.names(actions))), RESERVED_AT)
         self.assertEqual(frames(actions, Carry), [])
 
     def test_nothing_without_the_setting(self) -> None:
@@ -222,7 +255,7 @@
             actions = self.rig.steering.retry(now=now, draw=self.rig.draw)
             reserved += self.rig.names(actions)
         self.assertEqual(len(reserved), 1)  # the only agent that it hadn't asked
-        self.assertLessEqual(AGENTS + len(reserved), MAX_AGENTS)
+        self.assertLessEqual(RESERVED_AT + len(reserved), MAX_AGENTS)
 
     def test_refused_while_reserved(self) -> None:
         """A flow whose time is over is reset, and later offers find nothing."""
