Leave the doubt of silent callers out: it gains nothing beside first-asked times

It finds callers that their own deadline has taken 0.1 s after a copy was due, and the keeper's word knows that deadline beforehand.

--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -12,7 +12,6 @@
     run_seconds,
     wait_for_slot,
 )
-from monsoonpier.balancer.packets.presence import CallerPresence
 from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.balancer.packets.waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
@@ -49,7 +48,6 @@
         self._habits_by_address: dict[Address, FlowHabits] = {}
         self._unanswered: deque[tuple[float, bytes]] = deque()
         self._waiting_room = WaitingRoom()
-        self._presence = CallerPresence()
         self._hedges_left = MAX_HEDGES
         self.wait_seconds = Histogram(
             name="flow_wait_seconds", help="From a flow's first SYN to a target."
@@ -78,10 +76,7 @@
         draw: random.Random,
     ) -> list:
         """Decide on a SYN or a copy of one."""
-        if known is not None:
-            known.heard = max(known.heard, packet.waited)
         if packet.flow in self._waiting_room:
-            self._copy_came(packet, now=now)
             return []
         if known is not None and known.holders:
             # A copy goes where the flow may be open already; only a target that
@@ -100,7 +95,6 @@
             service=route.service,
             created_at=now - packet.waited,
             asked_at=self._scope.returning.asked_at(packet, now=now),
-            heard=packet.waited,
             syn=packet,
         )
         self._scope.flows.put(packet.flow, known)
@@ -253,37 +247,8 @@
             expected_seconds=round(wait, 3),
             at_most_seconds=round(waiting.expires - now, 3),
         )
-        is_doubtful = self._presence.waits(
-            packet.flow, began_at=known.created_at, heard=known.heard, now=now
-        )
-        if is_doubtful:
-            self._rekey(packet.flow, known, now=now)
         return self._ask_keeper(packet, known)
 
-    def _copy_came(self, packet: Packet, *, now: float) -> None:
-        """Give a flow its place back whose caller was thought to have left."""
-        known = self._scope.flows.get(packet.flow)
-        if known is None or not self._presence.heard(packet.flow, waited=packet.waited):
-            return
-        self._scope.counts_by_result["doubt_ended"] += 1
-        self._rekey(packet.flow, known, now=now)
-
-    def _note_silent_callers(self, *, now: float) -> None:
-        """Let flows go last whose callers failed to send a copy that was due."""
-        for flow in self._presence.turned_doubtful(now=now):
-            known = self._scope.flows.get(flow)
-            if known is None or flow not in self._waiting_room:
-                self._presence.gone(flow)
-                continue
-            self._scope.counts_by_result["doubted"] += 1
-            self._scope.log.note(
-                "caller is silent",
-                now=now,
-                flow=flow,
-                waited_seconds=round(now - known.created_at, 3),
-            )
-            self._rekey(flow, known, now=now)
-
     def _ask_keeper(self, packet: Packet, known: KnownFlow) -> list:
         """Ask once a flow whether its caller has been refused elsewhere."""
         if known.is_asked_for or known.asked_at < known.created_at:
@@ -294,7 +259,8 @@
     def first_asked(self, frame: FirstAsked, *, now: float) -> list:
         """Take a keeper's word that a flow's caller has asked before."""
         known = self._scope.flows.get(frame.flow)
-        if known is None or known.syn is None:
+        route = self._scope.route(known.syn) if known and known.syn else None
+        if known is None or route is None:
             return []
         known.asked_at = min(known.asked_at, now - frame.asked_ms / 1000)
         self._scope.counts_by_result["asked_before"] += 1
@@ -304,24 +270,11 @@
             flow=frame.flow,
             first_asked_seconds=round(now - known.asked_at, 3),
         )
-        self._rekey(frame.flow, known, now=now)
-        return []
-
-    def _rekey(self, flow: bytes, known: KnownFlow, *, now: float) -> None:
-        """Give a waiting flow the place that what is known of its caller asks for."""
-        route = self._scope.route(known.syn) if known.syn is not None else None
-        if route is None:
-            return
         table = self._scope.membership.table
         candidates = reliable(table.candidates_of(known.service, now=now))
-        waiting = _waiting_flow(
-            flow,
-            known,
-            route,
-            candidates,
-            is_doubtful=self._presence.doubts(flow),
-        )
+        waiting = _waiting_flow(frame.flow, known, route, candidates)
         self._waiting_room.rekey(waiting, service=known.service)
+        return []
 
     def _refuse(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
@@ -350,9 +303,7 @@
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
         actions: list = []
-        self._note_silent_callers(now=now)
         for flow in self._waiting_room.expired(now=now):
-            self._presence.gone(flow)
             known = self._scope.flows.get(flow)
             if known is not None and known.syn is not None:
                 actions += self._refuse(known.syn, known, "no slot came free", now=now)
@@ -373,7 +324,6 @@
             if not any(has_room(c, in_time=in_time) for c in usable):
                 break
             flow = self._waiting_room.pop(service)
-            self._presence.gone(flow)
             known = self._scope.flows.get(flow)
             if known is None or known.syn is None:
                 continue
@@ -447,19 +397,13 @@
 
 
 def _waiting_flow(
-    flow: bytes,
-    known: KnownFlow,
-    route: PacketRoute,
-    candidates: list[Candidate],
-    *,
-    is_doubtful: bool = False,
+    flow: bytes, known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
 ) -> WaitingFlow:
     return WaitingFlow(
         flow=flow,
         in_time_until=known.asked_at + route.aim_seconds,
         expires=_gives_up_at(known, route, candidates),
         priority=route.priority,
-        is_doubtful=is_doubtful,
     )
 
 
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -31,14 +31,12 @@
         in_time_until: When an answer stops being in time.
         expires: When its caller is about to give up.
         priority: Of its route; 0 goes first.
-        is_doubtful: Its caller may have left; it goes after all others.
     """
 
     flow: bytes
     in_time_until: float
     expires: float
     priority: int
-    is_doubtful: bool = False
 
 
 # Runs differ: one in two takes longer than the middle one. With a margin of one run
@@ -56,15 +54,14 @@
     def __init__(self) -> None:
         self._timely_by_priority: dict[int, list[WaitingFlow]] = {}
         self._late: list[WaitingFlow] = []
-        self._doubtful: list[WaitingFlow] = []
         self._turn = 0
 
     def __len__(self) -> int:
-        return self.timely + self.late + self.doubtful
+        return self.timely + self.late
 
     @property
     def _lists(self) -> tuple[list[WaitingFlow], ...]:
-        return (self._doubtful, self._late, *self._timely_by_priority.values())
+        return (self._late, *self._timely_by_priority.values())
 
     @property
     def timely(self) -> int:
@@ -76,16 +73,8 @@
         """How many others there are."""
         return len(self._late)
 
-    @property
-    def doubtful(self) -> int:
-        """How many of them have a caller that may have left."""
-        return len(self._doubtful)
-
     def add(self, waiting: WaitingFlow) -> None:
         """Let a flow wait."""
-        if waiting.is_doubtful:
-            insort(self._doubtful, waiting, key=_by_end)
-            return
         timely = self._timely_by_priority.setdefault(waiting.priority, [])
         insort(timely, waiting, key=_by_aim)
 
@@ -131,16 +120,12 @@
         is_late_turn = self._turn % LATE_TURN == 0
         if self._late and (is_late_turn or not self.timely):
             return self._late.pop(0)
-        if self._doubtful and not self.timely:
-            return self._doubtful.pop(0)
         urgent = min(p for p, flows in self._timely_by_priority.items() if flows)
         return self._timely_by_priority[urgent].pop(0)
 
     @property
     def last(self) -> WaitingFlow | None:
         """The flow that would be served last."""
-        if self._doubtful:
-            return self._doubtful[-1]
         if self._late:
             return self._late[-1]
         priorities = [p for p, flows in self._timely_by_priority.items() if flows]
