--- a/monsoonpier/balancer/packets/first_asked.py
+++ b/monsoonpier/balancer/packets/first_asked.py
@@ -13,7 +13,7 @@
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.packets.returning import ReturningCallers
+from monsoonpier.balancer.packets.returning import EarlierTry, ReturningCallers
 from monsoonpier.model.address import Address
 from monsoonpier.model.rendezvous import top
 from monsoonpier.wire.frames import (
@@ -36,24 +36,27 @@
         self._returning = returning
 
     def refused(
-        self, packet: Packet, *, asked_at: float, back_at: float, now: float
+        self, packet: Packet, earlier: EarlierTry, *, back_at: float, now: float
     ) -> list[ToAgent]:
         """Keep a caller's first ask, or tell its keeper.
 
         Args:
             packet: The refused one, which names the caller and the service's address.
-            asked_at: When the caller asked first, as far as is known here.
+            earlier: What is known here of the refused request.
             back_at: When it learns of the refusal, or gives up by itself.
             now: The present time.
         """
         keeper = self._keeper_of(packet)
         if keeper is None:
-            self._returning.refused(packet, asked_at=asked_at, now=back_at)
+            self._returning.keep(
+                packet.caller_ip, packet.service_address, earlier, back_at=back_at
+            )
             return []
         frame = Refused(
             caller=packet.caller_ip,
             service=_endpoint(packet.service_address),
-            asked_ms=_milliseconds(now - asked_at),
+            asked_ms=_milliseconds(now - earlier.asked_at),
+            tries=earlier.tries,
             back_ms=_milliseconds(back_at - now),
         )
         return [ToAgent(endpoint=keeper.endpoint, frame=frame)]
@@ -79,7 +82,7 @@
         self._returning.keep(
             frame.caller,
             _address(frame.service),
-            asked_at=now - frame.asked_ms / 1000,
+            EarlierTry(asked_at=now - frame.asked_ms / 1000, tries=frame.tries),
             back_at=now + frame.back_ms / 1000,
         )
 
@@ -88,12 +91,16 @@
     ) -> list[ToAgent]:
         """Answer another balancer's question; a caller that isn't known is new."""
         came_at = now - frame.waited_ms / 1000
-        asked_at = self._returning.take(
+        earlier = self._returning.take(
             frame.caller, _address(frame.service), came_at=came_at, now=now
         )
-        if asked_at is None:
+        if earlier is None:
             return []
-        answer = FirstAsked(flow=frame.flow, asked_ms=_milliseconds(now - asked_at))
+        answer = FirstAsked(
+            flow=frame.flow,
+            asked_ms=_milliseconds(now - earlier.asked_at),
+            tries=earlier.tries,
+        )
         return [ToAgent(endpoint=sender, frame=answer)]
 
     def _keeper_of(self, packet: Packet) -> BalancerRecord | None:
--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -68,6 +68,7 @@
     service: str
     created_at: float
     asked_at: float = 0.0
+    tries: int = 1
     is_asked_for: bool = False
     holders: tuple[str, ...] = ()
     is_confirmed: bool = False
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -13,6 +13,7 @@
     wait_for_slot,
 )
 from monsoonpier.balancer.packets.reservations import SlotReservations
+from monsoonpier.balancer.packets.returning import EarlierTry
 from monsoonpier.balancer.packets.scope import PacketScope
 from monsoonpier.balancer.packets.waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
@@ -115,9 +116,12 @@
         known = KnownFlow(
             service=route.service,
             created_at=now - packet.waited,
-            asked_at=self._scope.returning.asked_at(packet, now=now),
+            asked_at=now - packet.waited,
             syn=packet,
         )
+        earlier = self._scope.returning.earlier(packet, now=now)
+        if earlier is not None:
+            _take_up(known, earlier)
         self._scope.flows.put(packet.flow, known)
         self._scope.waits.asked(known.service, route)
         return self._place(packet, known, now=now, draw=draw)
@@ -327,7 +331,8 @@
         route = self._scope.route(known.syn) if known and known.syn else None
         if known is None or route is None:
             return []
-        known.asked_at = min(known.asked_at, now - frame.asked_ms / 1000)
+        asked_at = now - frame.asked_ms / 1000
+        _take_up(known, EarlierTry(asked_at=asked_at, tries=frame.tries))
         self._scope.counts_by_result["asked_before"] += 1
         self._scope.log.note(
             "caller asked before",
@@ -362,8 +367,11 @@
     def _tell_keeper(
         self, packet: Packet, known: KnownFlow, *, back_at: float, now: float
     ) -> list:
+        earlier = EarlierTry(asked_at=known.asked_at, tries=known.tries)
+        if earlier.is_last:
+            return []
         return self._scope.first_asked.refused(
-            packet, asked_at=known.asked_at, back_at=back_at, now=now
+            packet, earlier, back_at=back_at, now=now
         )
 
     def _note_refused(
@@ -497,6 +505,12 @@
     return min(known.created_at + most, left_at)
 
 
+def _take_up(known: KnownFlow, earlier: EarlierTry) -> None:
+    """Take a flow for a further try of a request that was refused before."""
+    known.asked_at = min(known.asked_at, earlier.asked_at)
+    known.tries = earlier.tries + 1
+
+
 def _is_in_time(
     known: KnownFlow,
     route: PacketRoute,
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -58,6 +58,7 @@
 Endpoint = tuple[Ip, Port]
 FlowAddress = Annotated[bytes, Meta(min_length=12, max_length=12)]
 Milliseconds = Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)]
+Tries = Annotated[int, Meta(ge=1, le=255)]
 Tried = Annotated[tuple[Name, ...], Meta(max_length=MAX_TRIED)]
 
 
@@ -352,13 +353,14 @@
     """Tells a caller's keeper that one of its tries has ended without a slot.
 
     ``asked_ms`` is how long ago the caller asked first, ``back_ms`` how long it is
-    until it may come back: 0 if it is reset now.
+    until it may come back: 0 if it is reset now. ``tries`` counts this one too.
     """
 
     caller: Ip
     service: Endpoint
     asked_ms: Milliseconds
     back_ms: Milliseconds = 0
+    tries: Tries = 1
 
 
 class WhenAsked(_Frame, tag=31, kw_only=True, gc=False):
@@ -374,10 +376,14 @@
 
 
 class FirstAsked(_Frame, tag=32, kw_only=True, gc=False):
-    """A keeper's answer, if it knows: how long ago the caller asked first."""
+    """A keeper's answer, if it knows: how long ago its caller asked first.
+
+    ``tries`` is how often it has asked before this flow.
+    """
 
     flow: FlowAddress
     asked_ms: Milliseconds
+    tries: Tries = 1
 
 
 Frame = (
