--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -161,7 +161,7 @@
         self.evacuations = joined
         _log.info(
             "evacuation in force" if order.is_active else "evacuation taken back",
-            revision=order.revision,
+            revision=str(order.written_at),
             learned_from=ack.balancer,
         )
         self._take_evacuation()
--- a/monsoonpier/balancer/configuration_copy.py
+++ b/monsoonpier/balancer/configuration_copy.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from monsoonpier.model.keys import FRAME, KeyRing
+from monsoonpier.model.revision import NO_REVISION
 from monsoonpier.store.interface import Compare, Put, Store
 from monsoonpier.store.keys import CONFIGURATION_COPY
 
@@ -65,7 +66,12 @@
     def __init__(self, *, store: Store, keys: KeyRing) -> None:
         self._store = store
         self._keys = keys
-        self._mod_revision = 0
+        self._mod_revision = NO_REVISION
+        self._version = 0
+
+    def forget(self) -> None:
+        """Believe no longer that a copy is there: the store may have lost it."""
+        self._mod_revision = NO_REVISION
         self._version = 0
 
     async def read(self, *, may_be_old: bool = False) -> ConfigurationCopy | None:
@@ -80,7 +86,7 @@
         found = await self._store.read(CONFIGURATION_COPY, may_be_old=may_be_old)
         value = found.values_by_key.get(CONFIGURATION_COPY)
         if value is None:
-            self._mod_revision = self._version = 0
+            self.forget()
             return None
         self._mod_revision = value.mod_revision
         copy = open_copy(value.value, keys=self._keys)
@@ -94,7 +100,9 @@
     async def write(self, copy: ConfigurationCopy) -> bool:
         """Replace an older copy; tell whether this one is in the store now.
 
-        Another balancer may have replaced it meanwhile: then it is read anew.
+        Another balancer may have replaced it meanwhile: then it is read anew. So it
+        is if the store came back from an older copy, where the condition may have held
+        for another revision of the same number.
 
         Raises:
             StoreError: If the store can't be reached.
@@ -109,7 +117,11 @@
             ),
             puts=(Put(key=CONFIGURATION_COPY, value=value),),
         )
-        if not result.succeeded:
+        held = self._mod_revision
+        is_same_store = held == NO_REVISION or (
+            held.generation == result.revision.generation
+        )
+        if not result.succeeded or not is_same_store:
             await self.read()
             return False
         self._mod_revision, self._version = result.revision, copy.version
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -19,6 +19,7 @@
 )
 from monsoonpier.link.sender import LinkSender
 from monsoonpier.model.evacuation import Evacuation, Evacuations
+from monsoonpier.model.revision import Revision
 from monsoonpier.model.settings import Settings
 from monsoonpier.process.control import ControlServer, NoAnswer, answer_drain, ask
 from monsoonpier.process.frames import send_frame
@@ -117,6 +118,8 @@
             configuration=self._configuration,
             evacuate=self._take_evacuation,
             draw=draw,
+            generation=membership.store_generation,
+            on_restored=self._note_restored,
         )
         self._control = ControlServer(
             address=settings.control, keys=settings.keys, handler=self._answer
@@ -222,10 +225,15 @@
         now = _now()
         self._contact.heard(has_peers=self._membership.peers.has_peers, now=now)
         before = self._membership.evacuations
+        returns = self.store_returns
+        generation = self._membership.store_generation.number
         actions = self._membership.from_process(
             frame, sender=sender, now=now, draw=self._draw
         )
         self._note_evacuations(before, learned_from=sender[0])
+        if self.store_returns > returns:
+            self._link.restored()
+            self._log_restored(generation, learned_from=sender[0])
         if actions is None:
             self._take_frame(frame, sender)
             return
@@ -240,8 +248,12 @@
         match found:
             case Evacuation():
                 after = before.joined((found,))
-            case EvacuationsRead(revisions_by_data_centre=revisions, revision=at):
-                after = before.as_read(revisions, revision=at)
+            case EvacuationsRead():
+                after = before.as_read(
+                    found.revisions_by_data_centre,
+                    revision=found.revision,
+                    is_conclusive=found.is_conclusive,
+                )
         self._membership.evacuate(after)
         self._note_evacuations(before, learned_from="store")
 
@@ -254,12 +266,27 @@
             _log.info(
                 "evacuation in force" if order.is_active else "evacuation taken back",
                 data_centre=order.data_centre,
-                revision=order.revision,
+                revision=str(order.written_at),
                 learned_from=learned_from,
             )
             for action in self._membership.tell_witnessed(order, now=_now()):
                 self.do(action)
 
+    # The store's return from a copy
+
+    @property
+    def store_returns(self) -> int:
+        """How often the store has come back from an older copy."""
+        return sum(self._membership.store_generation.returns_by_source.values())
+
+    def _note_restored(self, old: int, revision: Revision) -> None:
+        self._membership.has_news = True
+        self._log_restored(old, learned_from="store", revision=str(revision))
+
+    def _log_restored(self, old: int, **how: str) -> None:
+        new = self._membership.store_generation.number
+        _log.warning("store restored", old=old, new=new, **how)
+
     # Gossip
 
     async def _gossip_forever(self) -> None:
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -4,6 +4,7 @@
 
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.table import TargetTable
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.service import Configuration
@@ -38,6 +39,7 @@
         has_agreed_with_any: So was that of any peer; those that have just started
             together may know the same few targets.
         evacuations: The last known orders on data centres.
+        store_generation: Which of the store's generations is the present one.
         started_at: When this balancer started, by its steady clock; long ago unless
             it is given.
 
@@ -50,6 +52,7 @@
         self.table = TargetTable()
         self.configuration = Configuration()
         self.evacuations = Evacuations()
+        self.store_generation = StoreGeneration()
         self.has_news = False
         self.has_agreed = False
         self.has_agreed_with_any = False
@@ -135,6 +138,7 @@
     ) -> list:
         self.peers.heard_from(frame.sender)
         self.evacuate(self.evacuations.joined(frame.evacuations))
+        self._learn_generation(frame.store_generation, now=now)
         for record in frame.balancers:
             self.peers.learn(record)
         for record in frame.records:
@@ -217,6 +221,7 @@
             digest=self.table.digest,
             is_settled=self.is_settled(now=now),
             evacuations=self.evacuations.known,
+            store_generation=self.store_generation.number,
             draw=draw,
         )
         return ToAgent(endpoint=sender, frame=answer)
@@ -241,6 +246,7 @@
             is_answer=is_answer,
             is_settled=self.is_settled(now=now),
             evacuations=self.evacuations.known,
+            store_generation=self.store_generation.number,
             draw=draw,
         )
         return ToAgent(endpoint=endpoint, frame=gossip)
@@ -262,6 +268,11 @@
             self.has_news = True
         self.evacuations = evacuations
 
+    def _learn_generation(self, number: int, *, now: float) -> None:
+        """Take a peer's word of the store's generation; 0 is none."""
+        if number and self.store_generation.learn(number, source="peer", now=now):
+            self.has_news = True
+
     def tell_witnessed(self, order: Evacuation, *, now: float) -> list[ToAgent]:
         """Return word of an order for the agents there that beat to this balancer.
 
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -204,6 +204,10 @@
         yield from self._steering.histograms
         yield from self._sender.readings
         yield self._store.call_seconds
+        generation = membership.store_generation
+        yield gauge("store_generation", "The store's, as known.", generation.number)
+        returns = generation.returns_by_source
+        yield counter("store_returns", "Returns from copies.", returns, "source")
         results = self._steering.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
         drops = self._dropped_by_reason | self._member.dropped_by_reason
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -152,6 +152,7 @@
         is_answer: bool,
         is_settled: bool,
         evacuations: tuple[Evacuation, ...],
+        store_generation: int,
         draw: random.Random,
     ) -> Gossip:
         """Return this round's message with the news that has rounds left."""
@@ -164,6 +165,7 @@
             is_answer=is_answer,
             is_settled=is_settled,
             evacuations=evacuations,
+            store_generation=store_generation,
             draw=draw,
         )
 
@@ -174,6 +176,7 @@
         digest: bytes,
         is_settled: bool,
         evacuations: tuple[Evacuation, ...],
+        store_generation: int,
         draw: random.Random,
     ) -> Gossip:
         """Return an answer for a peer that knows all this balancer knows."""
@@ -185,6 +188,7 @@
             is_answer=True,
             is_settled=is_settled,
             evacuations=evacuations,
+            store_generation=store_generation,
             draw=draw,
         )
 
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -10,8 +10,10 @@
 
 from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.stored_configuration import StoredConfiguration
-from monsoonpier.model.evacuation import Evacuation
+from monsoonpier.model.evacuation import Evacuation, evacuation
+from monsoonpier.model.revision import Revision
 from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
@@ -43,6 +45,9 @@
 JUST_READ_SECONDS = 5.0  # peers tell of those that have registered since
 COPY_SECONDS = 2.0  # a storm of changes is copied this often, not each time
 LEAVE_CALL_SECONDS = 2.0
+# After the store's return from a copy all balancers register anew: 460 write twice
+# within this time, and all are back within two seconds of the return.
+REGISTER_SPREAD_SECONDS = 0.5
 _log = structlog.get_logger("monsoonpier.balancer.store_link")
 
 
@@ -53,16 +58,21 @@
     Attributes:
         revisions_by_data_centre: The revision of each order.
         revision: The store's revision that the reading holds for at least.
+        is_conclusive: Orders that the store lost when it came back from a copy would
+            have been written again by then.
     """
 
-    revisions_by_data_centre: dict[str, int]
-    revision: int
+    revisions_by_data_centre: dict[str, Revision]
+    revision: Revision
+    is_conclusive: bool = True
 
 
 class StoreLink:
     """Keeps the balancer registered and brings what operators have ordered.
 
-    The platform's silence never takes anything away: what is known stays.
+    The platform's silence never takes anything away: what is known stays. When it
+    comes back from an older copy, in a new generation, the balancer registers anew,
+    reads all that operators ordered, and believes no longer that its copy is there.
 
     Args:
         store: The platform's key-value service.
@@ -73,6 +83,9 @@
         evacuate: Takes orders to evacuate data centres, and their deletions.
         draw: Random numbers for pauses.
         clock: The steady clock.
+        generation: The store's generation, which peers tell of too.
+        on_restored: Called with the generation before and the first revision known
+            when the store's answers tell that it has come back from a copy.
     """
 
     def __init__(
@@ -86,6 +99,8 @@
         evacuate: Callable[[Evacuation | EvacuationsRead], None],
         draw: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        generation: StoreGeneration | None = None,
+        on_restored: Callable[[int, Revision], None] = lambda _old, _revision: None,
     ) -> None:
         self._now = clock
         self._store = store
@@ -96,6 +111,11 @@
         self._evacuate = evacuate
         self._draw = draw
         self._lease = Lease()
+        self._registered_in = 0
+        self._generation = generation or StoreGeneration()
+        self._on_restored = on_restored
+        self._concluded_in = 0
+        self._restored = asyncio.Event()
         self._watching: asyncio.Task | None = None
         self._last_read = -POLL_SECONDS
         self._balancers_read_at = -POLL_SECONDS
@@ -106,11 +126,16 @@
             self._register_forever(), self._follow_forever(), self._copy_forever()
         )
 
+    def restored(self) -> None:
+        """The store is known to have come back from a copy: write anew what it lost."""
+        self._copies.forget()
+        self._restored.set()
+
     async def leave(self) -> None:
         """Give the registration back, so that nobody new turns here."""
         lease, self._lease = self._lease, self._lease.released()
-        if not lease.id:
-            return
+        if not lease.id or not self._is_registered_here:
+            return  # The store may have given the lease's id to somebody else.
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
                 await self._store.revoke(lease.id)
@@ -123,17 +148,31 @@
             try:
                 await self._keep_registered()
                 backoff = backoff.after_success()
-                await asyncio.sleep(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
+                await self._pause(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
             except StoreError as error:
                 _log.info("store unreachable", reason=str(error))
                 self._lease = self._lease.renewal_failed()
-                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+                await self._pause(backoff.wait_seconds(draw=self._draw))
                 backoff = backoff.after_failure()
 
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next call is due, or soon after the store's return."""
+        try:
+            await asyncio.wait_for(self._restored.wait(), seconds)
+        except TimeoutError:
+            return
+        self._restored.clear()
+        await asyncio.sleep(self._draw.uniform(0.0, REGISTER_SPREAD_SECONDS))
+
+    @property
+    def _is_registered_here(self) -> bool:
+        """Whether the registration was written in the store's present generation."""
+        return self._registered_in >= self._generation.number
+
     async def _keep_registered(self) -> None:
         """Renew the lease, or take a new one if it has run out meanwhile."""
         asked_at = self._now()
-        if self._lease.may_act(now=asked_at):
+        if self._lease.may_act(now=asked_at) and self._is_registered_here:
             try:
                 ttl = await self._store.renew(self._lease.id)
             except LeaseNotFoundError:
@@ -142,19 +181,27 @@
                 self._lease = self._lease.renewed(
                     ttl_seconds=ttl, asked_at=asked_at, now=self._now()
                 )
+            self._learn_generation(Revision(generation=self._store.generation))
+        if not self._is_registered_here and self._lease.may_act(now=self._now()):
+            self._lease = self._lease.lost()
         if not self._lease.may_act(now=self._now()):
             await self._register()
 
     async def _register(self) -> None:
         asked_at = self._now()
         lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
+        granted_in = self._store.generation
         own = self._peers.own
         put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        await self._store.transact(compares=(), puts=(put,))
+        written = await self._store.transact(compares=(), puts=(put,))
+        self._learn_generation(written.revision)
+        self._registered_in = min(granted_in, written.revision.generation)
+        if not self._is_registered_here:
+            raise StoreError("the store came back from a copy during a registration")
         self._lease = self._lease.at(now=asked_at).granted(
             lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
         )
-        _log.info("registered", lease=lease)
+        _log.info("registered", lease=lease, generation=self._registered_in)
 
     async def _follow_forever(self) -> None:
         await self._begin_with_copy()
@@ -168,6 +215,8 @@
                     self._watching.cancel()
                 if not is_watcher and self._now() - self._last_read > POLL_SECONDS:
                     await self._read_quietly()
+                if is_watcher and self._must_conclude:
+                    await self._conclude_quietly()
                 await asyncio.sleep(WATCH_CHECK_SECONDS * self._draw.uniform(0.5, 1.0))
         finally:
             if self._watching is not None:
@@ -188,7 +237,7 @@
                 self._store.read(EVACUATIONS, prefix=True),
                 self._read_balancers(may_be_old=True),
             )
-            self._evacuate(_evacuations_in(evacuations))
+            self._take_evacuations(evacuations)
             self._configuration.take_packed(copy.packed)
         except StoreError as error:
             _log.info("store unreachable", reason=str(error), key=CONFIGURATION_COPY)
@@ -219,7 +268,7 @@
             try:
                 revision = await self._read()
                 async for event in self._store.watch(
-                    CONFIGURATION, prefix=True, from_revision=revision + 1
+                    CONFIGURATION, prefix=True, from_revision=revision.next
                 ):
                     backoff = backoff.after_success()
                     self._take_event(event)
@@ -236,18 +285,50 @@
         except StoreError as error:
             _log.info("store unreachable", reason=str(error))
 
-    async def _read(self) -> int:
+    async def _read(self) -> Revision:
         """Read balancers, evacuations and configuration; return the revision."""
         if self._now() - self._balancers_read_at > JUST_READ_SECONDS:
             await self._read_balancers()
         stored = await self._store.read(CONFIGURATION, prefix=True)
         # Nothing is placed without a configuration, so evacuations come first.
-        self._evacuate(_evacuations_in(stored))
+        self._take_evacuations(stored)
         if CONFIGURATION in stored.values_by_key:
             self._configuration.take(stored.values_by_key[CONFIGURATION].value)
         self._last_read = self._now()
         return stored.revision
 
+    @property
+    def _must_conclude(self) -> bool:
+        """Whether orders that the store lost are still held, and long enough.
+
+        A watcher looks once more then; the others hear of it.
+        """
+        number = self._generation.number
+        is_due = self._generation.is_restated(now=self._now())
+        return self._concluded_in < number and is_due
+
+    async def _conclude_quietly(self) -> None:
+        try:
+            found = await self._store.read(EVACUATIONS, prefix=True)
+        except StoreError as error:
+            _log.info("store unreachable", reason=str(error), key=EVACUATIONS)
+            return
+        self._take_evacuations(found)
+
+    def _take_evacuations(self, found: Snapshot) -> None:
+        self._learn_generation(found.revision)
+        is_conclusive = self._generation.is_restated(now=self._now())
+        if is_conclusive:
+            self._concluded_in = found.revision.generation
+        self._evacuate(_evacuations_in(found, is_conclusive=is_conclusive))
+
+    def _learn_generation(self, revision: Revision) -> None:
+        """Take word of the generation that an answer of the store is from."""
+        old = self._generation.number
+        if self._generation.learn(revision.generation, source="store", now=self._now()):
+            self.restored()
+            self._on_restored(old, revision)
+
     async def _read_balancers(self, *, may_be_old: bool = False) -> None:
         found = await self._store.read(BALANCERS, prefix=True, may_be_old=may_be_old)
         self._balancers_read_at = self._now()
@@ -258,20 +339,22 @@
         if event.key == CONFIGURATION and event.value is not None:
             self._configuration.take(event.value)
         elif event.key.startswith(EVACUATIONS):
-            order = Evacuation(
-                data_centre=event.key.removeprefix(EVACUATIONS),
-                revision=event.mod_revision,
+            order = evacuation(
+                event.key.removeprefix(EVACUATIONS),
+                written_at=event.mod_revision,
                 is_active=event.value is not None,
             )
             self._evacuate(order)
 
 
-def _evacuations_in(found: Snapshot) -> EvacuationsRead:
+def _evacuations_in(found: Snapshot, *, is_conclusive: bool) -> EvacuationsRead:
     revisions_by_data_centre = {
         key.removeprefix(EVACUATIONS): value.mod_revision
         for key, value in found.values_by_key.items()
         if key.startswith(EVACUATIONS)
     }
     return EvacuationsRead(
-        revisions_by_data_centre=revisions_by_data_centre, revision=found.revision
+        revisions_by_data_centre=revisions_by_data_centre,
+        revision=found.revision,
+        is_conclusive=is_conclusive,
     )
--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -105,6 +105,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
+        self._headers_by_name: dict[str, str] = {}
         self._waiting: asyncio.Future | None = None
         self._keeps_alive = True
         self.used_at = 0.0
@@ -142,6 +143,10 @@
 
     def on_message_begin(self) -> None:
         self._body.clear()
+        self._headers_by_name = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers_by_name[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         self._body += body
@@ -154,7 +159,12 @@
         if self._waiting is None or self._waiting.done():
             return
         status = self._parser.get_status_code()
-        self._waiting.set_result(Response(status=status, body=bytes(self._body)))
+        response = Response(
+            status=status,
+            body=bytes(self._body),
+            headers_by_name=self._headers_by_name,
+        )
+        self._waiting.set_result(response)
 
     def _fail(self, error: Exception) -> None:
         if self._waiting is not None and not self._waiting.done():
--- a/monsoonpier/http/message.py
+++ b/monsoonpier/http/message.py
@@ -29,11 +29,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
-    """One whole response."""
+    """One whole response.
+
+    ``headers_by_name`` has what a server sent, by names in lower case.
+    """
 
     status: int = 200
     body: bytes = b""
     content_type: str = "text/plain; charset=utf-8"
+    headers_by_name: dict[str, str] = field(default_factory=dict)
 
 
 def encode_response(response: Response, *, keep_alive: bool) -> bytes:
--- a/monsoonpier/operator/change.py
+++ b/monsoonpier/operator/change.py
@@ -11,6 +11,7 @@
 
 from monsoonpier.documents.configuration import difference, parse_files
 from monsoonpier.documents.stored import Stored, decode_stored, encode_stored
+from monsoonpier.model.revision import NO_REVISION, Revision
 from monsoonpier.model.service import Service
 from monsoonpier.operator.write import (
     RESOLVE_SECONDS,
@@ -41,7 +42,7 @@
     """The configuration as it was read, and the revision to compare with."""
 
     stored: Stored
-    mod_revision: int = 0
+    mod_revision: Revision = NO_REVISION
 
     @property
     def version(self) -> int:
@@ -119,7 +120,7 @@
     lines = tuple(difference(base.stored.services, services))
     compares = (
         Compare(key=CONFIGURATION, mod_revision=base.mod_revision),
-        Compare(key=audit_key(version), mod_revision=0),
+        Compare(key=audit_key(version)),
     )
     entry = AuditEntry(
         version=version,
--- a/monsoonpier/operator/evacuate.py
+++ b/monsoonpier/operator/evacuate.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from monsoonpier.model.revision import Revision
 from monsoonpier.model.target import Condition
 from monsoonpier.operator.write import Proof, Refused, Undecided, Written, write
 from monsoonpier.store.interface import Compare, KeyValue, Put, Store
@@ -49,7 +50,7 @@
     """An order that is in the store, with the revision that wrote it."""
 
     entry: EvacuationEntry
-    revision: int
+    revision: Revision
 
 
 _decode = msgspec.json.Decoder(EvacuationEntry).decode
@@ -64,7 +65,7 @@
     key = EVACUATIONS + order.data_centre
     return await write(
         platform,
-        compares=(Compare(key=key, mod_revision=0),),
+        compares=(Compare(key=key),),
         puts=(Put(key=key, value=_encode(entry)), _audit_put(entry)),
         proof=_proof(entry),
         draw=draw,
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -1,6 +1,5 @@
 """The platform's metadata store as an implementation of `Store`."""
 
-import asyncio
 import base64
 import random
 import time
@@ -12,20 +11,24 @@
 
 from monsoonpier.http import HttpClient, HttpError, Response
 from monsoonpier.model.address import Address
+from monsoonpier.model.revision import Revision
 from monsoonpier.process.readings import Histogram
-from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.generation import GenerationHeader
 from monsoonpier.store.interface import (
     CompactedError,
     Compare,
     KeyValue,
     LeaseNotFoundError,
     Put,
+    RestoredError,
     Snapshot,
     StoreError,
     TransactionResult,
     WatchEvent,
 )
 from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
+from monsoonpier.store.long_poll import Polled, poll_forever
+from monsoonpier.store.paging import Page, read_pages
 
 __all__ = ["PlatformStore"]
 
@@ -33,10 +36,9 @@
 # A watch whose answer was lost hangs without a word; a configuration must be in force
 # 3 s after that. At the size aimed at twelve balancers watch: 6 calls a second.
 WATCH_SECONDS = 2.0
-MAX_WATCH_RETRY_SECONDS = 0.5  # so soon after an outage a watch is made anew
 WATCH_SLACK_SECONDS = 0.75  # three times the answer of a store 60 times slower
-MAX_PAGES = 64  # 500 items each: seven times the balancers aimed at
 _PATH = "/monsoonpier/"
+_GENERATION_HEADER = "store-era"  # in all answers; it rises at each return from a copy
 _OPERATORS_PREFIX = "op/"  # what the operator writes
 _OPERATORS_KEY = _OPERATORS_PREFIX + "config"
 _EVACUATED_PREFIX = _OPERATORS_PREFIX + "evacuate/"  # then a data centre's name
@@ -80,34 +82,39 @@
     def __init__(self, *, address: Address, draw: random.Random) -> None:
         self._client = HttpClient(address=address)
         self._draw = draw
+        self._generations = GenerationHeader(name=_GENERATION_HEADER)
         self.calls = 0
         self.call_seconds = Histogram(
             name="store_call_seconds", help="Calls to the store, watches too."
         )
 
+    @property
+    def generation(self) -> int:
+        """The newest generation that an answer told of; 0 before the first one."""
+        return self._generations.newest
+
     async def read(
         self, key: str, *, prefix: bool = False, may_be_old: bool = False
     ) -> Snapshot:
         """Return the key, or all keys that begin with it."""
         wanted = _outer(key, prefix=prefix)
-        items: list[_Item] = []
-        revision = None
-        after = ""
-        for _ in range(MAX_PAGES):
+
+        async def read_page(after: str) -> Page:
             query = {"prefix": wanted} | ({"after": after} if after else {})
             query |= {"allow_stale": 1} if may_be_old else {}
-            found = _parse(await self._get("kv-range", query), _Found)
-            items += found.items
-            # Pages are not a snapshot: the earliest one's revision holds for all.
-            revision = found.current_rev if revision is None else revision
-            if not found.truncated or not found.items:
-                break
-            after = found.items[-1].key
-        values = [_key_value(item) for item in items if prefix or item.key == wanted]
-        return Snapshot(
-            revision=revision,
-            values_by_key={value.key: value for value in values if value},
-        )
+            response = await self._get("kv-range", query)
+            found = _parse(response, _Found)
+            revision = self._revision(response, found.current_rev)
+            items = [i for i in found.items if prefix or i.key == wanted]
+            values = [_key_value(i, generation=revision.generation) for i in items]
+            has_more = found.truncated and found.items
+            return Page(
+                revision=revision,
+                values=tuple(filter(None, values)),
+                next_after=found.items[-1].key if has_more else "",
+            )
+
+        return await read_pages(read_page)
 
     async def transact(
         self,
@@ -117,9 +124,14 @@
         removes: tuple[str, ...] = (),
     ) -> TransactionResult:
         """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
+        if outdated := self._generations.outdated(compares):
+            _log.info("condition of an earlier generation", keys=outdated)
+            ended = Revision(generation=self.generation)
+            return TransactionResult(succeeded=False, revision=ended)
         body = {
             "expect": [
-                {"key": _outer(c.key), "revision": c.mod_revision} for c in compares
+                {"key": _outer(c.key), "revision": c.mod_revision.number}
+                for c in compares
             ],
             "puts": [
                 {
@@ -133,11 +145,13 @@
         }
         response = await self._post("kv-txn", body)
         if response.status == 412:
-            return TransactionResult(succeeded=False, revision=0)
+            revision = self._revision(response)
+            return TransactionResult(succeeded=False, revision=revision)
         if response.status == 404:
             raise LeaseNotFoundError("the lease has ended")
         written = _parse(_checked(response, "kv-txn"), _Written)
-        return TransactionResult(succeeded=True, revision=written.revision)
+        revision = self._revision(response, written.revision)
+        return TransactionResult(succeeded=True, revision=revision)
 
     async def grant(self, *, ttl_seconds: int) -> int:
         """Return the id of a new lease."""
@@ -157,40 +171,35 @@
         _checked(await self._call("DELETE", path), "kv-lease-end")
 
     async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: int
+        self, key: str, *, prefix: bool = False, from_revision: Revision
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change from that revision on, across cuts.
 
         Raises:
             CompactedError: If changes since then are no longer kept.
-            StoreError: If the store can't be reached: what it knows may be newer.
+            RestoredError: If the store is of another generation now, even if its
+                count has passed that revision again and it answers.
         """
         wanted = _outer(key, prefix=prefix)
-        after = from_revision - 1
-        backoff = Backoff(most_seconds=MAX_WATCH_RETRY_SECONDS)
-        while True:
-            try:
-                watched = await self._watch_once(wanted, after)
-            except CompactedError:
-                raise
-            except StoreError as error:
-                _log.warning("watch failed", key=wanted, reason=str(error))
-                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
-                backoff = backoff.after_failure()
-                continue
-            backoff = backoff.after_success()
-            after = max(after, watched.current_rev)
-            for item in watched.events:
-                if prefix or item.key == wanted:
-                    event = _watch_event(item)
-                    if event is not None:
-                        yield event
+        generation = from_revision.generation
+
+        async def poll(after: int) -> Polled:
+            watched = await self._watch_once(wanted, after, generation)
+            items = [i for i in watched.events if prefix or i.key == wanted]
+            events = [_watch_event(item, generation=generation) for item in items]
+            return Polled(
+                events=tuple(filter(None, events)), number=watched.current_rev
+            )
+
+        after = from_revision.number - 1
+        async for event in poll_forever(poll, key=wanted, after=after, draw=self._draw):
+            yield event
 
     async def close(self) -> None:
         """Let go of connections."""
         self._client.close()
 
-    async def _watch_once(self, wanted: str, after: int) -> _Watched:
+    async def _watch_once(self, wanted: str, after: int, generation: int) -> _Watched:
         query = {
             "prefix": wanted,
             "after": after,
@@ -200,6 +209,9 @@
         response = await self._call(
             "GET", path, timeout=WATCH_SECONDS + WATCH_SLACK_SECONDS
         )
+        present = self._revision(response).generation
+        if present != generation:
+            raise RestoredError(f"the store's generation is {present}")
         if response.status == 410:
             raise CompactedError("the watch's revision is compacted")
         return _parse(_checked(response, "kv-watch"), _Watched)
@@ -222,11 +234,16 @@
         self.calls += 1
         began = time.monotonic()
         try:
-            return await self._client.call(method, path, body=body, timeout=timeout)
+            response = await self._client.call(method, path, body=body, timeout=timeout)
         except HttpError as error:
             raise StoreError(str(error)) from error
         finally:
             self.call_seconds.observe(time.monotonic() - began)
+        self._generations.note(response.headers_by_name)
+        return response
+
+    def _revision(self, response: Response, number: int = 0) -> Revision:
+        return self._generations.revision(response.headers_by_name, number)
 
 
 def _outer(key: str, *, prefix: bool = False) -> str:
@@ -273,20 +290,24 @@
         return None
 
 
-def _key_value(item: _Item) -> KeyValue | None:
+def _key_value(item: _Item, *, generation: int) -> KeyValue | None:
     value = _value(item)
     if value is None:
         return None
     return KeyValue(
         key=_inner(item.key),
         value=value,
-        mod_revision=item.revision,
+        mod_revision=Revision(generation=generation, number=item.revision),
         lease=item.lease,
     )
 
 
-def _watch_event(item: _Item) -> WatchEvent | None:
+def _watch_event(item: _Item, *, generation: int) -> WatchEvent | None:
     value = None if item.deleted else _value(item)
     if value is None and not item.deleted:
         return None
-    return WatchEvent(key=_inner(item.key), value=value, mod_revision=item.revision)
+    return WatchEvent(
+        key=_inner(item.key),
+        value=value,
+        mod_revision=Revision(generation=generation, number=item.revision),
+    )
--- a/monsoonpier/store/etcd.py
+++ b/monsoonpier/store/etcd.py
@@ -1,4 +1,8 @@
-"""A client of the JSON gateway that etcd v3 publishes, over ``aiohttp``."""
+"""A client of the JSON gateway that etcd v3 publishes, over ``aiohttp``.
+
+Its answers tell of no generation, so all revisions are of generation 0: who restores
+an etcd cluster from a copy raises its revisions (``etcdutl --bump-revision``).
+"""
 
 import asyncio
 import base64
@@ -9,6 +13,7 @@
 import aiohttp
 import structlog
 
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     CompactedError,
@@ -48,6 +53,11 @@
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
 
+    @property
+    def generation(self) -> int:
+        """Always 0: the gateway doesn't tell."""
+        return 0
+
     async def read(
         self, key: str, *, prefix: bool = False, may_be_old: bool = False
     ) -> Snapshot:
@@ -56,7 +66,7 @@
         answer = await self._call("/v3/kv/range", question)
         values = [_key_value(raw) for raw in answer.get("kvs", [])]
         return Snapshot(
-            revision=int(answer["header"]["revision"]),
+            revision=_revision(answer["header"]["revision"]),
             values_by_key={value.key: value for value in values},
         )
 
@@ -74,7 +84,7 @@
                     "key": _b64(compare.key.encode()),
                     "target": "MOD",
                     "result": "EQUAL",
-                    "mod_revision": str(compare.mod_revision),
+                    "mod_revision": str(compare.mod_revision.number),
                 }
                 for compare in compares
             ],
@@ -95,7 +105,7 @@
         answer = await self._call("/v3/kv/txn", body)
         return TransactionResult(
             succeeded=bool(answer.get("succeeded")),
-            revision=int(answer["header"]["revision"]),
+            revision=_revision(answer["header"]["revision"]),
         )
 
     async def grant(self, *, ttl_seconds: int) -> int:
@@ -116,7 +126,7 @@
         await self._call("/v3/lease/revoke", {"ID": str(lease)})
 
     async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: int
+        self, key: str, *, prefix: bool = False, from_revision: Revision
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change from that revision on, across cuts.
 
@@ -125,12 +135,12 @@
                 caller reads the key again and watches from there.
         """
         backoff = Backoff()
-        revision = from_revision
+        revision = from_revision.number
         while True:
             try:
                 async for event in self._watch_once(key, prefix, revision):
                     backoff = backoff.after_success()
-                    revision = event.mod_revision + 1
+                    revision = event.mod_revision.number + 1
                     yield event
             except CompactedError:
                 raise
@@ -235,11 +245,15 @@
     return selector
 
 
+def _revision(raw: str) -> Revision:
+    return Revision(number=int(raw))
+
+
 def _key_value(raw: dict) -> KeyValue:
     return KeyValue(
         key=base64.b64decode(raw["key"]).decode(),
         value=base64.b64decode(raw.get("value", "")),
-        mod_revision=int(raw["mod_revision"]),
+        mod_revision=_revision(raw["mod_revision"]),
         lease=int(raw.get("lease", 0)),
     )
 
--- a/monsoonpier/store/interface.py
+++ b/monsoonpier/store/interface.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from monsoonpier.model.revision import NO_REVISION, Revision
+
 __all__ = [
     "CompactedError",
     "Compare",
@@ -12,6 +14,7 @@
     "Store",
     "StoreError",
     "Put",
+    "RestoredError",
     "TransactionResult",
     "WatchEvent",
     "Snapshot",
@@ -34,22 +37,33 @@
     """The platform no longer has the changes a watch asked for."""
 
 
+class RestoredError(CompactedError):
+    """The platform came back from an older copy since the watch's revision.
+
+    Revisions have been given out again: its changes are others by the same numbers.
+    """
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyValue:
     """A key, its value, and the revision of its last change."""
 
     key: str
     value: bytes
-    mod_revision: int
+    mod_revision: Revision
     lease: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Compare:
-    """A condition: the key was last changed at that revision; 0 if absent."""
+    """A condition: the key was last changed at that revision.
+
+    `NO_REVISION` means that it isn't there. One that was read in an earlier generation
+    never holds: the number may have been given out again.
+    """
 
     key: str
-    mod_revision: int
+    mod_revision: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,7 +80,7 @@
     """Whether the conditions held and the writes took effect."""
 
     succeeded: bool
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,7 +91,7 @@
     was so at ``revision`` or later.
     """
 
-    revision: int
+    revision: Revision
     values_by_key: dict[str, KeyValue]
 
 
@@ -87,11 +101,19 @@
 
     key: str
     value: bytes | None
-    mod_revision: int
+    mod_revision: Revision
 
 
 class Store(Protocol):
-    """The operations that the project uses; each may raise `StoreError`."""
+    """The operations that the project uses; each may raise `StoreError`.
+
+    Revisions carry the generation of the answer that they came with, so that a late
+    answer of an earlier generation never looks newer.
+    """
+
+    @property
+    def generation(self) -> int:
+        """The newest generation that an answer told of; 0 before the first one."""
 
     async def read(
         self, key: str, *, prefix: bool = False, may_be_old: bool = False
@@ -123,9 +145,14 @@
         """End a lease; its keys are deleted."""
 
     def watch(
-        self, key: str, *, prefix: bool = False, from_revision: int
+        self, key: str, *, prefix: bool = False, from_revision: Revision
     ) -> AsyncIterator[WatchEvent]:
-        """Yield every change from that revision on, across cuts."""
+        """Yield every change from that revision on, across cuts.
+
+        Raises:
+            CompactedError: If changes since then are no longer kept.
+            RestoredError: If the platform is of another generation now.
+        """
 
     async def close(self) -> None:
         """Let go of connections."""
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -7,6 +7,7 @@
 
 from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation
 from monsoonpier.model.keys import FRAME, KeyRing
+from monsoonpier.model.revision import MAX_GENERATION
 from monsoonpier.model.target import LoadReport, TargetRecord
 from monsoonpier.wire.codec import Codec, Dropped, Name, Short
 
@@ -163,6 +164,7 @@
 
     ``is_settled`` says that the sender is likely to know all targets. Since it names
     all orders to evacuate, who fetches the configuration it tells of knows them first.
+    ``store_generation`` is the store's newest that it knows of, 0 if of none.
     """
 
     sender: BalancerRecord
@@ -178,6 +180,7 @@
     evacuations: Annotated[
         tuple[Evacuation, ...], Meta(max_length=MAX_EVACUATIONS)
     ] = ()
+    store_generation: Annotated[int, Meta(ge=0, le=MAX_GENERATION)] = 0
 
 
 class Carry(_Frame, tag=9, kw_only=True, gc=False):
--- a/standins/fake_store.py
+++ b/standins/fake_store.py
@@ -4,10 +4,12 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import (
     Compare,
     LeaseNotFoundError,
     Put,
+    RestoredError,
     Snapshot,
     StoreError,
     TransactionResult,
@@ -33,12 +35,14 @@
         self._clock = clock
         self.is_down = False
         self.lost_answers = 0
+        self.generation = 0
 
     async def read(
         self, key: str, *, prefix: bool = False, may_be_old: bool = False
     ) -> Snapshot:
         """Return the key, or all keys that begin with it."""
         self._check()
+        self.generation = self.store.generation
         return self.store.read(key, end=end_of(key, prefix=prefix), now=self._clock())
 
     async def transact(
@@ -50,6 +54,9 @@
     ) -> TransactionResult:
         """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
         self._check()
+        self.generation = self.store.generation
+        if any(self._is_outdated(compare.mod_revision) for compare in compares):
+            return TransactionResult(succeeded=False, revision=self.store.revision)
         try:
             result = self.store.transact(
                 compares=compares, puts=puts, removes=removes, now=self._clock()
@@ -64,11 +71,13 @@
     async def grant(self, *, ttl_seconds: int) -> int:
         """Return the id of a new lease."""
         self._check()
+        self.generation = self.store.generation
         return self.store.grant(ttl_seconds=ttl_seconds, now=self._clock())
 
     async def renew(self, lease: int) -> int:
         """Renew a lease and return its seconds to live."""
         self._check()
+        self.generation = self.store.generation
         ttl = self.store.renew(lease, now=self._clock())
         if not ttl:
             raise LeaseNotFoundError("the lease has ended")
@@ -83,22 +92,27 @@
             raise LeaseNotFoundError(str(error)) from error
 
     async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: int
+        self, key: str, *, prefix: bool = False, from_revision: Revision
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change from that revision on, across cuts."""
-        since = from_revision
+        since = from_revision.number
         end = end_of(key, prefix=prefix)
         while True:
             if not self.is_down:
+                if self.store.generation != from_revision.generation:
+                    raise RestoredError("the platform came back from a copy")
                 self.store.expire(now=self._clock())
                 for event in self.store.events(key, end=end, since=since):
-                    since = event.mod_revision + 1
+                    since = event.mod_revision.number + 1
                     yield event
             await asyncio.sleep(POLL_SECONDS)
 
     async def close(self) -> None:
         """Nothing to let go of."""
 
+    def _is_outdated(self, revision: Revision) -> bool:
+        return bool(revision.number) and revision.generation < self.generation
+
     def _check(self) -> None:
         if self.is_down:
             raise StoreError("the platform is down")
--- a/standins/packets/store.py
+++ b/standins/packets/store.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import Compare, KeyValue, Put, WatchEvent
 from standins.store import Store
 
@@ -17,6 +18,7 @@
 POLL_SECONDS = 0.01
 SILENCE_SECONDS = 30.0  # longer than any caller waits
 PREFIX = "/monsoonpier/"
+GENERATION_HEADER = "Store-Era"
 OPERATORS_PREFIXES = ("op/", "servers/")
 
 
@@ -74,12 +76,18 @@
     def put(self, key: str, value: bytes) -> int:
         """Write as the operator does; return the revision."""
         puts = (Put(key=key, value=value),)
-        return self.store.transact(compares=(), puts=puts, now=_now()).revision
+        return self.store.transact(compares=(), puts=puts, now=_now()).revision.number
 
     def remove(self, key: str) -> int:
         """Delete as the operator does; return the revision."""
         transact = self.store.transact
-        return transact(compares=(), puts=(), removes=(key,), now=_now()).revision
+        return transact(
+            compares=(), puts=(), removes=(key,), now=_now()
+        ).revision.number
+
+    @property
+    def _headers(self) -> dict[str, str]:
+        return {GENERATION_HEADER: str(self.store.generation)}
 
     @web.middleware
     async def _fail(self, request: web.Request, handler) -> web.StreamResponse:
@@ -94,9 +102,10 @@
             await asyncio.sleep(SILENCE_SECONDS)
             return _cut(request)
         if faults.status:
-            return web.Response(status=faults.status)
+            return web.Response(status=faults.status, headers=self._headers)
         await asyncio.sleep(faults.slow_seconds)
         response = await handler(request)
+        response.headers.update(self._headers)
         is_write = name in ("kv-txn", "kv-lease")
         if is_write and self._draw.random() < faults.lost_share:
             return _cut(request)
@@ -122,8 +131,8 @@
         key = request.query["key"]
         found = self.store.read(key, now=_now()).values_by_key.get(key)
         if found is None:
-            return web.json_response({"current_rev": self.store.revision}, status=404)
-        return web.json_response(_item(found) | {"current_rev": self.store.revision})
+            return web.json_response({"current_rev": self.store.number}, status=404)
+        return web.json_response(_item(found) | {"current_rev": self.store.number})
 
     async def _range(self, request: web.Request) -> web.Response:
         prefix = request.query["prefix"]
@@ -133,7 +142,7 @@
         body = {
             "items": [_item(found[key]) for key in keys[:PAGE_ITEMS]],
             "truncated": len(keys) > PAGE_ITEMS,
-            "current_rev": self.store.revision,
+            "current_rev": self.store.number,
         }
         return web.json_response(body)
 
@@ -141,8 +150,13 @@
         prefix = request.query["prefix"]
         after = int(request.query["after"])
         until = _now() + int(request.query["wait_ms"]) / 1000
+        generation = self.store.generation
         while True:
-            if self.faults.is_compacted and after < self.store.revision:
+            if generation != self.store.generation:
+                return _cut(request)
+            if after > self.store.number:
+                return web.Response(status=410)
+            if self.faults.is_compacted and after < self.store.number:
                 return web.Response(status=410)
             if self.faults.is_down:
                 return _cut(request)
@@ -155,7 +169,7 @@
             if events or _now() >= until:
                 body = {
                     "events": [_event(event) for event in events],
-                    "current_rev": self.store.revision,
+                    "current_rev": self.store.number,
                 }
                 return web.json_response(body)
             await asyncio.sleep(POLL_SECONDS)
@@ -163,7 +177,7 @@
     async def _txn(self, request: web.Request) -> web.Response:
         body = await request.json()
         compares = tuple(
-            Compare(key=row["key"], mod_revision=row["revision"])
+            Compare(key=row["key"], mod_revision=Revision(number=row["revision"]))
             for row in body.get("expect", [])
         )
         puts = tuple(
@@ -185,7 +199,7 @@
         except KeyError:
             return web.Response(status=404)
         if result.succeeded:
-            return web.json_response({"revision": result.revision})
+            return web.json_response({"revision": result.revision.number})
         found = self.store.read("", end=b"\xff", now=_now()).values_by_key
         items = [_item(found[c.key]) for c in compares if c.key in found]
         return web.json_response({"items": items}, status=412)
@@ -224,14 +238,18 @@
     return {
         "key": value.key,
         "value": base64.b64encode(value.value).decode(),
-        "revision": value.mod_revision,
-        "created": value.mod_revision,
+        "revision": value.mod_revision.number,
+        "created": value.mod_revision.number,
         "lease": value.lease,
     }
 
 
 def _event(event: WatchEvent) -> dict:
     if event.value is None:
-        return {"key": event.key, "revision": event.mod_revision, "deleted": True}
+        return {
+            "key": event.key,
+            "revision": event.mod_revision.number,
+            "deleted": True,
+        }
     value = KeyValue(key=event.key, value=event.value, mod_revision=event.mod_revision)
     return _item(value)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import Compare, KeyValue, Put, WatchEvent
 from standins.store import Store
 
@@ -86,7 +87,10 @@
     async def _txn(self, request: web.Request) -> web.Response:
         body = await request.json()
         compares = tuple(
-            Compare(key=_text(raw["key"]), mod_revision=int(raw.get("mod_revision", 0)))
+            Compare(
+                key=_text(raw["key"]),
+                mod_revision=Revision(number=int(raw.get("mod_revision", 0))),
+            )
             for raw in body.get("compare", [])
         )
         puts = tuple(
@@ -130,7 +134,7 @@
     async def _watch(self, request: web.Request) -> web.StreamResponse:
         create = (await request.json())["create_request"]
         key, end = _range_of(create)
-        since = int(create.get("start_revision", 0)) or self.store.revision + 1
+        since = int(create.get("start_revision", 0)) or self.store.number + 1
         response = web.StreamResponse()
         await response.prepare(request)
         self._watches.append(request)
@@ -140,7 +144,7 @@
                 self.store.expire(now=_now())
                 events = self.store.events(key, end=end, since=since)
                 if events:
-                    since = events[-1].mod_revision + 1
+                    since = events[-1].mod_revision.number + 1
                     raw = [_event_json(event) for event in events]
                     await self._write(
                         response, {"header": self._header(), "events": raw}
@@ -156,7 +160,7 @@
         await response.write(json.dumps({"result": result}).encode() + b"\n")
 
     def _header(self) -> dict:
-        return {"revision": str(self.store.revision)}
+        return {"revision": str(self.store.number)}
 
 
 def _cut(request: web.Request) -> web.Response:
@@ -187,7 +191,7 @@
     return {
         "key": _b64(value.key.encode()),
         "value": _b64(value.value),
-        "mod_revision": str(value.mod_revision),
+        "mod_revision": str(value.mod_revision.number),
         "lease": str(value.lease),
     }
 
@@ -196,6 +200,6 @@
     kv = {
         "key": _b64(event.key.encode()),
         "value": _b64(event.value or b""),
-        "mod_revision": str(event.mod_revision),
+        "mod_revision": str(event.mod_revision.number),
     }
     return {"type": "DELETE" if event.value is None else "PUT", "kv": kv}
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,9 @@
 """The key-value store behind the platform stand-in and the in-memory fake."""
 
-from dataclasses import dataclass, field
+from copy import deepcopy
+from dataclasses import dataclass, field, replace
 
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import (
     Compare,
     KeyValue,
@@ -12,7 +14,7 @@
     prefix_end,
 )
 
-__all__ = ["Store"]
+__all__ = ["Store", "StoreCopy", "end_of"]
 
 
 @dataclass(slots=True, kw_only=True)
@@ -22,16 +24,67 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """All that a store held at one moment."""
+
+    number: int
+    values_by_key: dict[str, KeyValue]
+    leases_by_id: dict[int, _StoredLease]
+    last_lease: int
+    history: list[WatchEvent]
+
+
 class Store:
     """Keys with revisions, leases and a history for watches. No I/O."""
 
     def __init__(self) -> None:
-        self.revision = 1
+        self.generation = 0
+        self.number = 1  # the present revision's
         self._values_by_key: dict[str, KeyValue] = {}
         self._leases_by_id: dict[int, _StoredLease] = {}
         self._last_lease = 7_000
         self.history: list[WatchEvent] = []
 
+    @property
+    def revision(self) -> Revision:
+        """The present revision."""
+        return Revision(generation=self.generation, number=self.number)
+
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now, to come back from later."""
+        return deepcopy(
+            StoreCopy(
+                number=self.number,
+                values_by_key=self._values_by_key,
+                leases_by_id=self._leases_by_id,
+                last_lease=self._last_lease,
+                history=self.history,
+            )
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is gone, leases too.
+
+        Revisions and leases go back and are given out again, in a new generation.
+        """
+        copy = deepcopy(copy)
+        self.generation += 1
+        self.number = copy.number
+        self._values_by_key = {
+            key: replace(value, mod_revision=self._again(value.mod_revision))
+            for key, value in copy.values_by_key.items()
+        }
+        self._leases_by_id = copy.leases_by_id
+        self._last_lease = copy.last_lease
+        self.history = [
+            replace(event, mod_revision=self._again(event.mod_revision))
+            for event in copy.history
+        ]
+
+    def _again(self, revision: Revision) -> Revision:
+        return replace(revision, generation=self.generation)
+
     def read(self, key: str, *, end: bytes | None = None, now: float) -> Snapshot:
         """Return the key, or the keys from it up to ``end``."""
         self.expire(now=now)
@@ -59,13 +112,14 @@
         self.expire(now=now)
         for compare in compares:
             current = self._values_by_key.get(compare.key)
-            if (current.mod_revision if current else 0) != compare.mod_revision:
+            held = current.mod_revision.number if current else 0
+            if held != compare.mod_revision.number:
                 return TransactionResult(succeeded=False, revision=self.revision)
         for put in puts:
             if put.lease and put.lease not in self._leases_by_id:
                 raise KeyError("requested lease not found")
         if puts:
-            self.revision += 1
+            self.number += 1
         for put in puts:
             self._put(put)
         for key in removes:
@@ -109,7 +163,7 @@
         return [
             event
             for event in self.history
-            if event.mod_revision >= since and _matches(event.key, key, end)
+            if event.mod_revision.number >= since and _matches(event.key, key, end)
         ]
 
     def _put(self, put: Put) -> None:
@@ -126,7 +180,7 @@
         )
 
     def _delete(self, key: str) -> None:
-        self.revision += 1
+        self.number += 1
         del self._values_by_key[key]
         self.history.append(WatchEvent(key=key, value=None, mod_revision=self.revision))
 
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -57,7 +57,9 @@
                 self.known = self.known.joined((found,))
             case EvacuationsRead():
                 self.known = self.known.as_read(
-                    found.revisions_by_data_centre, revision=found.revision
+                    found.revisions_by_data_centre,
+                    revision=found.revision,
+                    is_conclusive=found.is_conclusive,
                 )
 
     async def _order(self, place: str) -> None:
@@ -93,7 +95,9 @@
         await self._order(HERE)
         await self._order("dc-2")
         await self._take_back(HERE)
-        watch = self.store.watch(CONFIGURATION, prefix=True, from_revision=revision + 1)
+        watch = self.store.watch(
+            CONFIGURATION, prefix=True, from_revision=revision.next
+        )
         for _ in range(3):
             self.link._take_event(await anext(watch))
         self.assertEqual(self.known.active, {"dc-2"})
--- a/tests/model/test_evacuation.py
+++ b/tests/model/test_evacuation.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings, strategies as st
 
 from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation, Evacuations
+from monsoonpier.model.revision import Revision
 
 PLACES = ("dc-1", "dc-2", "dc-3")
 
@@ -27,13 +28,17 @@
     return history
 
 
-def store_at(history: list[Evacuation], revision: int) -> dict[str, int]:
+def at(number: int, *, generation: int = 0) -> Revision:
+    return Revision(generation=generation, number=number)
+
+
+def store_at(history: list[Evacuation], revision: int) -> dict[str, Revision]:
     """Return the orders in the store at that revision."""
-    found: dict[str, int] = {}
+    found: dict[str, Revision] = {}
     for word in history[:revision]:
         found.pop(word.data_centre, None)
         if word.is_active:
-            found[word.data_centre] = word.revision
+            found[word.data_centre] = word.written_at
     return found
 
 
@@ -59,12 +64,12 @@
     def test_reading_finds_deletion(self):
         """An order that a later reading doesn't find has been deleted."""
         known = Evacuations().joined((order("dc-1", 5),))
-        self.assertFalse(known.as_read({}, revision=8).is_evacuated("dc-1"))
+        self.assertFalse(known.as_read({}, revision=at(8)).is_evacuated("dc-1"))
 
     def test_old_reading(self):
         """A reading from before an order takes nothing back."""
         known = Evacuations().joined((order("dc-1", 5),))
-        self.assertTrue(known.as_read({}, revision=4).is_evacuated("dc-1"))
+        self.assertTrue(known.as_read({}, revision=at(4)).is_evacuated("dc-1"))
 
     def test_same_word_is_no_news(self):
         """What is known already leaves the same value."""
@@ -98,7 +103,7 @@
                 known = known.joined((word,))
                 heard = {word.data_centre: word.revision}
             else:
-                known = known.as_read(store_at(history, step), revision=step)
+                known = known.as_read(store_at(history, step), revision=at(step))
                 heard = dict.fromkeys(PLACES, step)
             for place, revision in heard.items():
                 newest_by_place[place] = max(revision, newest_by_place.get(place, 0))
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from monsoonpier.model.address import Address
+from monsoonpier.model.revision import Revision
 from monsoonpier.platform.store import PlatformStore
 from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.store.interface import (
@@ -60,19 +61,19 @@
         """All writes take effect if all conditions hold, else none."""
         first = await self.put(KEY, b"one")
         puts = (Put(key=KEY, value=b"two"), Put(key="/other", value=b"x"))
-        stale = Compare(key=KEY, mod_revision=first.revision + 5)
+        stale = Compare(key=KEY, mod_revision=first.revision.next.next)
         refused = await self.platform.transact(compares=(stale,), puts=puts)
         self.assertFalse(refused.succeeded)
         self.assertEqual((await self.platform.read("/other")).values_by_key, {})
         current = Compare(key=KEY, mod_revision=first.revision)
-        absent = Compare(key="/other", mod_revision=0)
+        absent = Compare(key="/other")
         done = await self.platform.transact(compares=(current, absent), puts=puts)
         self.assertTrue(done.succeeded)
 
     async def test_remove(self):
         """A key is deleted if all conditions hold, and a watch tells of it."""
         first = await self.put(KEY, b"one")
-        stale = Compare(key=KEY, mod_revision=first.revision + 5)
+        stale = Compare(key=KEY, mod_revision=first.revision.next.next)
         current = Compare(key=KEY, mod_revision=first.revision)
         for compare, succeeds in ((stale, False), (current, True)):
             result = await self.platform.transact(
@@ -80,7 +81,7 @@
             )
             self.assertEqual(result.succeeded, succeeds)
         self.assertEqual((await self.platform.read(KEY)).values_by_key, {})
-        watch = self.platform.watch(KEY, from_revision=first.revision + 1)
+        watch = self.platform.watch(KEY, from_revision=first.revision.next)
         event = await asyncio.wait_for(anext(watch), 5)
         self.assertEqual((event.key, event.value), (KEY, None))
         self.assertEqual(event.mod_revision, result.revision)
@@ -197,8 +198,10 @@
         revision = self.stand_in.put("op/config", b"v1")
         found = await self.platform.read(CONFIGURATION)
         self.assertEqual(found.values_by_key[CONFIGURATION].value, b"v1")
-        self.assertEqual(found.revision, revision)
-        watch = self.platform.watch(CONFIGURATION, from_revision=revision + 1)
+        self.assertEqual(found.revision, Revision(number=revision))
+        watch = self.platform.watch(
+            CONFIGURATION, from_revision=Revision(number=revision + 1)
+        )
         self.stand_in.put("op/config-draft", b"not this")
         self.stand_in.put("op/config", b"v2")
         event = await asyncio.wait_for(anext(watch), 5)
@@ -209,7 +212,7 @@
         self.stand_in.put("op/config", b"v1")
         self.stand_in.put("op/config", b"v2")
         self.stand_in.faults.is_compacted = True
-        watch = self.platform.watch(CONFIGURATION, from_revision=1)
+        watch = self.platform.watch(CONFIGURATION, from_revision=Revision(number=1))
         with self.assertRaises(CompactedError):
             await asyncio.wait_for(anext(watch), 5)
 
@@ -230,7 +233,7 @@
             return item(value) | {"value": "%%"}
 
         watch = self.platform.watch(
-            CONFIGURATION, prefix=True, from_revision=revision + 1
+            CONFIGURATION, prefix=True, from_revision=Revision(number=revision + 1)
         )
         with mock.patch.object(packet_store, "_item", garbled):
             self.stand_in.put("op/evacuate/hall-2", b"{}")
@@ -260,7 +263,7 @@
         with mock.patch.object(self.platform, "_get", write_between):
             found = await self.platform.read("/a/", prefix=True)
         self.assertEqual(len(pages), 2)
-        self.assertEqual(found.revision, revision)
+        self.assertEqual(found.revision, Revision(number=revision))
 
     async def test_silent(self) -> None:
         """A watch that was lost in an outage is soon made anew.
@@ -270,7 +273,7 @@
         """
         first = await self.put(KEY, b"old")
         self.stand_in.faults.is_silent = True
-        watch = self.platform.watch(KEY, from_revision=first.revision + 1)
+        watch = self.platform.watch(KEY, from_revision=first.revision.next)
         following = asyncio.create_task(anext(watch))
         await asyncio.sleep(0.2)
         self.stand_in.faults.is_silent = False
@@ -294,7 +297,9 @@
         def garbled(value):
             return item(value) | ({"value": "%%"} if value.key == "a/2" else {})
 
-        watch = self.platform.watch("/a/", prefix=True, from_revision=revision)
+        watch = self.platform.watch(
+            "/a/", prefix=True, from_revision=Revision(number=revision)
+        )
         with mock.patch.object(packet_store, "_item", garbled):
             self.stand_in.put("a/2", b"two")
             self.stand_in.put("a/3", b"three")
