Replay the store's return from an older copy in tests

A store that comes back with smaller revisions, lost leases and lost writes, in the contract of the fake and of the adapter's client (a watch that the store has passed again, conditions by numbers given out twice, pages of two generations), at a balancer's link, and as a drill on loopback under load. Words and readings of both generations in any order are drawn by hypothesis.

--- /dev/null
+++ b/tests/balancer/test_store_return.py
@@ -0,0 +1,215 @@
+"""The store comes back from a copy some seconds old: what balancers do then."""
+
+import asyncio
+import contextlib
+import random
+import unittest
+from unittest import mock
+
+from monsoonpier.balancer.configuration_copy import (
+    ConfigurationCopies,
+    ConfigurationCopy,
+)
+from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.store_generation import RESTATE_SECONDS
+from monsoonpier.balancer.store_link import (
+    LEASE_TTL_SECONDS,
+    EvacuationsRead,
+    StoreLink,
+)
+from monsoonpier.balancer.stored_configuration import StoredConfiguration
+from monsoonpier.model.evacuation import Evacuation, Evacuations
+from monsoonpier.store.interface import Put, StoreError
+from monsoonpier.store.keys import BALANCERS, CONFIGURATION, EVACUATIONS
+from monsoonpier.wire.frames import FrameCodec, Gossip
+from standins.fake_store import FakeStore
+from tests.rig import KEYS, balancer
+
+PLACE = "dc-2"
+
+
+class ReturnTests(unittest.IsolatedAsyncioTestCase):
+    """One balancer's link with a store that loses seconds, and a clock to move."""
+
+    async def asyncSetUp(self) -> None:
+        self.now = 1000.0
+        self.platform = FakeStore(clock=lambda: self.now)
+        self.store = self.platform.store
+        self.known = Evacuations()
+        self.membership = Membership(own=balancer("b1").peers.own)
+        self.returns: list[tuple[int, str]] = []
+        self.copies = ConfigurationCopies(store=self.platform, keys=KEYS)
+        self.link = StoreLink(
+            store=self.platform,
+            peers=self.membership.peers,
+            codec=FrameCodec(keys=KEYS),
+            copies=self.copies,
+            configuration=mock.create_autospec(StoredConfiguration, instance=True),
+            evacuate=self._take,
+            draw=random.Random(1),
+            clock=lambda: self.now,
+            generation=self.membership.store_generation,
+            on_restored=lambda old, at: self.returns.append((old, str(at))),
+        )
+
+    def _take(self, found: Evacuation | EvacuationsRead) -> None:
+        match found:
+            case Evacuation():
+                self.known = self.known.joined((found,))
+            case EvacuationsRead(revisions_by_data_centre=orders):
+                self.known = self.known.as_read(
+                    orders, revision=found.revision, is_conclusive=found.is_conclusive
+                )
+
+    async def _order(self) -> None:
+        put = Put(key=EVACUATIONS + PLACE, value=b"{}")
+        await self.platform.transact(compares=(), puts=(put,))
+
+    async def _take_back(self) -> None:
+        removes = (EVACUATIONS + PLACE,)
+        await self.platform.transact(compares=(), puts=(), removes=removes)
+
+    async def _hear(self, generation: int) -> None:
+        gossip = Gossip(
+            sender=balancer("b2", host=2).peers.own,
+            version=0,
+            digest=b"",
+            store_generation=generation,
+        )
+        self.membership.from_process(
+            gossip, sender=("10.2.0.2", 9000), now=self.now, draw=random.Random(1)
+        )
+
+    async def _is_registered(self) -> bool:
+        found = await self.platform.read(BALANCERS + "b1")
+        return bool(found.values_by_key)
+
+    @contextlib.asynccontextmanager
+    async def _running(self, job):
+        task = asyncio.create_task(job)
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _wait_registered(self) -> None:
+        async with asyncio.timeout(2.0):
+            while not await self._is_registered():
+                await asyncio.sleep(0.02)
+
+    async def test_registered_again(self):
+        """The registration is back in two seconds, from the store's answer."""
+        copy = self.store.copy()
+        async with self._running(self.link._register_forever()):
+            await self._wait_registered()
+            await self.link._read()
+            self.store.restore(copy)
+            self.assertFalse(await self._is_registered())
+            await self.link._read()
+            await self._wait_registered()
+        self.assertEqual(self.returns, [(0, "1:1")])
+
+    async def test_registered_again_by_a_peers_word(self):
+        """Who hardly ever reads the store hears of its return from a peer."""
+        copy = self.store.copy()
+        async with self._running(self.link._register_forever()):
+            await self._wait_registered()
+            self.store.restore(copy)
+            await self._hear(1)
+            self.assertTrue(self.membership.has_news)
+            self.link.restored()
+            await self._wait_registered()
+
+    async def test_lease_given_out_again(self):
+        """A lease of the lost seconds is another's by now: neither kept nor ended."""
+        copy = self.store.copy()
+        await self.link._keep_registered()
+        self.store.restore(copy)
+        other = await self.platform.grant(ttl_seconds=LEASE_TTL_SECONDS)
+        self.assertEqual(other, self.link._lease.id)
+        await self.link._keep_registered()
+        self.assertTrue(await self._is_registered())
+        self.assertNotEqual(other, self.link._lease.id)
+        self.store.restore(copy)
+        other = await self.platform.grant(ttl_seconds=LEASE_TTL_SECONDS)
+        self.link._lease = self.link._lease.released().granted(
+            other, ttl_seconds=LEASE_TTL_SECONDS, asked_at=self.now
+        )
+        await self._hear(2)
+        await self.link.leave()
+        self.assertEqual(await self.platform.renew(other), LEASE_TTL_SECONDS)
+
+    async def test_return_in_the_middle_of_a_registration(self):
+        """A lease and a registration of two generations are no registration."""
+        await self.platform.read(BALANCERS)
+        grant = self.platform.grant
+
+        async def grant_then_return(*, ttl_seconds):
+            lease = await grant(ttl_seconds=ttl_seconds)
+            copy = self.store.copy()
+            self.store.restore(copy)
+            return lease
+
+        with (
+            mock.patch.object(self.platform, "grant", grant_then_return),
+            self.assertRaises(StoreError),
+        ):
+            await self.link._keep_registered()
+        self.assertFalse(self.link._lease.may_act(now=self.now))
+
+    async def test_order_that_the_copy_lacks(self):
+        """A data centre stays evacuated until its order is written again."""
+        copy = self.store.copy()
+        for _ in range(5):
+            await self._order()
+        await self.link._read()
+        self.store.restore(copy)
+        revision = await self.link._read()
+        self.assertTrue(self.known.is_evacuated(PLACE))
+        watch = self.platform.watch(
+            CONFIGURATION, prefix=True, from_revision=revision.next
+        )
+        for change, is_evacuated in ((self._order, True), (self._take_back, False)):
+            await change()
+            self.link._take_event(await anext(watch))
+            self.assertIs(self.known.is_evacuated(PLACE), is_evacuated)
+
+    async def test_order_that_is_not_written_again(self):
+        """One that nobody writes again is dropped after the time that it takes."""
+        copy = self.store.copy()
+        await self._order()
+        await self.link._read()
+        self.store.restore(copy)
+        await self.link._read()
+        self.assertFalse(self.link._must_conclude)
+        self.now += RESTATE_SECONDS
+        self.assertTrue(self.link._must_conclude)
+        await self.link._conclude_quietly()
+        self.assertFalse(self.known.is_evacuated(PLACE))
+        self.assertFalse(self.link._must_conclude)
+
+    async def test_lost_copy(self):
+        """A configuration's copy that was lost is written again, a newer one kept."""
+        nothing = self.store.copy()
+        newer = ConfigurationCopy(version=7, packed=b"n")
+        await self.copies.write(newer)
+        await self.link._read()
+        self.store.restore(nothing)
+        self.assertFalse(self.copies.is_old(7))
+        await self.link._read()
+        self.assertTrue(self.copies.is_old(7))
+        self.assertTrue(await self.copies.write(newer))
+        self.link.restored()
+        late = ConfigurationCopy(version=6, packed=b"o")
+        self.assertFalse(await self.copies.write(late))
+        self.assertEqual((await self.copies.read()).version, 7)
+
+    async def test_first_word_is_no_return(self):
+        """A process that starts with a store that once came back reports none."""
+        self.store.generation = 3
+        await self.link._read()
+        self.assertEqual(self.returns, [])
+        self.assertEqual(self.membership.store_generation.number, 3)
+        await self._hear(2)
+        self.assertEqual(self.membership.store_generation.number, 3)
--- a/tests/model/test_evacuation.py
+++ b/tests/model/test_evacuation.py
@@ -1,6 +1,7 @@
 """What is known of evacuations, in whatever order its words come."""
 
 import unittest
+from itertools import permutations
 
 from hypothesis import given, settings, strategies as st
 
@@ -10,9 +11,13 @@
 PLACES = ("dc-1", "dc-2", "dc-3")
 
 
-def order(place: str, revision: int, *, active: bool = True) -> Evacuation:
+def order(
+    place: str, revision: int, *, active: bool = True, generation: int = 0
+) -> Evacuation:
     """Return word of an order, or of its deletion."""
-    return Evacuation(data_centre=place, revision=revision, is_active=active)
+    return Evacuation(
+        data_centre=place, revision=revision, is_active=active, generation=generation
+    )
 
 
 @st.composite
@@ -123,3 +128,94 @@
         for word in words:
             known = known.joined((word,))
         self.assertEqual(known, Evacuations().joined(history))
+
+
+@st.composite
+def restored_histories(draw) -> tuple[list[Evacuation], list[Evacuation]]:
+    """Return what a store went through until it came back from a copy, and since.
+
+    Its changes since have numbers that were given out before.
+    """
+    before = draw(histories())
+    copied = before[: draw(st.integers(0, len(before)))]
+    since = [
+        order(word.data_centre, word.revision, active=word.is_active, generation=1)
+        for word in copied
+    ]
+    active = set(store_at(copied, len(copied)))
+    for number in range(len(copied) + 1, len(copied) + 1 + draw(st.integers(0, 8))):
+        place = draw(st.sampled_from(PLACES))
+        active ^= {place}
+        since.append(order(place, number, active=place in active, generation=1))
+    return before, since
+
+
+class ReturnTests(unittest.TestCase):
+    """The store comes back from a copy; its numbers stand for other changes."""
+
+    def test_smaller_number_of_a_newer_generation(self):
+        """An order after the return is believed and taken back, in any order heard."""
+        words = (
+            order("dc-1", 70, active=False),
+            order("dc-1", 61, generation=1),
+            order("dc-1", 62, active=False, generation=1),
+        )
+        for count, expected in ((2, True), (3, False)):
+            for heard in permutations(words[:count]):
+                with self.subTest(heard=heard):
+                    known = Evacuations()
+                    for word in heard:
+                        known = known.joined((word,))
+                    self.assertIs(known.is_evacuated("dc-1"), expected)
+
+    def test_not_yet_written_again(self):
+        """An order that the copy lacks stays until a conclusive reading."""
+        known = Evacuations().joined((order("dc-1", 70),))
+        reading = at(60, generation=1)
+        kept = known.as_read({}, revision=reading, is_conclusive=False)
+        self.assertTrue(kept.is_evacuated("dc-1"))
+        self.assertFalse(kept.as_read({}, revision=reading).is_evacuated("dc-1"))
+
+    def test_told_before_conclusion(self):
+        """Who starts meanwhile takes a peer's word of such an order, not afterwards."""
+        reading = at(60, generation=1)
+        words = (order("dc-1", 70), order("dc-2", 59, generation=1))
+        fresh = Evacuations().as_read({}, revision=reading, is_conclusive=False)
+        self.assertEqual(fresh.joined(words).active, {"dc-1"})
+        later = Evacuations().as_read({}, revision=reading)
+        self.assertEqual(later.joined(words).active, set())
+
+    def test_in_the_copy(self):
+        """An order that was taken back is in force again if the copy has it."""
+        known = Evacuations().joined((order("dc-1", 70, active=False),))
+        found = {"dc-1": at(50, generation=1)}
+        known = known.as_read(found, revision=at(60, generation=1), is_conclusive=False)
+        self.assertTrue(known.is_evacuated("dc-1"))
+
+    @given(restored_histories(), st.data())
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_any_order_across_a_return(self, both, data):
+        """Words and readings of both generations come in any order and twice.
+
+        Belief is what the store held at the newest revision that they speak of.
+        """
+        known = Evacuations()
+        newest_by_place: dict[str, Revision] = {}
+        for _ in range(data.draw(st.integers(0, 20))):
+            generation = data.draw(st.integers(0, 1))
+            history = both[generation]
+            step = data.draw(st.integers(0, len(history)))
+            if step and data.draw(st.booleans()):
+                word = history[step - 1]
+                known = known.joined((word,))
+                heard = {word.data_centre: word.written_at}
+            else:
+                reading = at(step, generation=generation)
+                known = known.as_read(store_at(history, step), revision=reading)
+                heard = dict.fromkeys(PLACES, reading)
+            for place, revision in heard.items():
+                newest = newest_by_place.get(place, revision)
+                newest_by_place[place] = max(revision, newest)
+        for place, newest in newest_by_place.items():
+            held = store_at(both[newest.generation], newest.number)
+            self.assertEqual(known.is_evacuated(place), place in held)
--- /dev/null
+++ b/tests/packets/test_store_return.py
@@ -0,0 +1,78 @@
+"""A drill on loopback: the store comes back from a copy some seconds old."""
+
+import asyncio
+import unittest
+
+from standins.packets.deployment import PacketDeployment
+from standins.packets.load import PacketLoad
+
+BALANCERS = ("lb-1", "lb-2", "lb-3")
+RETURNED = ("store_generation", 1)
+REGISTERED = {f"monsoonpier/balancers/{name}" for name in BALANCERS}
+
+
+class DrillTests(unittest.IsolatedAsyncioTestCase):
+    """Two data centres under load while the store loses its last seconds."""
+
+    async def asyncSetUp(self) -> None:
+        deployment = PacketDeployment(net="127.84.21", seed=3, zones=("dc-1", "dc-2"))
+        await self.enterAsyncContext(deployment)
+        deployment.configure()
+        for name in BALANCERS:
+            deployment.ip(name)
+        self.deployment = deployment
+        self.store = deployment.store
+        self.copy = self.store.store.copy()  # before any balancer has registered
+        await asyncio.gather(
+            *(deployment.start_balancer(name) for name in BALANCERS),
+            deployment.start_pair("maps-1", "maps"),
+            deployment.start_pair("maps-2", "maps", zone="dc-2"),
+            deployment.start_pair("logs-1", "logs"),
+        )
+        self.emptied = deployment.targets_by_name["maps-2"]
+
+    async def _opened(self, seconds: float) -> int:
+        before = self.emptied.opened
+        await asyncio.sleep(seconds)
+        return self.emptied.opened - before
+
+    def _registered(self) -> set[str]:
+        found = self.store.store.read("", end=b"\xff", now=0.0).values_by_key
+        return REGISTERED & set(found)
+
+    async def _come_back(self) -> None:
+        """Be away for a moment, come back, and hear the operator's last words."""
+        self.store.faults.is_down = True
+        await asyncio.sleep(0.5)
+        self.store.store.restore(self.copy)
+        self.store.faults.is_down = False
+
+    async def test_drill(self) -> None:
+        """Registrations are back, orders hold, and no configuration goes back."""
+        load = PacketLoad(deployment=self.deployment, seed=5)
+        load.start(readers=6, writers=3, uploaders=1)
+        # Numbers that the store will take long to reach again.
+        for _ in range(200):
+            self.store.put("op/other", b"{}")
+        version = self.deployment.configure()
+        self.store.put("op/evacuate/dc-2", b"{}")
+        await asyncio.sleep(1.5)
+        await self._come_back()
+        await asyncio.sleep(2.0)
+        self.assertEqual(self._registered(), REGISTERED)
+        self.assertEqual(await self._opened(1.0), 0)  # the order isn't back yet
+        self.store.put("op/evacuate/dc-2", b"{}")
+        self.assertEqual(await self._opened(4.0), 0)
+        self.store.remove("op/evacuate/dc-2")
+        await asyncio.sleep(1.0)
+        self.assertGreater(await self._opened(1.0), 0)
+        self.store.put("op/evacuate/dc-2", b"{}")
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self._opened(1.0), 0)
+        for name in BALANCERS:
+            for metric, value in (("configuration_version", version), RETURNED):
+                found = await self.deployment.metric(name, f"monsoonpier_{metric}")
+                self.assertEqual(found, value)
+        verdict = await load.stop()
+        self.assertTrue(verdict.is_clean, f"{verdict} {load.reasons}")
+        self.assertEqual(load.counts["failed"], 0, load.reasons)
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -17,14 +17,17 @@
     Compare,
     LeaseNotFoundError,
     Put,
+    RestoredError,
     Store,
     StoreError,
+    TransactionResult,
 )
 from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
 from standins.fake_store import FakeStore
 from standins.packets import store as packet_store
 from standins.packets.store import StoreStandIn
 from standins.platform import PlatformStandIn
+from standins.store import Store as RestorableStore
 
 KEY = "/test/key"
 
@@ -139,11 +142,53 @@
         await self.platform.read(KEY)
 
 
-class FakeTests(_Contract, unittest.IsolatedAsyncioTestCase):
+class _ReturnContract:
+    """What a store does that comes back from a copy; subclasses say which one."""
+
+    platform: Store
+    restorable: RestorableStore
+
+    async def _come_back(self) -> tuple[TransactionResult, Revision]:
+        """Lose two writes; return the first, and the revision before the return."""
+        await self.put("/test/before", b"kept")
+        copy = self.restorable.copy()
+        lost = await self.put(KEY, b"lost")
+        before = await self.put(KEY, b"lost too")
+        self.restorable.restore(copy)
+        await self.put(KEY, b"other")
+        return lost, before.revision
+
+    async def test_numbers_given_out_again(self):
+        """A condition on a lost write doesn't hold for another of its number."""
+        lost, _ = await self._come_back()
+        found = (await self.platform.read(KEY)).values_by_key[KEY]
+        self.assertEqual(found.mod_revision.number, lost.revision.number)
+        self.assertGreater(found.mod_revision, lost.revision)
+        remembered = Compare(key=KEY, mod_revision=lost.revision)
+        put = Put(key=KEY, value=b"wrong")
+        result = await self.platform.transact(compares=(remembered,), puts=(put,))
+        self.assertFalse(result.succeeded)
+        current = Compare(key=KEY, mod_revision=found.mod_revision)
+        result = await self.platform.transact(compares=(current,), puts=(put,))
+        self.assertTrue(result.succeeded)
+
+    async def test_watch_that_the_store_has_passed_again(self):
+        """A watch of the lost history ends, though its revision is there again."""
+        for later in (0, 5):
+            _, before = await self._come_back()
+            for number in range(later):
+                await self.put("/test/other", b"%d" % number)
+            watch = self.platform.watch(KEY, from_revision=before.next)
+            with self.subTest(later=later), self.assertRaises(RestoredError):
+                await asyncio.wait_for(anext(watch), 5)
+
+
+class FakeTests(_Contract, _ReturnContract, unittest.IsolatedAsyncioTestCase):
     """The in-memory fake."""
 
     async def asyncSetUp(self) -> None:
         self.platform = FakeStore()
+        self.restorable = self.platform.store
 
     async def cut(self) -> None:
         """Nothing to cut."""
@@ -166,11 +211,12 @@
     return runner, site._server.sockets[0].getsockname()[1]
 
 
-class PlatformStoreTests(_Contract, unittest.IsolatedAsyncioTestCase):
+class PlatformStoreTests(_Contract, _ReturnContract, unittest.IsolatedAsyncioTestCase):
     """The adapter's client with the stand-in of the users' store."""
 
     async def asyncSetUp(self) -> None:
         self.stand_in = StoreStandIn()
+        self.restorable = self.stand_in.store
         self.runner, port = await _serve(self.stand_in.application())
         address = Address(ip="127.0.0.1", port=port)
         self.platform = PlatformStore(address=address, draw=random.Random(1))
@@ -282,6 +328,36 @@
         event = await asyncio.wait_for(following, 6)
         self.assertEqual(event.value, b"new")
 
+    async def test_two_generations_in_pages(self) -> None:
+        """A reading during which the store came back is none."""
+        for number in range(600):
+            self.stand_in.put(f"a/{number:05d}", b"x")
+        copy, read_page, pages = self.restorable.copy(), self.platform._get, []
+
+        async def return_between(call, query):
+            if pages:
+                self.restorable.restore(copy)
+            pages.append(query)
+            return await read_page(call, query)
+
+        with (
+            mock.patch.object(self.platform, "_get", return_between),
+            self.assertRaises(StoreError),
+        ):
+            await self.platform.read("/a/", prefix=True)
+
+    async def test_generation_that_cannot_be_read(self) -> None:
+        """A header of another form, or none, tells nothing and hides no answer."""
+        self.restorable.generation = 2
+        await self.put(KEY, b"one")
+        for header in ("", "-1", "three", "9" * 30, None):
+            headers = {} if header is None else {packet_store.GENERATION_HEADER: header}
+            kind = packet_store.StoreStandIn
+            with mock.patch.object(kind, "_headers", headers):
+                found = await self.platform.read(KEY)
+            self.assertEqual(found.revision.generation, 2)
+            self.assertEqual(self.platform.generation, 2)
+
     async def test_refused(self) -> None:
         """A refusal of any kind is an error, never an answer."""
         for status in (429, 503):
