Believe no write of the configuration's copy across the store's return

A write answered before the return, heard of after it, hid that the copy was lost until the next version. Found by reading the code again; the test replays it.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -161,7 +161,8 @@
         self.evacuations = joined
         _log.info(
             "evacuation in force" if order.is_active else "evacuation taken back",
-            revision=str(order.written_at),
+            revision=order.revision,
+            generation=order.generation,
             learned_from=ack.balancer,
         )
         self._take_evacuation()
--- a/monsoonpier/balancer/configuration_copy.py
+++ b/monsoonpier/balancer/configuration_copy.py
@@ -68,9 +68,14 @@
         self._keys = keys
         self._mod_revision = NO_REVISION
         self._version = 0
+        self._is_doubtful = False
 
     def forget(self) -> None:
-        """Believe no longer that a copy is there: the store may have lost it."""
+        """Believe no longer that a copy is there: the store may have lost it.
+
+        Nor what a write that is under way will be answered.
+        """
+        self._is_doubtful = True
         self._mod_revision = NO_REVISION
         self._version = 0
 
@@ -111,17 +116,16 @@
         if len(value) > MAX_COPY_BYTES:
             self._version = copy.version  # Too large for anybody: not tried again.
             return False
+        held = self._mod_revision
+        self._is_doubtful = False
         result = await self._store.transact(
-            compares=(
-                Compare(key=CONFIGURATION_COPY, mod_revision=self._mod_revision),
-            ),
+            compares=(Compare(key=CONFIGURATION_COPY, mod_revision=held),),
             puts=(Put(key=CONFIGURATION_COPY, value=value),),
         )
-        held = self._mod_revision
-        is_same_store = held == NO_REVISION or (
-            held.generation == result.revision.generation
+        is_earlier = (
+            held != NO_REVISION and held.generation < result.revision.generation
         )
-        if not result.succeeded or not is_same_store:
+        if not result.succeeded or is_earlier or self._is_doubtful:
             await self.read()
             return False
         self._mod_revision, self._version = result.revision, copy.version
--- a/monsoonpier/balancer/member.py
+++ b/monsoonpier/balancer/member.py
@@ -225,15 +225,15 @@
         now = _now()
         self._contact.heard(has_peers=self._membership.peers.has_peers, now=now)
         before = self._membership.evacuations
-        returns = self.store_returns
-        generation = self._membership.store_generation.number
+        generation = self._membership.store_generation
+        old, returns = generation.number, generation.returns
         actions = self._membership.from_process(
             frame, sender=sender, now=now, draw=self._draw
         )
         self._note_evacuations(before, learned_from=sender[0])
-        if self.store_returns > returns:
+        if generation.returns > returns:
             self._link.restored()
-            self._log_restored(generation, learned_from=sender[0])
+            self._log_restored(old, learned_from=sender[0])
         if actions is None:
             self._take_frame(frame, sender)
             return
@@ -266,7 +266,8 @@
             _log.info(
                 "evacuation in force" if order.is_active else "evacuation taken back",
                 data_centre=order.data_centre,
-                revision=str(order.written_at),
+                revision=order.revision,
+                generation=order.generation,
                 learned_from=learned_from,
             )
             for action in self._membership.tell_witnessed(order, now=_now()):
@@ -274,16 +275,11 @@
 
     # The store's return from a copy
 
-    @property
-    def store_returns(self) -> int:
-        """How often the store has come back from an older copy."""
-        return sum(self._membership.store_generation.returns_by_source.values())
-
     def _note_restored(self, old: int, revision: Revision) -> None:
         self._membership.has_news = True
-        self._log_restored(old, learned_from="store", revision=str(revision))
+        self._log_restored(old, learned_from="store", revision=revision.number)
 
-    def _log_restored(self, old: int, **how: str) -> None:
+    def _log_restored(self, old: int, **how: str | int) -> None:
         new = self._membership.store_generation.number
         _log.warning("store restored", old=old, new=new, **how)
 
--- a/monsoonpier/balancer/store_generation.py
+++ b/monsoonpier/balancer/store_generation.py
@@ -19,11 +19,13 @@
     Attributes:
         number: The generation; 0 for a store that never came back from a copy, and
             until anybody tells of one.
-        returns_by_source: How often a newer one was learned of, by who told first.
+        returns: How often a newer one was learned of.
+        returns_by_source: The same by who told first.
     """
 
     def __init__(self) -> None:
         self.number = 0
+        self.returns = 0
         self.returns_by_source: dict[str, int] = {}
         self._known_since: float | None = None
 
@@ -41,6 +43,7 @@
         self._known_since = now
         if is_first:
             return False
+        self.returns += 1
         self.returns_by_source[source] = self.returns_by_source.get(source, 0) + 1
         return True
 
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -259,6 +259,7 @@
                     "store unreachable", reason=str(error), key=CONFIGURATION_COPY
                 )
                 continue
+            self._learn_generation(Revision(generation=self._store.generation))
             _log.info("configuration copied", version=version, written=written)
 
     async def _watch(self) -> None:
--- a/tests/balancer/test_store_return.py
+++ b/tests/balancer/test_store_return.py
@@ -205,6 +205,21 @@
         self.assertFalse(await self.copies.write(late))
         self.assertEqual((await self.copies.read()).version, 7)
 
+    async def test_copy_written_while_the_store_returns(self) -> None:
+        """A write's late answer doesn't hide that its copy is lost."""
+        nothing, transact = self.store.copy(), self.platform.transact
+
+        async def written_then_lost(**write):
+            result = await transact(**write)
+            self.store.restore(nothing)
+            self.link.restored()
+            return result
+
+        newest = ConfigurationCopy(version=7, packed=b"n")
+        with mock.patch.object(self.platform, "transact", written_then_lost):
+            self.assertFalse(await self.copies.write(newest))
+        self.assertTrue(self.copies.is_old(7))
+
     async def test_first_word_is_no_return(self):
         """A process that starts with a store that once came back reports none."""
         self.store.generation = 3
