--- a/tests/model/test_evacuation.py
+++ b/tests/model/test_evacuation.py
@@ -3,6 +3,7 @@
 import unittest
 from itertools import permutations
 
+import msgspec
 from hypothesis import given, settings, strategies as st
 
 from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation, Evacuations
@@ -168,6 +169,12 @@
                         known = known.joined((word,))
                     self.assertIs(known.is_evacuated("dc-1"), expected)
 
+    def test_word_of_a_process_that_knows_no_generation(self):
+        """During an upgrade words without one are of generation 0, on the wire too."""
+        raw = msgspec.msgpack.encode(["dc-1", 70, True])
+        word = msgspec.msgpack.decode(raw, type=Evacuation)
+        self.assertEqual(word, order("dc-1", 70))
+
     def test_not_yet_written_again(self):
         """An order that the copy lacks stays until a conclusive reading."""
         known = Evacuations().joined((order("dc-1", 70),))
