--- /dev/null
+++ b/monsoonpier/balancer/registration.py
@@ -0,0 +1,143 @@
+"""A balancer's registration in the store, under a lease."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import structlog
+
+from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.store_generation import StoreGeneration
+from monsoonpier.model.revision import Revision
+from monsoonpier.store.backoff import Backoff
+from monsoonpier.store.interface import LeaseNotFoundError, Put, Store, StoreError
+from monsoonpier.store.keys import BALANCERS
+from monsoonpier.store.lease import Lease
+from monsoonpier.wire.frames import FrameCodec
+
+__all__ = ["LEASE_TTL_SECONDS", "Registration"]
+
+LEASE_TTL_SECONDS = 30
+RENEW_SECONDS = 10.0
+LEAVE_CALL_SECONDS = 2.0
+# After the store's return from a copy all balancers register anew: 460 write twice
+# within this time, and all are back within two seconds of the return.
+REGISTER_SPREAD_SECONDS = 0.5
+_log = structlog.get_logger("monsoonpier.balancer.registration")
+
+
+class Registration:
+    """Keeps a balancer's record in the store, and its lease alive.
+
+    A lease of an earlier generation is lost: the store may have given its id to
+    somebody else since, so it is neither renewed nor ended.
+
+    Args:
+        store: The platform's key-value service.
+        peers: Have this balancer's own record.
+        codec: Seals it.
+        generation: The store's generation, as far as it is known.
+        learn_generation: Takes word of the generation that an answer is from.
+        draw: Random numbers for pauses.
+        clock: The steady clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        peers: Peers,
+        codec: FrameCodec,
+        generation: StoreGeneration,
+        learn_generation: Callable[[Revision], None],
+        draw: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._now = clock
+        self._store = store
+        self._peers = peers
+        self._codec = codec
+        self._generation = generation
+        self._learn_generation = learn_generation
+        self._draw = draw
+        self._restored = asyncio.Event()
+        self._registered_in = 0
+        self.lease = Lease()
+
+    def restored(self) -> None:
+        """The store has come back from a copy: register anew soon."""
+        self._restored.set()
+
+    async def leave(self) -> None:
+        """Give the registration back, so that nobody new turns here."""
+        lease, self.lease = self.lease, self.lease.released()
+        if not lease.id or not self._is_registered_here:
+            return  # The store may have given the lease's id to somebody else.
+        try:
+            async with asyncio.timeout(LEAVE_CALL_SECONDS):
+                await self._store.revoke(lease.id)
+        except (StoreError, TimeoutError) as error:
+            _log.info("lease not revoked", reason=str(error))
+
+    async def run(self) -> None:
+        """Register and renew until the balancer leaves, or until cancelled."""
+        backoff = Backoff()
+        while not self._peers.own.leaving:
+            try:
+                await self.keep()
+                backoff = backoff.after_success()
+                await self._pause(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
+            except StoreError as error:
+                _log.info("store unreachable", reason=str(error))
+                self.lease = self.lease.renewal_failed()
+                await self._pause(backoff.wait_seconds(draw=self._draw))
+                backoff = backoff.after_failure()
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next call is due, or soon after the store's return."""
+        try:
+            await asyncio.wait_for(self._restored.wait(), seconds)
+        except TimeoutError:
+            return
+        self._restored.clear()
+        await asyncio.sleep(self._draw.uniform(0.0, REGISTER_SPREAD_SECONDS))
+
+    @property
+    def _is_registered_here(self) -> bool:
+        """Whether the registration was written in the store's present generation."""
+        return self._registered_in >= self._generation.number
+
+    async def keep(self) -> None:
+        """Renew the lease, or take a new one if it has run out meanwhile."""
+        asked_at = self._now()
+        if self.lease.may_act(now=asked_at) and self._is_registered_here:
+            try:
+                ttl = await self._store.renew(self.lease.id)
+            except LeaseNotFoundError:
+                self.lease = self.lease.lost()
+            else:
+                self.lease = self.lease.renewed(
+                    ttl_seconds=ttl, asked_at=asked_at, now=self._now()
+                )
+            self._learn_generation(Revision(generation=self._store.generation))
+        if not self._is_registered_here and self.lease.may_act(now=self._now()):
+            self.lease = self.lease.lost()
+        if not self.lease.may_act(now=self._now()):
+            await self._register()
+
+    async def _register(self) -> None:
+        asked_at = self._now()
+        lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
+        granted_in = self._store.generation
+        own = self._peers.own
+        put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
+        written = await self._store.transact(compares=(), puts=(put,))
+        self._learn_generation(written.revision)
+        self._registered_in = min(granted_in, written.revision.generation)
+        if not self._is_registered_here:
+            raise StoreError("the store came back from a copy during a registration")
+        self.lease = self.lease.at(now=asked_at).granted(
+            lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
+        )
+        _log.info("registered", lease=lease, generation=self._registered_in)
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -1,4 +1,4 @@
-"""A balancer's dealings with the platform: its lease, and the watch of few."""
+"""A balancer's dealings with the platform: the watch of few, and the copy."""
 
 import asyncio
 import random
@@ -10,6 +10,7 @@
 
 from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.registration import Registration
 from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.stored_configuration import StoredConfiguration
 from monsoonpier.model.evacuation import Evacuation, evacuation
@@ -18,8 +19,6 @@
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     CompactedError,
-    LeaseNotFoundError,
-    Put,
     Snapshot,
     Store,
     StoreError,
@@ -31,23 +30,16 @@
     CONFIGURATION_COPY,
     EVACUATIONS,
 )
-from monsoonpier.store.lease import Lease
 from monsoonpier.wire.frames import FrameCodec
 
 __all__ = ["EvacuationsRead", "StoreLink"]
 
-LEASE_TTL_SECONDS = 30
-RENEW_SECONDS = 10.0
 WATCH_CHECK_SECONDS = 2.0  # how soon a watcher's place is taken when it dies
 POLL_SECONDS = 60.0  # those who don't watch look this seldom; peers tell them first
 REREAD_SECONDS = 0.2  # a process without configuration serves nothing
 MAX_REREAD_SECONDS = 2.0
 JUST_READ_SECONDS = 5.0  # peers tell of those that have registered since
 COPY_SECONDS = 2.0  # a storm of changes is copied this often, not each time
-LEAVE_CALL_SECONDS = 2.0
-# After the store's return from a copy all balancers register anew: 460 write twice
-# within this time, and all are back within two seconds of the return.
-REGISTER_SPREAD_SECONDS = 0.5
 _log = structlog.get_logger("monsoonpier.balancer.store_link")
 
 
@@ -110,12 +102,18 @@
         self._configuration = configuration
         self._evacuate = evacuate
         self._draw = draw
-        self._lease = Lease()
-        self._registered_in = 0
         self._generation = generation or StoreGeneration()
         self._on_restored = on_restored
         self._concluded_in = 0
-        self._restored = asyncio.Event()
+        self.registration = Registration(
+            store=store,
+            peers=peers,
+            codec=codec,
+            generation=self._generation,
+            learn_generation=self._learn_generation,
+            draw=draw,
+            clock=clock,
+        )
         self._watching: asyncio.Task | None = None
         self._last_read = -POLL_SECONDS
         self._balancers_read_at = -POLL_SECONDS
@@ -123,85 +121,17 @@
     async def run(self) -> None:
         """Register, renew, watch, poll and keep the copy until cancelled."""
         await asyncio.gather(
-            self._register_forever(), self._follow_forever(), self._copy_forever()
+            self.registration.run(), self._follow_forever(), self._copy_forever()
         )
 
     def restored(self) -> None:
         """The store is known to have come back from a copy: write anew what it lost."""
         self._copies.forget()
-        self._restored.set()
+        self.registration.restored()
 
     async def leave(self) -> None:
         """Give the registration back, so that nobody new turns here."""
-        lease, self._lease = self._lease, self._lease.released()
-        if not lease.id or not self._is_registered_here:
-            return  # The store may have given the lease's id to somebody else.
-        try:
-            async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                await self._store.revoke(lease.id)
-        except (StoreError, TimeoutError) as error:
-            _log.info("lease not revoked", reason=str(error))
-
-    async def _register_forever(self) -> None:
-        backoff = Backoff()
-        while not self._peers.own.leaving:
-            try:
-                await self._keep_registered()
-                backoff = backoff.after_success()
-                await self._pause(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
-            except StoreError as error:
-                _log.info("store unreachable", reason=str(error))
-                self._lease = self._lease.renewal_failed()
-                await self._pause(backoff.wait_seconds(draw=self._draw))
-                backoff = backoff.after_failure()
-
-    async def _pause(self, seconds: float) -> None:
-        """Wait until the next call is due, or soon after the store's return."""
-        try:
-            await asyncio.wait_for(self._restored.wait(), seconds)
-        except TimeoutError:
-            return
-        self._restored.clear()
-        await asyncio.sleep(self._draw.uniform(0.0, REGISTER_SPREAD_SECONDS))
-
-    @property
-    def _is_registered_here(self) -> bool:
-        """Whether the registration was written in the store's present generation."""
-        return self._registered_in >= self._generation.number
-
-    async def _keep_registered(self) -> None:
-        """Renew the lease, or take a new one if it has run out meanwhile."""
-        asked_at = self._now()
-        if self._lease.may_act(now=asked_at) and self._is_registered_here:
-            try:
-                ttl = await self._store.renew(self._lease.id)
-            except LeaseNotFoundError:
-                self._lease = self._lease.lost()
-            else:
-                self._lease = self._lease.renewed(
-                    ttl_seconds=ttl, asked_at=asked_at, now=self._now()
-                )
-            self._learn_generation(Revision(generation=self._store.generation))
-        if not self._is_registered_here and self._lease.may_act(now=self._now()):
-            self._lease = self._lease.lost()
-        if not self._lease.may_act(now=self._now()):
-            await self._register()
-
-    async def _register(self) -> None:
-        asked_at = self._now()
-        lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
-        granted_in = self._store.generation
-        own = self._peers.own
-        put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        written = await self._store.transact(compares=(), puts=(put,))
-        self._learn_generation(written.revision)
-        self._registered_in = min(granted_in, written.revision.generation)
-        if not self._is_registered_here:
-            raise StoreError("the store came back from a copy during a registration")
-        self._lease = self._lease.at(now=asked_at).granted(
-            lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
-        )
-        _log.info("registered", lease=lease, generation=self._registered_in)
+        await self.registration.leave()
 
     async def _follow_forever(self) -> None:
         await self._begin_with_copy()
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -14,11 +14,8 @@
     seal_copy,
 )
 from monsoonpier.balancer.peers import Peers
-from monsoonpier.balancer.store_link import (
-    LEASE_TTL_SECONDS,
-    EvacuationsRead,
-    StoreLink,
-)
+from monsoonpier.balancer.registration import LEASE_TTL_SECONDS
+from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
 from monsoonpier.balancer.stored_configuration import StoredConfiguration
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.store.interface import LeaseNotFoundError, Put, StoreError
@@ -60,24 +57,24 @@
     async def test_renewed(self):
         """Renewals in time keep one lease and one registration."""
         for _ in range(10):
-            await self.link._keep_registered()
+            await self.link.registration.keep()
             self.now += 10
         self.assertEqual(await self._registered(), [BALANCERS + "b1"])
-        self.assertEqual(self.link._lease.id, 7001)
+        self.assertEqual(self.link.registration.lease.id, 7001)
 
     async def test_paused_past_its_lease(self):
         """A holder that wakes past its lease's end takes a new one."""
-        await self.link._keep_registered()
+        await self.link.registration.keep()
         self.now += LEASE_TTL_SECONDS * 3
         self.assertEqual(await self._registered(), [])
-        await self.link._keep_registered()
+        await self.link.registration.keep()
         self.assertEqual(await self._registered(), [BALANCERS + "b1"])
-        self.assertEqual(self.link._lease.id, 7002)
+        self.assertEqual(self.link.registration.lease.id, 7002)
 
     async def test_woken_in_the_middle_of_a_write(self):
         """A write that was under way when the lease ended takes no effect."""
-        await self.link._keep_registered()
-        lease = self.link._lease
+        await self.link.registration.keep()
+        lease = self.link.registration.lease
         self.assertTrue(lease.may_act(now=self.now))
         put = Put(key=BALANCERS + "b1", value=b"old", lease=lease.id)
         # Here the holder is stopped, past its lease, and then writes on.
@@ -89,20 +86,20 @@
 
     async def test_outage(self):
         """An outage takes nothing away; afterwards the balancer registers anew."""
-        await self.link._keep_registered()
+        await self.link.registration.keep()
         self.peers.learn(balancer("b2", host=2).peers.own)
         self.platform.is_down = True
         with self.assertRaises(StoreError):
-            await self.link._keep_registered()
+            await self.link.registration.keep()
         self.assertIn("b2", self.peers.records_by_name)
         self.now += LEASE_TTL_SECONDS * 2
         self.platform.is_down = False
-        await self.link._keep_registered()
+        await self.link.registration.keep()
         self.assertEqual(await self._registered(), [BALANCERS + "b1"])
 
     async def test_leaving(self):
         """A leaving balancer gives its registration back at once."""
-        await self.link._keep_registered()
+        await self.link.registration.keep()
         await self.link.leave()
         self.assertEqual(await self._registered(), [])
 
@@ -110,10 +107,10 @@
         """A registration whose answer was lost is made again, not believed."""
         self.platform.lost_answers = 1
         with self.assertRaises(StoreError):
-            await self.link._keep_registered()
-        self.assertFalse(self.link._lease.may_act(now=self.now))
-        await self.link._keep_registered()
-        self.assertTrue(self.link._lease.may_act(now=self.now))
+            await self.link.registration.keep()
+        self.assertFalse(self.link.registration.lease.may_act(now=self.now))
+        await self.link.registration.keep()
+        self.assertTrue(self.link.registration.lease.may_act(now=self.now))
 
     async def test_other_writers(self):
         """Entries that no balancer of ours wrote name nobody; the others hold."""
--- a/tests/balancer/test_store_return.py
+++ b/tests/balancer/test_store_return.py
@@ -13,12 +13,9 @@
     ConfigurationCopy,
 )
 from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.registration import LEASE_TTL_SECONDS
 from monsoonpier.balancer.store_generation import RESTATE_SECONDS
-from monsoonpier.balancer.store_link import (
-    LEASE_TTL_SECONDS,
-    EvacuationsRead,
-    StoreLink,
-)
+from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
 from monsoonpier.balancer.stored_configuration import StoredConfiguration
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.store.interface import Put, StoreError
@@ -108,7 +105,7 @@
     async def test_registered_again(self):
         """The registration is back in two seconds, from the store's answer."""
         copy = self.store.copy()
-        async with self._running(self.link._register_forever()):
+        async with self._running(self.link.registration.run()):
             await self._wait_registered()
             await self.link._read()
             self.store.restore(copy)
@@ -120,7 +117,7 @@
     async def test_registered_again_by_a_peers_word(self):
         """Who hardly ever reads the store hears of its return from a peer."""
         copy = self.store.copy()
-        async with self._running(self.link._register_forever()):
+        async with self._running(self.link.registration.run()):
             await self._wait_registered()
             self.store.restore(copy)
             await self._hear(1)
@@ -131,16 +128,16 @@
     async def test_lease_given_out_again(self):
         """A lease of the lost seconds is another's by now: neither kept nor ended."""
         copy = self.store.copy()
-        await self.link._keep_registered()
+        await self.link.registration.keep()
         self.store.restore(copy)
         other = await self.platform.grant(ttl_seconds=LEASE_TTL_SECONDS)
-        self.assertEqual(other, self.link._lease.id)
-        await self.link._keep_registered()
+        self.assertEqual(other, self.link.registration.lease.id)
+        await self.link.registration.keep()
         self.assertTrue(await self._is_registered())
-        self.assertNotEqual(other, self.link._lease.id)
+        self.assertNotEqual(other, self.link.registration.lease.id)
         self.store.restore(copy)
         other = await self.platform.grant(ttl_seconds=LEASE_TTL_SECONDS)
-        self.link._lease = self.link._lease.released().granted(
+        self.link.registration.lease = self.link.registration.lease.released().granted(
             other, ttl_seconds=LEASE_TTL_SECONDS, asked_at=self.now
         )
         await self._hear(2)
@@ -162,8 +159,8 @@
             mock.patch.object(self.platform, "grant", grant_then_return),
             self.assertRaises(StoreError),
         ):
-            await self.link._keep_registered()
-        self.assertFalse(self.link._lease.may_act(now=self.now))
+            await self.link.registration.keep()
+        self.assertFalse(self.link.registration.lease.may_act(now=self.now))
 
     async def test_order_that_the_copy_lacks(self):
         """A data centre stays evacuated until its order is written again."""
