Refuse operators' writes on top of a lost history, in tests

What an operator's command had read before the store came back stands for another change by now; the fake learns of a return by an answer, as clients do.

--- a/standins/fake_store.py
+++ b/standins/fake_store.py
@@ -54,9 +54,10 @@
     ) -> TransactionResult:
         """Write ``puts`` and delete ``removes`` if all of ``compares`` hold."""
         self._check()
-        self.generation = self.store.generation
+        # Like a client, it knows of a return only by an answer since.
         if any(self._is_outdated(compare.mod_revision) for compare in compares):
             return TransactionResult(succeeded=False, revision=self.store.revision)
+        self.generation = self.store.generation
         try:
             result = self.store.transact(
                 compares=compares, puts=puts, removes=removes, now=self._clock()
--- a/tests/operator/test_change.py
+++ b/tests/operator/test_change.py
@@ -66,6 +66,18 @@
         self.assertEqual((outcome.by.stored.who, outcome.by.version), ("ana", 1))
         self.assertEqual(len(await read_audit(self.platform)), 1)
 
+    async def test_base_of_a_lost_history(self):
+        """A change on top of what the store has lost since is a conflict."""
+        copy = self.platform.store.copy()
+        await self.apply(wanted("ana"))
+        base = await read_stored(self.platform)
+        self.platform.store.restore(copy)
+        await self.apply(wanted("ben", 7002))
+        self.assertEqual((await read_stored(self.platform)).version, base.version)
+        outcome = await self.apply(wanted("ana", 7003), base=base)
+        self.assertIsInstance(outcome, Conflict)
+        self.assertEqual(outcome.by.stored.who, "ben")
+
     async def test_races(self):
         """Of two at the same moment, 50 times, one wins and one is told."""
         for number in range(RACES):
--- a/tests/operator/test_evacuate.py
+++ b/tests/operator/test_evacuate.py
@@ -92,6 +92,24 @@
         )
         self.assertIsInstance(late, Refused)
 
+    async def test_order_of_a_lost_history(self):
+        """Another's order by the same revision isn't taken back in place of one's own.
+
+        The store came back from a copy after the order had been read.
+        """
+        copy = self.platform.store.copy()
+        await self.place(order("ana"))
+        held = (await read_orders(self.platform))["dc-1"]
+        self.platform.store.restore(copy)
+        await self.place(order("ben", at=2))
+        again = (await read_orders(self.platform))["dc-1"]
+        self.assertEqual(again.revision.number, held.revision.number)
+        late = await take_back(
+            self.platform, order("ana", at=3), held=held, draw=self.draw
+        )
+        self.assertIsInstance(late, Refused)
+        self.assertEqual((await read_orders(self.platform))["dc-1"].entry.who, "ben")
+
     async def test_lost_answers(self):
         """An order whose answer was lost is found to be in force, and its end too."""
         self.platform.lost_answers = 1
