--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -162,6 +162,7 @@
         _log.info(
             "evacuation in force" if order.is_active else "evacuation taken back",
             revision=order.revision,
+            generation=order.generation,
             learned_from=ack.balancer,
         )
         self._take_evacuation()
--- a/monsoonpier/balancer/configuration_copy.py
+++ b/monsoonpier/balancer/configuration_copy.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from monsoonpier.model.keys import FRAME, KeyRing
+from monsoonpier.model.revision import NO_REVISION
 from monsoonpier.store.interface import Compare, Put, Store
 from monsoonpier.store.keys import CONFIGURATION_COPY
 
@@ -65,7 +66,17 @@
     def __init__(self, *, store: Store, keys: KeyRing) -> None:
         self._store = store
         self._keys = keys
-        self._mod_revision = 0
+        self._mod_revision = NO_REVISION
+        self._version = 0
+        self._is_doubtful = False
+
+    def forget(self) -> None:
+        """Believe no longer that a copy is there: the store may have lost it.
+
+        Nor what a write that is under way will be answered.
+        """
+        self._is_doubtful = True
+        self._mod_revision = NO_REVISION
         self._version = 0
 
     async def read(self, *, may_be_old: bool = False) -> ConfigurationCopy | None:
@@ -80,7 +91,7 @@
         found = await self._store.read(CONFIGURATION_COPY, may_be_old=may_be_old)
         value = found.values_by_key.get(CONFIGURATION_COPY)
         if value is None:
-            self._mod_revision = self._version = 0
+            self.forget()
             return None
         self._mod_revision = value.mod_revision
         copy = open_copy(value.value, keys=self._keys)
@@ -94,7 +105,9 @@
     async def write(self, copy: ConfigurationCopy) -> bool:
         """Replace an older copy; tell whether this one is in the store now.
 
-        Another balancer may have replaced it meanwhile: then it is read anew.
+        Another balancer may have replaced it meanwhile: then it is read anew. So it
+        is if the store came back from an older copy, where the condition may have held
+        for another revision of the same number.
 
         Raises:
             StoreError: If the store can't be reached.
@@ -103,13 +116,16 @@
         if len(value) > MAX_COPY_BYTES:
             self._version = copy.version  # Too large for anybody: not tried again.
             return False
+        held = self._mod_revision
+        self._is_doubtful = False
         result = await self._store.transact(
-            compares=(
-                Compare(key=CONFIGURATION_COPY, mod_revision=self._mod_revision),
-            ),
+            compares=(Compare(key=CONFIGURATION_COPY, mod_revision=held),),
             puts=(Put(key=CONFIGURATION_COPY, value=value),),
         )
-        if not result.succeeded:
+        is_earlier = (
+            held != NO_REVISION and held.generation < result.revision.generation
+        )
+        if not result.succeeded or is_earlier or self._is_doubtful:
             await self.read()
             return False
         self._mod_revision, self._version = result.revision, copy.version
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -1,4 +1,4 @@
-"""A balancer's dealings with the platform: its lease, and the watch of few."""
+"""A balancer's dealings with the platform: the watch of few, and the copy."""
 
 import asyncio
 import random
@@ -10,14 +10,15 @@
 
 from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.registration import Registration
+from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.stored_configuration import StoredConfiguration
-from monsoonpier.model.evacuation import Evacuation
+from monsoonpier.model.evacuation import Evacuation, evacuation
+from monsoonpier.model.revision import Revision
 from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     CompactedError,
-    LeaseNotFoundError,
-    Put,
     Snapshot,
     Store,
     StoreError,
@@ -29,20 +30,16 @@
     CONFIGURATION_COPY,
     EVACUATIONS,
 )
-from monsoonpier.store.lease import Lease
 from monsoonpier.wire.frames import FrameCodec
 
 __all__ = ["EvacuationsRead", "StoreLink"]
 
-LEASE_TTL_SECONDS = 30
-RENEW_SECONDS = 10.0
 WATCH_CHECK_SECONDS = 2.0  # how soon a watcher's place is taken when it dies
 POLL_SECONDS = 60.0  # those who don't watch look this seldom; peers tell them first
 REREAD_SECONDS = 0.2  # a process without configuration serves nothing
 MAX_REREAD_SECONDS = 2.0
 JUST_READ_SECONDS = 5.0  # peers tell of those that have registered since
 COPY_SECONDS = 2.0  # a storm of changes is copied this often, not each time
-LEAVE_CALL_SECONDS = 2.0
 _log = structlog.get_logger("monsoonpier.balancer.store_link")
 
 
@@ -53,16 +50,21 @@
     Attributes:
         revisions_by_data_centre: The revision of each order.
         revision: The store's revision that the reading holds for at least.
+        is_conclusive: Orders that the store lost when it came back from a copy would
+            have been written again by then.
     """
 
-    revisions_by_data_centre: dict[str, int]
-    revision: int
+    revisions_by_data_centre: dict[str, Revision]
+    revision: Revision
+    is_conclusive: bool = True
 
 
 class StoreLink:
     """Keeps the balancer registered and brings what operators have ordered.
 
-    The platform's silence never takes anything away: what is known stays.
+    The platform's silence never takes anything away: what is known stays. When it
+    comes back from an older copy, in a new generation, the balancer registers anew,
+    reads all that operators ordered, and believes no longer that its copy is there.
 
     Args:
         store: The platform's key-value service.
@@ -73,6 +75,9 @@
         evacuate: Takes orders to evacuate data centres, and their deletions.
         draw: Random numbers for pauses.
         clock: The steady clock.
+        generation: The store's generation, which peers tell of too.
+        on_restored: Called with the generation before and the first revision known
+            when the store's answers tell that it has come back from a copy.
     """
 
     def __init__(
@@ -86,6 +91,8 @@
         evacuate: Callable[[Evacuation | EvacuationsRead], None],
         draw: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        generation: StoreGeneration | None = None,
+        on_restored: Callable[[int, Revision], None] = lambda _old, _revision: None,
     ) -> None:
         self._now = clock
         self._store = store
@@ -95,7 +102,18 @@
         self._configuration = configuration
         self._evacuate = evacuate
         self._draw = draw
-        self._lease = Lease()
+        self._generation = generation or StoreGeneration()
+        self._on_restored = on_restored
+        self._concluded_in = 0
+        self.registration = Registration(
+            store=store,
+            peers=peers,
+            codec=codec,
+            generation=self._generation,
+            learn_generation=self._learn_generation,
+            draw=draw,
+            clock=clock,
+        )
         self._watching: asyncio.Task | None = None
         self._last_read = -POLL_SECONDS
         self._balancers_read_at = -POLL_SECONDS
@@ -103,58 +121,17 @@
     async def run(self) -> None:
         """Register, renew, watch, poll and keep the copy until cancelled."""
         await asyncio.gather(
-            self._register_forever(), self._follow_forever(), self._copy_forever()
+            self.registration.run(), self._follow_forever(), self._copy_forever()
         )
 
+    def restored(self) -> None:
+        """The store is known to have come back from a copy: write anew what it lost."""
+        self._copies.forget()
+        self.registration.restored()
+
     async def leave(self) -> None:
         """Give the registration back, so that nobody new turns here."""
-        lease, self._lease = self._lease, self._lease.released()
-        if not lease.id:
-            return
-        try:
-            async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                await self._store.revoke(lease.id)
-        except (StoreError, TimeoutError) as error:
-            _log.info("lease not revoked", reason=str(error))
-
-    async def _register_forever(self) -> None:
-        backoff = Backoff()
-        while not self._peers.own.leaving:
-            try:
-                await self._keep_registered()
-                backoff = backoff.after_success()
-                await asyncio.sleep(RENEW_SECONDS * self._draw.uniform(0.8, 1.0))
-            except StoreError as error:
-                _log.info("store unreachable", reason=str(error))
-                self._lease = self._lease.renewal_failed()
-                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
-                backoff = backoff.after_failure()
-
-    async def _keep_registered(self) -> None:
-        """Renew the lease, or take a new one if it has run out meanwhile."""
-        asked_at = self._now()
-        if self._lease.may_act(now=asked_at):
-            try:
-                ttl = await self._store.renew(self._lease.id)
-            except LeaseNotFoundError:
-                self._lease = self._lease.lost()
-            else:
-                self._lease = self._lease.renewed(
-                    ttl_seconds=ttl, asked_at=asked_at, now=self._now()
-                )
-        if not self._lease.may_act(now=self._now()):
-            await self._register()
-
-    async def _register(self) -> None:
-        asked_at = self._now()
-        lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
-        own = self._peers.own
-        put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        await self._store.transact(compares=(), puts=(put,))
-        self._lease = self._lease.at(now=asked_at).granted(
-            lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
-        )
-        _log.info("registered", lease=lease)
+        await self.registration.leave()
 
     async def _follow_forever(self) -> None:
         await self._begin_with_copy()
@@ -168,6 +145,8 @@
                     self._watching.cancel()
                 if not is_watcher and self._now() - self._last_read > POLL_SECONDS:
                     await self._read_quietly()
+                if is_watcher and self._must_conclude:
+                    await self._conclude_quietly()
                 await asyncio.sleep(WATCH_CHECK_SECONDS * self._draw.uniform(0.5, 1.0))
         finally:
             if self._watching is not None:
@@ -188,7 +167,7 @@
                 self._store.read(EVACUATIONS, prefix=True),
                 self._read_balancers(may_be_old=True),
             )
-            self._evacuate(_evacuations_in(evacuations))
+            self._take_evacuations(evacuations)
             self._configuration.take_packed(copy.packed)
         except StoreError as error:
             _log.info("store unreachable", reason=str(error), key=CONFIGURATION_COPY)
@@ -210,6 +189,7 @@
                     "store unreachable", reason=str(error), key=CONFIGURATION_COPY
                 )
                 continue
+            self._learn_generation(Revision(generation=self._store.generation))
             _log.info("configuration copied", version=version, written=written)
 
     async def _watch(self) -> None:
@@ -219,12 +199,15 @@
             try:
                 revision = await self._read()
                 async for event in self._store.watch(
-                    CONFIGURATION, prefix=True, from_revision=revision + 1
+                    CONFIGURATION, prefix=True, from_revision=revision.next
                 ):
                     backoff = backoff.after_success()
                     self._take_event(event)
             except CompactedError as error:
                 _log.info("watch begins anew", reason=str(error))
+                # Servers of one store that answer in turn from two generations
+                # would have it read without a pause.
+                await asyncio.sleep(REREAD_SECONDS * self._draw.uniform(0.5, 1.0))
             except StoreError as error:
                 _log.info("store unreachable", reason=str(error), key=CONFIGURATION)
                 await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
@@ -236,18 +219,50 @@
         except StoreError as error:
             _log.info("store unreachable", reason=str(error))
 
-    async def _read(self) -> int:
+    async def _read(self) -> Revision:
         """Read balancers, evacuations and configuration; return the revision."""
         if self._now() - self._balancers_read_at > JUST_READ_SECONDS:
             await self._read_balancers()
         stored = await self._store.read(CONFIGURATION, prefix=True)
         # Nothing is placed without a configuration, so evacuations come first.
-        self._evacuate(_evacuations_in(stored))
+        self._take_evacuations(stored)
         if CONFIGURATION in stored.values_by_key:
             self._configuration.take(stored.values_by_key[CONFIGURATION].value)
         self._last_read = self._now()
         return stored.revision
 
+    @property
+    def _must_conclude(self) -> bool:
+        """Whether orders that the store lost are still held, and long enough.
+
+        A watcher looks once more then; the others hear of it.
+        """
+        number = self._generation.number
+        is_due = self._generation.is_restated(now=self._now())
+        return self._concluded_in < number and is_due
+
+    async def _conclude_quietly(self) -> None:
+        try:
+            found = await self._store.read(EVACUATIONS, prefix=True)
+        except StoreError as error:
+            _log.info("store unreachable", reason=str(error), key=EVACUATIONS)
+            return
+        self._take_evacuations(found)
+
+    def _take_evacuations(self, found: Snapshot) -> None:
+        self._learn_generation(found.revision)
+        is_conclusive = self._generation.is_restated(now=self._now())
+        if is_conclusive:
+            self._concluded_in = found.revision.generation
+        self._evacuate(_evacuations_in(found, is_conclusive=is_conclusive))
+
+    def _learn_generation(self, revision: Revision) -> None:
+        """Take word of the generation that an answer of the store is from."""
+        old = self._generation.number
+        if self._generation.learn(revision.generation, source="store", now=self._now()):
+            self.restored()
+            self._on_restored(old, revision)
+
     async def _read_balancers(self, *, may_be_old: bool = False) -> None:
         found = await self._store.read(BALANCERS, prefix=True, may_be_old=may_be_old)
         self._balancers_read_at = self._now()
@@ -258,20 +273,22 @@
         if event.key == CONFIGURATION and event.value is not None:
             self._configuration.take(event.value)
         elif event.key.startswith(EVACUATIONS):
-            order = Evacuation(
-                data_centre=event.key.removeprefix(EVACUATIONS),
-                revision=event.mod_revision,
+            order = evacuation(
+                event.key.removeprefix(EVACUATIONS),
+                written_at=event.mod_revision,
                 is_active=event.value is not None,
             )
             self._evacuate(order)
 
 
-def _evacuations_in(found: Snapshot) -> EvacuationsRead:
+def _evacuations_in(found: Snapshot, *, is_conclusive: bool) -> EvacuationsRead:
     revisions_by_data_centre = {
         key.removeprefix(EVACUATIONS): value.mod_revision
         for key, value in found.values_by_key.items()
         if key.startswith(EVACUATIONS)
     }
     return EvacuationsRead(
-        revisions_by_data_centre=revisions_by_data_centre, revision=found.revision
+        revisions_by_data_centre=revisions_by_data_centre,
+        revision=found.revision,
+        is_conclusive=is_conclusive,
     )
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from monsoonpier.model.address import Address
+from monsoonpier.model.revision import Revision
 from monsoonpier.platform.store import PlatformStore
 from monsoonpier.store.etcd import EtcdStore
 from monsoonpier.store.interface import (
@@ -16,14 +17,17 @@
     Compare,
     LeaseNotFoundError,
     Put,
+    RestoredError,
     Store,
     StoreError,
+    TransactionResult,
 )
 from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
 from standins.fake_store import FakeStore
 from standins.packets import store as packet_store
 from standins.packets.store import StoreStandIn
 from standins.platform import PlatformStandIn
+from standins.store import Store as RestorableStore
 
 KEY = "/test/key"
 
@@ -60,19 +64,19 @@
         """All writes take effect if all conditions hold, else none."""
         first = await self.put(KEY, b"one")
         puts = (Put(key=KEY, value=b"two"), Put(key="/other", value=b"x"))
-        stale = Compare(key=KEY, mod_revision=first.revision + 5)
+        stale = Compare(key=KEY, mod_revision=first.revision.next.next)
         refused = await self.platform.transact(compares=(stale,), puts=puts)
         self.assertFalse(refused.succeeded)
         self.assertEqual((await self.platform.read("/other")).values_by_key, {})
         current = Compare(key=KEY, mod_revision=first.revision)
-        absent = Compare(key="/other", mod_revision=0)
+        absent = Compare(key="/other")
         done = await self.platform.transact(compares=(current, absent), puts=puts)
         self.assertTrue(done.succeeded)
 
     async def test_remove(self):
         """A key is deleted if all conditions hold, and a watch tells of it."""
         first = await self.put(KEY, b"one")
-        stale = Compare(key=KEY, mod_revision=first.revision + 5)
+        stale = Compare(key=KEY, mod_revision=first.revision.next.next)
         current = Compare(key=KEY, mod_revision=first.revision)
         for compare, succeeds in ((stale, False), (current, True)):
             result = await self.platform.transact(
@@ -80,7 +84,7 @@
             )
             self.assertEqual(result.succeeded, succeeds)
         self.assertEqual((await self.platform.read(KEY)).values_by_key, {})
-        watch = self.platform.watch(KEY, from_revision=first.revision + 1)
+        watch = self.platform.watch(KEY, from_revision=first.revision.next)
         event = await asyncio.wait_for(anext(watch), 5)
         self.assertEqual((event.key, event.value), (KEY, None))
         self.assertEqual(event.mod_revision, result.revision)
@@ -138,11 +142,53 @@
         await self.platform.read(KEY)
 
 
-class FakeTests(_Contract, unittest.IsolatedAsyncioTestCase):
+class _ReturnContract:
+    """What a store does that comes back from a copy; subclasses say which one."""
+
+    platform: Store
+    restorable: RestorableStore
+
+    async def _come_back(self) -> tuple[TransactionResult, Revision]:
+        """Lose two writes; return the first, and the revision before the return."""
+        await self.put("/test/before", b"kept")
+        copy = self.restorable.copy()
+        lost = await self.put(KEY, b"lost")
+        before = await self.put(KEY, b"lost too")
+        self.restorable.restore(copy)
+        await self.put(KEY, b"other")
+        return lost, before.revision
+
+    async def test_numbers_given_out_again(self):
+        """A condition on a lost write doesn't hold for another of its number."""
+        lost, _ = await self._come_back()
+        found = (await self.platform.read(KEY)).values_by_key[KEY]
+        self.assertEqual(found.mod_revision.number, lost.revision.number)
+        self.assertGreater(found.mod_revision, lost.revision)
+        remembered = Compare(key=KEY, mod_revision=lost.revision)
+        put = Put(key=KEY, value=b"wrong")
+        result = await self.platform.transact(compares=(remembered,), puts=(put,))
+        self.assertFalse(result.succeeded)
+        current = Compare(key=KEY, mod_revision=found.mod_revision)
+        result = await self.platform.transact(compares=(current,), puts=(put,))
+        self.assertTrue(result.succeeded)
+
+    async def test_watch_that_the_store_has_passed_again(self):
+        """A watch of the lost history ends, though its revision is there again."""
+        for later in (0, 5):
+            _, before = await self._come_back()
+            for number in range(later):
+                await self.put("/test/other", b"%d" % number)
+            watch = self.platform.watch(KEY, from_revision=before.next)
+            with self.subTest(later=later), self.assertRaises(RestoredError):
+                await asyncio.wait_for(anext(watch), 5)
+
+
+class FakeTests(_Contract, _ReturnContract, unittest.IsolatedAsyncioTestCase):
     """The in-memory fake."""
 
     async def asyncSetUp(self) -> None:
         self.platform = FakeStore()
+        self.restorable = self.platform.store
 
     async def cut(self) -> None:
         """Nothing to cut."""
@@ -165,11 +211,12 @@
     return runner, site._server.sockets[0].getsockname()[1]
 
 
-class PlatformStoreTests(_Contract, unittest.IsolatedAsyncioTestCase):
+class PlatformStoreTests(_Contract, _ReturnContract, unittest.IsolatedAsyncioTestCase):
     """The adapter's client with the stand-in of the users' store."""
 
     async def asyncSetUp(self) -> None:
         self.stand_in = StoreStandIn()
+        self.restorable = self.stand_in.store
         self.runner, port = await _serve(self.stand_in.application())
         address = Address(ip="127.0.0.1", port=port)
         self.platform = PlatformStore(address=address, draw=random.Random(1))
@@ -197,8 +244,10 @@
         revision = self.stand_in.put("op/config", b"v1")
         found = await self.platform.read(CONFIGURATION)
         self.assertEqual(found.values_by_key[CONFIGURATION].value, b"v1")
-        self.assertEqual(found.revision, revision)
-        watch = self.platform.watch(CONFIGURATION, from_revision=revision + 1)
+        self.assertEqual(found.revision, Revision(number=revision))
+        watch = self.platform.watch(
+            CONFIGURATION, from_revision=Revision(number=revision + 1)
+        )
         self.stand_in.put("op/config-draft", b"not this")
         self.stand_in.put("op/config", b"v2")
         event = await asyncio.wait_for(anext(watch), 5)
@@ -209,7 +258,7 @@
         self.stand_in.put("op/config", b"v1")
         self.stand_in.put("op/config", b"v2")
         self.stand_in.faults.is_compacted = True
-        watch = self.platform.watch(CONFIGURATION, from_revision=1)
+        watch = self.platform.watch(CONFIGURATION, from_revision=Revision(number=1))
         with self.assertRaises(CompactedError):
             await asyncio.wait_for(anext(watch), 5)
 
@@ -230,7 +279,7 @@
             return item(value) | {"value": "%%"}
 
         watch = self.platform.watch(
-            CONFIGURATION, prefix=True, from_revision=revision + 1
+            CONFIGURATION, prefix=True, from_revision=Revision(number=revision + 1)
         )
         with mock.patch.object(packet_store, "_item", garbled):
             self.stand_in.put("op/evacuate/hall-2", b"{}")
@@ -260,7 +309,7 @@
         with mock.patch.object(self.platform, "_get", write_between):
             found = await self.platform.read("/a/", prefix=True)
         self.assertEqual(len(pages), 2)
-        self.assertEqual(found.revision, revision)
+        self.assertEqual(found.revision, Revision(number=revision))
 
     async def test_silent(self) -> None:
         """A watch that was lost in an outage is soon made anew.
@@ -270,7 +319,7 @@
         """
         first = await self.put(KEY, b"old")
         self.stand_in.faults.is_silent = True
-        watch = self.platform.watch(KEY, from_revision=first.revision + 1)
+        watch = self.platform.watch(KEY, from_revision=first.revision.next)
         following = asyncio.create_task(anext(watch))
         await asyncio.sleep(0.2)
         self.stand_in.faults.is_silent = False
@@ -279,6 +328,36 @@
         event = await asyncio.wait_for(following, 6)
         self.assertEqual(event.value, b"new")
 
+    async def test_two_generations_in_pages(self) -> None:
+        """A reading during which the store came back is none."""
+        for number in range(600):
+            self.stand_in.put(f"a/{number:05d}", b"x")
+        copy, read_page, pages = self.restorable.copy(), self.platform._get, []
+
+        async def return_between(call, query):
+            if pages:
+                self.restorable.restore(copy)
+            pages.append(query)
+            return await read_page(call, query)
+
+        with (
+            mock.patch.object(self.platform, "_get", return_between),
+            self.assertRaises(StoreError),
+        ):
+            await self.platform.read("/a/", prefix=True)
+
+    async def test_generation_that_cannot_be_read(self) -> None:
+        """A header of another form, or none, tells nothing and hides no answer."""
+        self.restorable.generation = 2
+        await self.put(KEY, b"one")
+        for header in ("", "-1", "three", "9" * 30, None):
+            headers = {} if header is None else {packet_store.GENERATION_HEADER: header}
+            kind = packet_store.StoreStandIn
+            with mock.patch.object(kind, "_headers", headers):
+                found = await self.platform.read(KEY)
+            self.assertEqual(found.revision.generation, 2)
+            self.assertEqual(self.platform.generation, 2)
+
     async def test_refused(self) -> None:
         """A refusal of any kind is an error, never an answer."""
         for status in (429, 503):
@@ -294,7 +373,9 @@
         def garbled(value):
             return item(value) | ({"value": "%%"} if value.key == "a/2" else {})
 
-        watch = self.platform.watch("/a/", prefix=True, from_revision=revision)
+        watch = self.platform.watch(
+            "/a/", prefix=True, from_revision=Revision(number=revision)
+        )
         with mock.patch.object(packet_store, "_item", garbled):
             self.stand_in.put("a/2", b"two")
             self.stand_in.put("a/3", b"three")
