Share a route among services by weights

Cause: routes that name several services with weights were read as routes to a service without a name, so all their new flows were refused ("no target serves") and open ones were reset by a balancer that had to ask for their holder.

A flow's address alone decides its service (weighted rendezvous hashing), so each balancer chooses alike, for each copy of a SYN and after each restart. A service without a target that serves gets nothing, its share goes to the rest by weight; one that is merely full keeps its share. A flow that has to be asked for may be held by targets of all services that the route names or, in this process, named before: their agents are asked, and each is brought packets in its own service's name. What is wrong with one service or route is told together and leaves the others in force.

--- a/monsoonpier/balancer/packets/inquiries.py
+++ b/monsoonpier/balancer/packets/inquiries.py
@@ -36,7 +36,7 @@
 
 
 class HolderInquiries:
-    """Asks the flow's keepers, then all agents of its service. Does no I/O."""
+    """Asks the flow's keepers, then all agents that may hold it. Does no I/O."""
 
     def __init__(self, *, scope: PacketScope) -> None:
         self._scope = scope
@@ -93,23 +93,45 @@
         if verdict or not agents.names - inquiry.denied:
             return verdict
         tries = []
-        if not self._scope.may_have_lost_power(known.service, now=now):
+        services = self._services_of(known)
+        if not self._scope.may_have_lost_power(services, now=now):
             tries = self._try_on_doubtful(known, now=now)
         return tries + self._ask_agents(known, inquiry, now=now)
 
     def _ask_agents(self, known: KnownFlow, inquiry: Inquiry, *, now: float) -> list:
-        """Put the flow on the next question to all agents of its service."""
+        """Put the flow on the next question to all agents that may hold it."""
         flow = inquiry.packets[-1].flow
         if not inquiry.asks_agents:
             inquiry.asks_agents = True
             if len(self._repeats) < MAX_REPEATED:
                 heapq.heappush(self._repeats, (now + REPEAT_SECONDS, flow))
         inquiry.asked_at = now
-        self._questions.put(flow, service=known.service)
+        self._questions.put(flow, services=self._services_of(known))
         return self._questions.due(now=now)
 
+    def _services_of(self, known: KnownFlow) -> frozenset[str]:
+        """Return the services whose targets may hold a flow that is asked for.
+
+        Those of the present configuration: a newer one may come meanwhile.
+        """
+        assert known.inquiry is not None
+        return self._scope.services_of(known.inquiry.packets[-1], known)
+
     def _agents_of(self, known: KnownFlow, *, now: float) -> ServiceAgents:
-        return self._scope.agents_of(known.service, now=now)
+        return self._scope.agents_of(self._services_of(known), now=now)
+
+    def _agents_among(
+        self,
+        agents_by_services: dict[frozenset[str], ServiceAgents],
+        known: KnownFlow,
+        *,
+        now: float,
+    ) -> ServiceAgents:
+        """Return the agents that may hold a flow, worked out once for many flows."""
+        services = self._services_of(known)
+        if services not in agents_by_services:
+            agents_by_services[services] = self._scope.agents_of(services, now=now)
+        return agents_by_services[services]
 
     def _try_all(self, packet: Packet) -> list:
         """Pass on a packet whose address has no route that is known here.
@@ -186,13 +208,12 @@
             is_absent=frame.is_absent,
             now=now,
         )
-        agents: ServiceAgents | None = None
+        agents_by_services: dict[frozenset[str], ServiceAgents] = {}
         for flow in self._questions.flows_of(frame.question):
             known = self._scope.flows.get(flow)
             if known is None or known.inquiry is None:
                 continue
-            # All flows of a question are of one service.
-            agents = agents or self._agents_of(known, now=now)
+            agents = self._agents_among(agents_by_services, known, now=now)
             if flow in frame.held:
                 self._scope.log.note(
                     "holder found", now=now, flow=flow, target=frame.agent
@@ -225,7 +246,7 @@
             return self._all_denied(known, now=now)
         unheard = left - inquiry.doubtful
         has_lost_power = unheard <= agents.starting and (
-            self._scope.lost_power_everywhere(known.service, now=now)
+            self._scope.lost_power_everywhere(self._services_of(known), now=now)
         )
         if has_lost_power:
             inquiry.denied |= left
@@ -288,7 +309,7 @@
         assert inquiry is not None
         if not inquiry.asks_agents:
             return []
-        if not self._scope.knows_holders_of(known.service, now=now):
+        if not self._scope.knows_holders_of(self._services_of(known), now=now):
             self._conclude_later(inquiry.packets[-1].flow)
             return []
         return self._nobody_holds(known, inquiry, now=now)
@@ -340,7 +361,7 @@
 
     def _repeat(self, *, now: float) -> list:
         """Ask those again that have not answered in time."""
-        agents_by_service: dict[str, ServiceAgents] = {}
+        agents_by_services: dict[frozenset[str], ServiceAgents] = {}
         actions: list = []
         while self._repeats and self._repeats[0][0] <= now:
             _, flow = heapq.heappop(self._repeats)
@@ -354,9 +375,7 @@
                 heapq.heappush(self._repeats, (now + seconds, flow))
             if now - inquiry.asked_at < REPEAT_SECONDS / 2:
                 continue  # a packet of its caller has just asked
-            if known.service not in agents_by_service:
-                agents_by_service[known.service] = self._agents_of(known, now=now)
-            agents = agents_by_service[known.service]
+            agents = self._agents_among(agents_by_services, known, now=now)
             if not agents.names - inquiry.denied:
                 self._conclude_later(flow)
                 continue
@@ -368,18 +387,18 @@
         """Look at early denials again; what is known of a service is asked once."""
         self._looked_at = now
         flows, self._denied_early = dict.fromkeys(self._denied_early), []
-        agents_by_service: dict[str, ServiceAgents | None] = {}
+        agents_by_services: dict[frozenset[str], ServiceAgents | None] = {}
         actions: list = []
         for flow in flows:
             known = self._scope.flows.get(flow)
             if known is None or known.inquiry is None:
                 continue
-            service, inquiry = known.service, known.inquiry
-            if service not in agents_by_service:
-                knows = self._scope.knows_holders_of(service, now=now)
+            services, inquiry = self._services_of(known), known.inquiry
+            if services not in agents_by_services:
+                knows = self._scope.knows_holders_of(services, now=now)
                 agents = self._agents_of(known, now=now) if knows else None
-                agents_by_service[service] = agents
-            agents = agents_by_service[service]
+                agents_by_services[services] = agents
+            agents = agents_by_services[services]
             if agents is None:
                 self._denied_early.append(flow)
             elif inquiry.asks_agents and not agents.names - inquiry.denied:
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -92,7 +92,7 @@
                 return []
             return [self._scope.reset(packet, "no route", asked_at=now, now=now)]
         known = KnownFlow(
-            service=route.service,
+            service=self._scope.choose_service(packet, route, now=now),
             created_at=now - packet.waited,
             asked_at=self._scope.returning.asked_at(packet, now=now),
             syn=packet,
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -206,6 +206,8 @@
         yield self._store.call_seconds
         results = self._steering.counts_by_result
         yield counter("flow_decisions", "Decisions on flows.", results, "result")
+        opened = self._steering.opened_by_service
+        yield counter("opened_flows", "New flows by service.", opened, "service")
         drops = self._dropped_by_reason | self._member.dropped_by_reason
         yield counter("dropped_datagrams", "Datagrams not used.", drops, "reason")
         control = self._member.bytes_by_direction
--- a/monsoonpier/balancer/packets/questions.py
+++ b/monsoonpier/balancer/packets/questions.py
@@ -6,6 +6,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.scope import PacketScope
@@ -38,9 +39,10 @@
         """Whether `due` will have something."""
         return bool(self._to_ask_by_service)
 
-    def put(self, flow: bytes, *, service: str) -> None:
-        """Put a flow on the next question to all agents of its service."""
-        self._to_ask_by_service.setdefault(service, []).append(flow)
+    def put(self, flow: bytes, *, services: Iterable[str]) -> None:
+        """Put a flow on the next question to all agents of these services."""
+        for service in sorted(services):
+            self._to_ask_by_service.setdefault(service, []).append(flow)
         self._scope.counts_by_result["asked"] += 1
 
     def due(self, *, now: float) -> list[ToAgent]:
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -11,8 +11,9 @@
 from monsoonpier.balancer.packets.flows import FlowTable, KnownFlow
 from monsoonpier.balancer.packets.returning import ReturningCallers
 from monsoonpier.balancer.packets.runs import TargetRuns
+from monsoonpier.balancer.packets.shares import EarlierServices, choose_service
 from monsoonpier.model.service import PacketRoute
-from monsoonpier.model.target import ABSENT_SECONDS, Condition
+from monsoonpier.model.target import ABSENT_SECONDS, Condition, TargetRecord
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import MAX_MILLISECONDS, MAX_PRIORITY, MAX_TRIED, Carry
 from monsoonpier.wire.packet import Packet
@@ -34,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceAgents:
-    """The agents of a service that may hold its flows, by what is known of them.
+    """The agents of services that may hold their flows, by what is known of them.
 
     Attributes:
         names: All that have not ended, without those where no target is left.
@@ -57,6 +58,7 @@
         runs: What agents have said of their targets' runs.
         returning: Callers that were reset and may come back.
         counts_by_result: Decisions, for metrics.
+        opened_by_service: New flows by the service chosen for them, for metrics.
     """
 
     def __init__(
@@ -73,6 +75,8 @@
         self._data_centres = frozenset(data_centres)
         self.log = log
         self.counts_by_result: Counter[str] = Counter()
+        self.opened_by_service: Counter[str] = Counter()
+        self._earlier = EarlierServices()
 
     @property
     def started_at(self) -> float:
@@ -84,13 +88,56 @@
         routes = self.membership.configuration.routes_by_address
         return routes.get(packet.service_address)
 
+    def configured(self) -> None:
+        """Take a newer configuration into account."""
+        self._earlier.configured(self.membership.configuration.routes_by_address)
+
+    def choose_service(self, packet: Packet, route: PacketRoute, *, now: float) -> str:
+        """Return the service that a new flow goes to."""
+        is_settled = self.is_settled(now=now)
+
+        def serves(service: str) -> bool:
+            # Others may just not be known yet.
+            return not is_settled or self._has_serving_target(service, now=now)
+
+        choice = choose_service(packet.flow, route, serves=serves)
+        self.opened_by_service[choice.service] += 1
+        if choice.passed_over:
+            self.log.note(
+                "share passed on",
+                now=now,
+                flow=packet.flow,
+                service=choice.service,
+                without_target=choice.passed_over,
+                weights=dict(route.weights_by_service),
+            )
+        return choice.service
+
+    def _has_serving_target(self, service: str, *, now: float) -> bool:
+        candidates = self.membership.table.candidates_of(service, now=now)
+        return any(c.serves and not c.suspected for c in candidates)
+
+    def services_of(self, packet: Packet, known: KnownFlow) -> frozenset[str]:
+        """Return the services whose targets may hold a packet's flow."""
+        route = self.route(packet)
+        named = route.services if route is not None else frozenset()
+        own = frozenset((known.service,)) if known.service else frozenset()
+        return named | own | self._earlier.of(packet.service_address)
+
+    def _names_of(self, services: Collection[str]) -> set[str]:
+        """Return the names of these services' targets that have not ended."""
+        names: set[str] = set()
+        for service in services:
+            names |= self.membership.table.names_of(service)
+        return names
+
     def is_settled(self, *, now: float) -> bool:
         """Tell whether all targets that can be reached are likely to be known."""
         return self.membership.is_settled(now=now)
 
-    def knows_holders_of(self, service: str, *, now: float) -> bool:
+    def knows_holders_of(self, services: Collection[str], *, now: float) -> bool:
         """Tell whether no other target can hold a flow that these have denied."""
-        names = self.membership.table.names_of(service)
+        names = self._names_of(services)
         if self.runs.lived_on(names):
             # An agent that isn't back yet may stand beside one that holds flows.
             return now - self.started_at >= ALONE_SECONDS
@@ -101,13 +148,13 @@
             return now - self.started_at >= needed
         return self.is_settled(now=now)
 
-    def lost_power_everywhere(self, service: str, *, now: float) -> bool:
-        """Tell whether the service's targets all began with this balancer.
+    def lost_power_everywhere(self, services: Collection[str], *, now: float) -> bool:
+        """Tell whether the services' targets all began with this balancer.
 
         In its own data centre alone they may have, so targets of all must be
         known.
         """
-        return self._began_with(self.membership.table.names_of(service), now=now)
+        return self._began_with(self._names_of(services), now=now)
 
     def _began_with(self, names: Collection[str], *, now: float) -> bool:
         records = self.membership.table.records
@@ -124,16 +171,16 @@
         is_plain = len(met) > len(starting) and self._data_centres <= places
         return is_plain or all(self._had_time(name, now=now) for name in starting)
 
-    def may_have_lost_power(self, service: str, *, now: float) -> bool:
+    def may_have_lost_power(self, services: Collection[str], *, now: float) -> bool:
         """Tell whether all may have begun with this balancer, a moment ago."""
         if now - self.started_at >= ALONE_SECONDS:
             return False
-        names = self.membership.table.names_of(service)
+        names = self._names_of(services)
         return not self.runs.any_began_before(names, started_at=self.started_at)
 
-    def agents_of(self, service: str, *, now: float) -> "ServiceAgents":
-        """Return the agents whose word on the service's flows counts now."""
-        names = self.membership.table.names_of(service)
+    def agents_of(self, services: Collection[str], *, now: float) -> "ServiceAgents":
+        """Return the agents whose word on the services' flows counts now."""
+        names = self._names_of(services)
         vacant = {name for name in names if self._is_vacant(name, now=now)}
         return ServiceAgents(
             names=frozenset(names - vacant),
@@ -187,13 +234,33 @@
         asks: bool = False,
     ) -> list[ToAgent]:
         """Return the frames that bring a packet to the targets of these names."""
-        frame = Carry(
-            service=known.service,
-            payload=packet.raw,
-            tried=known.tried[-MAX_TRIED:] if packet.is_syn else (),
-            asks=asks,
-        )
-        return self.tell(frame, names=names, flow=packet.flow)
+        tried = known.tried[-MAX_TRIED:] if packet.is_syn else ()
+        return [
+            ToAgent(
+                endpoint=(record.ip, record.port),
+                frame=Carry(
+                    service=self._service_at(record, packet, known),
+                    payload=packet.raw,
+                    tried=tried,
+                    asks=asks,
+                ),
+                flow=packet.flow,
+            )
+            for record in self._records(names)
+        ]
+
+    def _service_at(
+        self, record: TargetRecord, packet: Packet, known: KnownFlow
+    ) -> str:
+        """Return the service in whose name an agent is brought a packet.
+
+        An agent of another service refuses it. A new flow goes to the service chosen
+        for it; an open one may be held by a target of any that its route names.
+        """
+        if packet.is_syn or record.service == known.service:
+            return known.service
+        is_named = record.service in self.services_of(packet, known)
+        return record.service if is_named else known.service
 
     def carry_syn(
         self,
@@ -218,13 +285,22 @@
 
     def tell(self, frame, *, names: Iterable[str], flow: bytes = b"") -> list[ToAgent]:
         """Return a frame to the agents of these targets, as far as they're known."""
-        records = [self.membership.table.record(name) for name in names]
         return [
             ToAgent(endpoint=(record.ip, record.port), frame=frame, flow=flow)
-            for record in records
-            if record is not None
+            for record in self._records(names)
         ]
 
+    def by_service(self, names: Iterable[str]) -> dict[str, list[str]]:
+        """Return the names of targets that are known, by their service."""
+        names_by_service: dict[str, list[str]] = {}
+        for record in self._records(names):
+            names_by_service.setdefault(record.service, []).append(record.name)
+        return names_by_service
+
+    def _records(self, names: Iterable[str]) -> list[TargetRecord]:
+        records = [self.membership.table.record(name) for name in names]
+        return [record for record in records if record is not None]
+
     def reset(
         self, packet: Packet, reason: str, *, asked_at: float, now: float
     ) -> ResetCaller:
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -4,9 +4,9 @@
 sees all of the target's packets, so it alone knows what the target holds, and
 it delivers nothing else. A balancer remembers holders as a bounded cache that
 may be lost at any time: what it doesn't remember it asks of the flow's keepers,
-then of all agents of the service. Only when every agent has denied a flow is its
-caller sent a reset; while one of them can't be reached the flow may live there,
-and a reset would break it.
+then of all agents of the services that its route names. Only when every agent has
+denied a flow is its caller sent a reset; while one of them can't be reached the flow
+may live there, and a reset would break it.
 """
 
 import random
@@ -54,6 +54,11 @@
         """Decisions so far."""
         return self._scope.counts_by_result
 
+    @property
+    def opened_by_service(self) -> Counter[str]:
+        """New flows so far, by the service chosen for them."""
+        return self._scope.opened_by_service
+
     @property
     def histograms(self) -> tuple[Reading, ...]:
         """Times that decisions took or were based on."""
@@ -66,6 +71,7 @@
 
     def configured(self) -> None:
         """Take a newer configuration into account."""
+        self._scope.configured()
         self._openings.configured()
 
     def retry(self, *, now: float, draw: random.Random) -> list:
--- a/monsoonpier/balancer/packets/tries.py
+++ b/monsoonpier/balancer/packets/tries.py
@@ -64,7 +64,13 @@
         if not names:
             return []
         packet = _packet_to_try(inquiry)
-        return self.bring_to_all(packet, names, service=known.service)
+        # Each agent takes only what is brought in its own service's name.
+        names_by_service = self._scope.by_service(names)
+        return [
+            action
+            for service, among in sorted(names_by_service.items())
+            for action in self.bring_to_all(packet, among, service=service)
+        ]
 
     def bring_to_all(
         self, packet: Packet, names: Collection[str], *, service: str
--- a/monsoonpier/balancer/steering.py
+++ b/monsoonpier/balancer/steering.py
@@ -29,14 +29,17 @@
     sent_since: int = 0
     suspected: bool = False
 
+    @property
+    def serves(self) -> bool:
+        """Whether the target takes new flows as long as it has room."""
+        is_serving = self.load.condition is Condition.SERVING
+        return is_serving and self.record.condition < Condition.LEAVING
+
     @property
     def takes_flows(self) -> bool:
         """Whether the target is believed to accept new flows."""
-        return (
-            self.load.condition is Condition.SERVING
-            and self.record.condition < Condition.LEAVING
-            and self.load.flows + self.sent_since < self.record.connections
-        )
+        flows = self.load.flows + self.sent_since
+        return self.serves and flows < self.record.connections
 
     @property
     def work(self) -> int:
--- a/monsoonpier/balancer/stored_configuration.py
+++ b/monsoonpier/balancer/stored_configuration.py
@@ -8,11 +8,13 @@
 from monsoonpier.balancer.configuration_copy import ConfigurationCopy
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.documents.stored import pack, unpack, unstore
+from monsoonpier.model.findings import report
 from monsoonpier.model.service import Configuration
 
 __all__ = ["STORED_FORMAT", "ConfigurationFormat", "StoredConfiguration"]
 
 ALL_SERVICES = ""  # in place of a service's name: the whole value
+MAX_TOLD_FINDINGS = 20  # a line each; a log line's readers cut longer ones
 _log = structlog.get_logger("monsoonpier.balancer.stored_configuration")
 
 
@@ -78,12 +80,23 @@
             self._value = value
             self._packed_by_service.clear()
             _log.info("configuration in force", version=configuration.version)
+            self._tell_findings(configuration)
             self._on_configured()
         elif configuration.version < held:
             _log.warning(
                 "older configuration refused", offered=configuration.version, held=held
             )
 
+    def _tell_findings(self, configuration: Configuration) -> None:
+        if not configuration.findings:
+            return
+        _log.warning(
+            "configuration in force in part",
+            version=configuration.version,
+            findings=len(configuration.findings),
+            first=report(configuration.findings[:MAX_TOLD_FINDINGS]),
+        )
+
     def take_packed(self, packed: bytes) -> None:
         """Put a value in force that a peer or a copy has packed."""
         try:
--- a/monsoonpier/model/service.py
+++ b/monsoonpier/model/service.py
@@ -1,11 +1,13 @@
 """What operators declare: services, their kinds of work, and their targets."""
 
 import fnmatch
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import lru_cache
 
 from monsoonpier.model.address import Address
+from monsoonpier.model.findings import Finding
 
 __all__ = ["Configuration", "Kind", "Limits", "PacketRoute", "Preference", "Service"]
 
@@ -60,13 +62,21 @@
 
     ``aim_seconds`` is the latency that callers want, ``timeout_seconds`` the
     one after which an answer is of no use to them. ``priority`` 0 is the most
-    urgent.
+    urgent. New flows go to ``service``; where ``weights_by_service`` has any they are
+    shared by these, in proportion, and a weight of 0 gets none.
     """
 
-    service: str
+    service: str = ""
     aim_seconds: float
     timeout_seconds: float
     priority: int = 0
+    weights_by_service: Mapping[str, float] = field(default_factory=dict)
+
+    @property
+    def services(self) -> frozenset[str]:
+        """All services that the route names: their targets may hold its flows."""
+        named = (self.service, *self.weights_by_service)
+        return frozenset(name for name in named if name)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,13 +84,15 @@
     """One accepted version of the whole set of operators' files.
 
     ``cold_per_second_by_service`` has the new flows without a token that a cold target
-    bears in a second, where that is limited.
+    bears in a second, where that is limited. ``findings`` tell what was wrong with
+    single routes of a version that is in force all the same.
     """
 
     version: int = 0
     services_by_name: dict[str, Service] = field(default_factory=dict)
     routes_by_address: dict[Address, PacketRoute] = field(default_factory=dict)
     cold_per_second_by_service: dict[str, float] = field(default_factory=dict)
+    findings: tuple[Finding, ...] = ()
 
     def allows(self, *, service: str, target: str) -> bool:
         """Tell whether the target may serve the service in this version."""
--- a/monsoonpier/platform/configuration.py
+++ b/monsoonpier/platform/configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from monsoonpier.balancer.stored_configuration import ConfigurationFormat
+from monsoonpier.documents.route_shares import DeclaredShare, RouteShares, read_shares
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 
@@ -15,9 +16,11 @@
 class _Route(msgspec.Struct, frozen=True, kw_only=True):
     """A route: ``host`` is an IP number, ``prefix`` a port between slashes."""
 
+    name: str = ""
     host: str
     prefix: str
     service: str = ""
+    backends: object = None
     timeout_ms: float = 10_000
     target_latency_ms: float = 1_000
     priority: int = 0
@@ -45,7 +48,12 @@
 def _configuration(value: bytes) -> Configuration:
     try:
         stored = _decode(value)
-        routes = {_address(route): _route(route) for route in stored.routes}
+        services = [service.name for service in stored.services]
+        shares = [_shares(route, declared=services) for route in stored.routes]
+        routes = {
+            _address(route): _route(route, shared)
+            for route, shared in zip(stored.routes, shares, strict=True)
+        }
     except (msgspec.MsgspecError, ValueError) as error:
         raise ValueError(f"not a configuration of the operator: {error}") from error
     limits = {s.name: s.cold_per_s for s in stored.services if s.cold_per_s}
@@ -53,6 +61,7 @@
         version=stored.version,
         routes_by_address=routes,
         cold_per_second_by_service=limits,
+        findings=tuple(finding for shared in shares for finding in shared.findings),
     )
 
 
@@ -60,9 +69,26 @@
     return Address.parse(f"{route.host}:{route.prefix.strip('/')}")
 
 
-def _route(route: _Route) -> PacketRoute:
+def _shares(route: _Route, *, declared: list[str]) -> RouteShares:
+    listed = route.backends or []
+    entries = listed if isinstance(listed, list) else [listed]
+    return read_shares(
+        [_share(entry) for entry in entries],
+        route=route.name or str(_address(route)),
+        service=route.service,
+        declared=declared,
+    )
+
+
+def _share(entry: object) -> DeclaredShare:
+    known = entry if isinstance(entry, dict) else {"service": entry}
+    return DeclaredShare(service=known.get("service"), weight=known.get("weight"))
+
+
+def _route(route: _Route, shares: RouteShares) -> PacketRoute:
     return PacketRoute(
         service=route.service,
+        weights_by_service=shares.weights_by_service,
         aim_seconds=route.target_latency_ms / 1000,
         timeout_seconds=route.timeout_ms / 1000,
         priority=route.priority,
--- /dev/null
+++ b/tests/packets/test_shares.py
@@ -0,0 +1,215 @@
+"""Routes whose flows several services share."""
+
+import itertools
+import math
+import random
+import unittest
+from collections import Counter
+
+from monsoonpier.balancer.packets.shares import choose_service
+from monsoonpier.documents.route_shares import DeclaredShare, read_shares
+from monsoonpier.model.service import Configuration, PacketRoute
+from monsoonpier.model.target import Condition
+from monsoonpier.wire.frames import Carry, Held, Holds, NotHeld, PassOn, Whose
+from monsoonpier.wire.packet import Packet
+from tests.packets.rig import (
+    SERVICE,
+    SETTLED,
+    SteeringRig,
+    load,
+    packet,
+    record,
+    resets,
+)
+
+FLOWS = 10_000
+
+
+def shared(**weights_by_service: float) -> PacketRoute:
+    return PacketRoute(
+        weights_by_service=weights_by_service, aim_seconds=0.2, timeout_seconds=3.0
+    )
+
+
+def held(agent: str, sent: Packet) -> Held:
+    return Held(flow=sent.flow, agent=agent, load=load(number=9), is_open=True)
+
+
+def choices(route: PacketRoute, *, without: tuple[str, ...] = ()) -> list[str]:
+    """Return the services of many flows, always the same flows."""
+    draw = random.Random(7)
+    return [
+        choose_service(
+            draw.randbytes(12), route, serves=lambda name: name not in without
+        ).service
+        for _ in range(FLOWS)
+    ]
+
+
+class ChoiceTests(unittest.TestCase):
+    """The service of a new flow."""
+
+    def assert_shares(self, found: list[str], **shares: float) -> None:
+        counts = Counter(found)
+        self.assertEqual(counts.keys(), shares.keys())
+        for service, share in shares.items():
+            sampling = 4 * math.sqrt(FLOWS * share * (1 - share))
+            self.assertAlmostEqual(counts[service], FLOWS * share, delta=sampling)
+
+    def test_weights_are_met(self) -> None:
+        """A rollout's services get their shares; a weight of 0 gets nothing."""
+        self.assert_shares(choices(shared(maps=90, next=10)), maps=0.9, next=0.1)
+        thirds = shared(maps=6, next=3, old=1, off=0)
+        self.assert_shares(choices(thirds), maps=0.6, next=0.3, old=0.1)
+        self.assertEqual(set(choices(shared(maps=0))), {""})
+
+    def test_rollout_moves_no_more_than_it_must(self) -> None:
+        """When one weight grows flows move to that service only."""
+        before = choices(shared(maps=90, next=10, old=20))
+        after = choices(shared(maps=90, next=60, old=20))
+        moves = {(b, a) for b, a in zip(before, after, strict=True) if b != a}
+        self.assertEqual(moves, {("maps", "next"), ("old", "next")})
+        self.assertEqual(before, choices(shared(old=2, next=1, maps=9)))
+
+    def test_service_without_a_target(self) -> None:
+        """The share of one whose targets are all lost goes to the rest by weight."""
+        route = shared(maps=60, next=30, old=10)
+        before, after = choices(route), choices(route, without=("maps",))
+        self.assert_shares(after, next=0.75, old=0.25)
+        kept = [(b, a) for b, a in zip(before, after, strict=True) if b != "maps"]
+        self.assertTrue(all(b == a for b, a in kept))
+
+
+class SteeringTests(unittest.TestCase):
+    """Balancers where ``maps`` and ``logs`` share an address."""
+
+    def rig(self, *, started_at: float = 0.0, **weights: float) -> SteeringRig:
+        rig = SteeringRig(targets=2, version=0, started_at=started_at)
+        for number in (3, 4):
+            rig.learn(record(f"logs-{number}", host=number, service="logs"))
+        self.configure(rig, shared(**weights or {"maps": 50, "logs": 50}))
+        return rig
+
+    def configure(self, rig: SteeringRig, route: PacketRoute) -> None:
+        version = rig.membership.configuration.version + 1
+        rig.membership.configure(
+            Configuration(version=version, routes_by_address={SERVICE: route})
+        )
+        rig.steering.configured()
+
+    def services(self, rig: SteeringRig, *, now: float = SETTLED) -> list[str]:
+        """Return which services 40 new flows are for, placed or waiting."""
+        for number in range(40):
+            rig.caller(packet(number, syn=True), now=now)
+        flows = rig.steering._scope.flows
+        return [flows.get(packet(number).flow).service for number in range(40)]
+
+    def test_every_balancer_chooses_alike(self) -> None:
+        """A SYN's copy at another balancer, or one that restarted, goes there too."""
+        found = self.services(self.rig())
+        self.assertEqual(set(found), {"maps", "logs"})
+        self.assertEqual(self.services(self.rig(started_at=80.0)), found)
+
+    def test_full_service_keeps_its_share(self) -> None:
+        """Operators limit with weights what a service gets, also under load."""
+        undisturbed, rig = self.rig(), self.rig()
+        for number in (3, 4):
+            full = load(number=9, in_flight=9, flows=2_000)
+            rig.membership.table.heard(f"logs-{number}", full, now=SETTLED)
+        for each in (undisturbed, rig):
+            for number in range(40):
+                each.caller(packet(number, syn=True))
+        opened = rig.steering.opened_by_service
+        self.assertEqual(opened, undisturbed.steering.opened_by_service)
+
+    def test_service_whose_targets_leave(self) -> None:
+        """Its share goes to the rest; before all are known it is kept for them."""
+        undisturbed = self.services(self.rig())
+        for now, expected in ((SETTLED, ["maps"] * 40), (0.5, undisturbed)):
+            rig = self.rig()
+            for number in (3, 4):
+                leaving = {"service": "logs", "condition": Condition.LEAVING}
+                rig.learn(record(f"logs-{number}", host=number, epoch=2, **leaving))
+            self.assertEqual(self.services(rig, now=now), expected)
+
+    def asked(self, actions: list) -> set[tuple[str, str]]:
+        """Return which agents are asked, and in the name of which service."""
+        names_by_endpoint = {(f"10.2.0.{n}", 7720): n for n in range(1, 9)}
+        return {
+            (names_by_endpoint[a.endpoint], a.frame.service)
+            for a in actions
+            if isinstance(a.frame, Whose)
+        }
+
+    def test_restarted_balancer_asks_all_services(self) -> None:
+        """It resets a flow when the agents of all services have denied it."""
+        rig = self.rig()
+        every = {(1, "maps"), (2, "maps"), (3, "logs"), (4, "logs")}
+        for flow, holder in ((1, None), (2, "logs-3")):
+            now = SETTLED + flow
+            self.assertEqual(self.asked(rig.caller(packet(flow), now=now)), every)
+            actions: list = []
+            for name in ("maps-1", "maps-2", "logs-3", "logs-4"):
+                self.assertEqual(resets(actions), [])
+                sent = packet(flow)
+                frame = NotHeld(agent=name, flow=sent.flow, payload=sent.raw)
+                if name == holder:
+                    frame = held(name, sent)
+                actions = rig.agent(frame, sent, now=now)
+            self.assertEqual(len(resets(actions)), holder is None)
+        carried = rig.caller(packet(2), now=103.0)
+        self.assertEqual([a.frame.service for a in carried], ["logs"])
+
+    def test_agents_restarted_too(self) -> None:
+        """Each agent is brought a packet to try in its own service's name."""
+        rig = self.rig()
+        rig.caller(packet(size=9))
+        questions = rig.steering._inquiries._questions._flows_by_question
+        actions: list = []
+        for number, name in itertools.product(
+            questions, ("maps-1", "maps-2", "logs-3", "logs-4")
+        ):
+            word = Holds(question=number, agent=name, held=(), is_sure=False)
+            actions += rig.agent(word)
+        actions += rig.steering.retry(now=SETTLED + 0.02, draw=rig.draw)
+        brought = {(a.endpoint[0], a.frame.service) for a in actions}
+        self.assertEqual({type(a.frame) for a in actions}, {Carry, PassOn})
+        expected = {("10.2.0.1", "maps"), ("10.2.0.2", "maps"), ("10.2.0.3", "logs")}
+        self.assertLessEqual(brought, expected | {("10.2.0.4", "logs")})
+
+    def test_route_that_moves_on(self) -> None:
+        """Open flows stay where they are, and are found where they were opened."""
+        rig = self.rig(maps=1)
+        placed = rig.caller(packet(syn=True))
+        (name,) = rig.names(placed)
+        rig.agent(held(name, packet()))
+        self.configure(rig, shared(logs=1))
+        self.assertEqual(rig.names(rig.caller(packet())), [name])
+        new = rig.caller(packet(7, syn=True))
+        self.assertEqual([a.frame.service for a in new], ["logs"])
+        self.assertEqual(len(self.asked(rig.caller(packet(8)))), 4)
+
+
+class DocumentTests(unittest.TestCase):
+    """What operators write."""
+
+    def test_wrong_entries(self) -> None:
+        """All that is wrong is told at once; what can be understood is in force."""
+        entries = [("a", None), ("b", -1), ("c", "5"), ("d", 5), ("d", 1), (7, 1)]
+        found = read_shares(
+            [DeclaredShare(service=s, weight=w) for s, w in entries],
+            route="r",
+            service="e",
+            declared=("a", "b", "c"),
+        )
+        weights = {"a": 0, "b": 0, "c": 0, "d": 6}
+        self.assertEqual(found.weights_by_service, weights)
+        self.assertEqual(len(found.findings), 7)
+
+    def test_no_usable_weight(self) -> None:
+        """Where nobody has a weight services share alike; zeros are meant."""
+        for weight, expected, told in (("x", 1, 2), (0, 0, 1), (True, 1, 2)):
+            shares = [DeclaredShare(service=name, weight=weight) for name in "ab"]
+            found = read_shares(shares, route="r", service="", declared=())
+            self.assertEqual(found.weights_by_service, {"a": expected, "b": expected})
+            self.assertEqual(len(found.findings), told)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -122,6 +122,21 @@
         self.assertEqual(configuration.version, 7)
         self.assertEqual((route.service, route.timeout_seconds), ("maps", 3.0))
 
+    def test_shared_route(self) -> None:
+        """Backends are weights by service; a wrong one costs no other route."""
+        value = b"""{"version": 7, "routes": [
+            {"host": "198.18.0.1", "prefix": "/1/", "backends":
+                [{"service": "maps", "weight": 90}, {"service": "next", "weight": 10}]},
+            {"host": "198.18.0.1", "prefix": "/2/", "backends": [3, {"weight": 1}]},
+            {"host": "198.18.0.1", "prefix": "/3/", "backends": {"maps": 1}}]}"""
+        configuration = PLATFORM_FORMAT.decode(value)
+        weights_by_port = {
+            address.port: route.weights_by_service
+            for address, route in configuration.routes_by_address.items()
+        }
+        self.assertEqual(weights_by_port, {1: {"maps": 90, "next": 10}, 2: {}, 3: {}})
+        self.assertEqual(len(configuration.findings), 5)
+
     def test_unusable(self) -> None:
         """What is no configuration is a ``ValueError``, never anything else."""
         route = b'{"host": "%s", "prefix": "%s", "service": "s"}'
