--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -95,10 +95,11 @@
     def choose_service(self, packet: Packet, route: PacketRoute, *, now: float) -> str:
         """Return the service that a new flow goes to."""
         is_settled = self.is_settled(now=now)
+        table = self.membership.table
 
         def serves(service: str) -> bool:
-            # Others may just not be known yet.
-            return not is_settled or self._has_serving_target(service, now=now)
+            # Its targets may just not be known yet.
+            return not is_settled or table.is_served(service, now=now)
 
         choice = choose_service(packet.flow, route, serves=serves)
         self.opened_by_service[choice.service] += 1
@@ -113,10 +114,6 @@
             )
         return choice.service
 
-    def _has_serving_target(self, service: str, *, now: float) -> bool:
-        candidates = self.membership.table.candidates_of(service, now=now)
-        return any(c.serves and not c.suspected for c in candidates)
-
     def services_of(self, packet: Packet, known: KnownFlow) -> frozenset[str]:
         """Return the services whose targets may hold a packet's flow."""
         route = self.route(packet)
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -241,6 +241,15 @@
                 self._forgive(entry, now=now)
         return [self._candidate(entry, now=now) for entry in entries]
 
+    def is_served(self, service: str, *, now: float) -> bool:
+        """Tell whether any target of a service takes new flows, if it has room."""
+        candidates = (
+            self._candidate(self._entries_by_name[name], now=now)
+            for name in self._names_by_service.get(service, ())
+            if not self._is_evacuated(name)
+        )
+        return any(c.serves and not c.suspected for c in candidates)
+
     def _is_evacuated(self, name: str) -> bool:
         record = self._entries_by_name[name].record
         return record.data_centre in self.evacuated
--- a/standins/packets/deployment.py
+++ b/standins/packets/deployment.py
@@ -140,8 +140,16 @@
 
     # Configuration
 
-    def configure(self, *services: str, routes: int = 0) -> int:
-        """Write a newer configuration as the operator does; return its version."""
+    def configure(
+        self, *services: str, routes: int = 0, shares: dict[str, int] | None = None
+    ) -> int:
+        """Write a newer configuration as the operator does; return its version.
+
+        Args:
+            services: Those whose address has a route; all if none is named.
+            routes: How many further routes there are, without callers.
+            shares: Weights of the services that share the first one's address.
+        """
         self.version += random.Random(self.seed + self.version).randint(1, 3)
         named = [
             self._route(f"r-{name}", *SERVICES[name], service=name)
@@ -151,6 +159,11 @@
             self._route(f"r-{n}", "198.18.9.9", 10_000 + n, service="maps")
             for n in range(routes)
         ]
+        if shares:
+            del named[0]["service"]
+            named[0]["backends"] = [
+                {"service": name, "weight": weight} for name, weight in shares.items()
+            ]
         body = {"version": self.version, "routes": named + idle, "services": []}
         self.store.put("op/config", json.dumps(body).encode())
         return self.version
--- a/standins/packets/load.py
+++ b/standins/packets/load.py
@@ -40,12 +40,17 @@
 
 @dataclass(kw_only=True)
 class PacketLoad:
-    """Runs callers against a deployment until stopped."""
+    """Runs callers against a deployment until stopped.
+
+    Attributes:
+        shared_by_service: Which other services may run the requests of one.
+    """
 
     deployment: PacketDeployment
     seed: int = 0
     counts: Counter = field(default_factory=Counter)
     reasons: Counter = field(default_factory=Counter)
+    shared_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
     _tasks: list[asyncio.Task] = field(default_factory=list)
     _is_stopping: bool = False
     _number: int = 0
@@ -72,7 +77,7 @@
         for target in self.deployment.targets_by_name.values():
             runs.update(target.runs_by_id)
             wrong += sum(
-                self._services_by_request.get(request) != target.service
+                not self._may_run(request, target.service)
                 for request in target.runs_by_id
             )
         return Verdict(
@@ -85,6 +90,12 @@
             untrue=self.deployment.caller.untrue,
         )
 
+    def _may_run(self, request: str, service: str) -> bool:
+        asked = self._services_by_request.get(request)
+        return asked is not None and (
+            service == asked or service in self.shared_by_service.get(asked, ())
+        )
+
     async def _forever(self, habit, draw: random.Random) -> None:
         while not self._is_stopping:
             await habit(draw)
--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -51,6 +51,31 @@
         await self._finish(load)
         self.assertEqual(load.counts["failed"], 0, load.reasons)
 
+    async def test_route_that_is_shared(self) -> None:
+        """A rollout by weights breaks no flow, also when all balancers are killed.
+
+        Flows are open at targets of both services then. In the end a weight of 0 gets
+        no new flow.
+        """
+        deployment = await self._start("127.84.14")
+        load = await self._load(deployment)
+        load.shared_by_service["maps"] = ("logs",)
+        deployment.configure(shares={"maps": 50, "logs": 50})
+        await asyncio.sleep(1.0)
+        for name in ("lb-1", "lb-2"):
+            deployment.nodes_by_name[name].signal(signal.SIGKILL)
+        for name in ("lb-1", "lb-2"):
+            await deployment.start_balancer(name)
+        deployment.configure(shares={"maps": 0, "logs": 100})
+        await asyncio.sleep(1.0)
+        earlier = [deployment.targets_by_name[name] for name in ("maps-1", "maps-2")]
+        opened = [target.opened for target in earlier]
+        await asyncio.sleep(1.0)
+        self.assertEqual([target.opened for target in earlier], opened)
+        ran = deployment.targets_by_name["logs-1"].runs_by_id
+        self.assertTrue(any(request.startswith("maps") for request in ran))
+        await self._finish(load)
+
     async def test_evacuated(self) -> None:
         """A data centre takes no new flow while it is evacuated, also after kills.
 
