--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -12,6 +12,7 @@
 from monsoonpier.balancer.packets.returning import ReturningCallers
 from monsoonpier.balancer.packets.runs import TargetRuns
 from monsoonpier.balancer.packets.shares import EarlierServices, choose_service
+from monsoonpier.model.address import Address
 from monsoonpier.model.service import PacketRoute
 from monsoonpier.model.target import ABSENT_SECONDS, Condition, TargetRecord
 from monsoonpier.process.logs import DecisionLog
@@ -77,6 +78,7 @@
         self.counts_by_result: Counter[str] = Counter()
         self.opened_by_service: Counter[str] = Counter()
         self._earlier = EarlierServices()
+        self._services_by_address: dict[Address, frozenset[str]] = {}
 
     @property
     def started_at(self) -> float:
@@ -91,6 +93,7 @@
     def configured(self) -> None:
         """Take a newer configuration into account."""
         self._earlier.configured(self.membership.configuration.routes_by_address)
+        self._services_by_address.clear()
 
     def choose_service(self, packet: Packet, route: PacketRoute, *, now: float) -> str:
         """Return the service that a new flow goes to."""
@@ -116,10 +119,26 @@
 
     def services_of(self, packet: Packet, known: KnownFlow) -> frozenset[str]:
         """Return the services whose targets may hold a packet's flow."""
+        services = self._named(packet)
+        if known.service in services or not known.service:
+            return services
+        return services | {known.service}
+
+    def _named(self, packet: Packet) -> frozenset[str]:
+        """Return the services that a packet's address leads to, or has led to.
+
+        Kept, since it is asked for with each answer on each dead flow.
+        """
+        address = packet.service_address
+        services = self._services_by_address.get(address)
+        if services is not None:
+            return services
         route = self.route(packet)
-        named = route.services if route is not None else frozenset()
-        own = frozenset((known.service,)) if known.service else frozenset()
-        return named | own | self._earlier.of(packet.service_address)
+        if route is None:
+            return frozenset()
+        services = route.services | self._earlier.of(address)
+        self._services_by_address[address] = services
+        return services
 
     def _names_of(self, services: Collection[str]) -> set[str]:
         """Return the names of these services' targets that have not ended."""
