--- a/monsoonpier/documents/route_shares.py
+++ b/monsoonpier/documents/route_shares.py
@@ -5,22 +5,22 @@
 leave every other change of it undone.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from monsoonpier.model.findings import Finding, Place
 
-__all__ = ["DeclaredShare", "RouteShares", "read_shares"]
+__all__ = ["RouteShares", "read_shares"]
 
 MAX_WEIGHT = 1e9  # what comes from a file must not overflow a sum
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class DeclaredShare:
+class _Share:
     """A service and its weight as somebody wrote them, of any type."""
 
     service: object
-    weight: object
+    weight: object = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,7 +32,7 @@
 
 
 def read_shares(
-    shares: Iterable[DeclaredShare],
+    written: object,
     *,
     route: str,
     service: str,
@@ -45,7 +45,8 @@
     alike. One that is listed twice has both weights.
 
     Args:
-        shares: The services and weights as written; none for a route to one service.
+        written: A list of mappings with ``service`` and ``weight``, as it was decoded
+            and not checked; nothing for a route to one service.
         route: The route's name, for findings.
         service: The service that the route leads to beside those, if any.
         declared: Names of services that the configuration declares.
@@ -53,7 +54,7 @@
     weights_by_service: dict[str, float] = {}
     unweighed: list[str] = []
     problems: list[str] = []
-    for share in shares:
+    for share in _shares(written):
         name = share.service
         if not isinstance(name, str) or not name:
             problems.append(f"{name!r} is no service")
@@ -75,6 +76,17 @@
     return RouteShares(weights_by_service=weights_by_service, findings=findings)
 
 
+def _shares(written: object) -> list[_Share]:
+    """Return what is written, wrong entries as services without a weight."""
+    entries = written if isinstance(written, list) else [written] if written else []
+    return [
+        _Share(service=entry.get("service"), weight=entry.get("weight"))
+        if isinstance(entry, dict)
+        else _Share(service=entry)
+        for entry in entries
+    ]
+
+
 def _check_weight(weight: object) -> str:
     # Truth values are numbers to Python.
     if isinstance(weight, bool) or not isinstance(weight, int | float):
--- a/monsoonpier/platform/configuration.py
+++ b/monsoonpier/platform/configuration.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from monsoonpier.balancer.stored_configuration import ConfigurationFormat
-from monsoonpier.documents.route_shares import DeclaredShare, RouteShares, read_shares
+from monsoonpier.documents.route_shares import RouteShares, read_shares
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import Configuration, PacketRoute
 
@@ -50,10 +50,8 @@
         stored = _decode(value)
         services = [service.name for service in stored.services]
         shares = [_shares(route, declared=services) for route in stored.routes]
-        routes = {
-            _address(route): _route(route, shared)
-            for route, shared in zip(stored.routes, shares, strict=True)
-        }
+        pairs = zip(stored.routes, shares, strict=True)
+        routes = {_address(route): _route(route, shared) for route, shared in pairs}
     except (msgspec.MsgspecError, ValueError) as error:
         raise ValueError(f"not a configuration of the operator: {error}") from error
     limits = {s.name: s.cold_per_s for s in stored.services if s.cold_per_s}
@@ -70,21 +68,12 @@
 
 
 def _shares(route: _Route, *, declared: list[str]) -> RouteShares:
-    listed = route.backends or []
-    entries = listed if isinstance(listed, list) else [listed]
+    title = route.name or str(_address(route))
     return read_shares(
-        [_share(entry) for entry in entries],
-        route=route.name or str(_address(route)),
-        service=route.service,
-        declared=declared,
+        route.backends, route=title, service=route.service, declared=declared
     )
 
 
-def _share(entry: object) -> DeclaredShare:
-    known = entry if isinstance(entry, dict) else {"service": entry}
-    return DeclaredShare(service=known.get("service"), weight=known.get("weight"))
-
-
 def _route(route: _Route, shares: RouteShares) -> PacketRoute:
     return PacketRoute(
         service=route.service,
--- a/tests/packets/test_shares.py
+++ b/tests/packets/test_shares.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from monsoonpier.balancer.packets.shares import choose_service
-from monsoonpier.documents.route_shares import DeclaredShare, read_shares
+from monsoonpier.documents.route_shares import read_shares
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import Carry, Held, Holds, NotHeld, PassOn, Whose
@@ -197,7 +197,7 @@
         """All that is wrong is told at once; what can be understood is in force."""
         entries = [("a", None), ("b", -1), ("c", "5"), ("d", 5), ("d", 1), (7, 1)]
         found = read_shares(
-            [DeclaredShare(service=s, weight=w) for s, w in entries],
+            [{"service": service, "weight": weight} for service, weight in entries],
             route="r",
             service="e",
             declared=("a", "b", "c"),
@@ -209,7 +209,7 @@
     def test_no_usable_weight(self) -> None:
         """Where nobody has a weight services share alike; zeros are meant."""
         for weight, expected, told in (("x", 1, 2), (0, 0, 1), (True, 1, 2)):
-            shares = [DeclaredShare(service=name, weight=weight) for name in "ab"]
+            shares = [{"service": name, "weight": weight} for name in "ab"]
             found = read_shares(shares, route="r", service="", declared=())
             self.assertEqual(found.weights_by_service, {"a": expected, "b": expected})
             self.assertEqual(len(found.findings), told)
