--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -114,7 +114,7 @@
                 return []
             return [self._scope.reset(packet, "no route", now=now)]
         known = KnownFlow(
-            service=route.service,
+            service=self._scope.choose_service(packet, route, now=now),
             created_at=now - packet.waited,
             asked_at=now - packet.waited,
             syn=packet,
