--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -71,6 +71,9 @@
 
     def reserve(self, frame: Reserve, *, balancer: Endpoint, now: float) -> bool:
         """Note a reservation, or its new times; tell if there is room for it."""
+        if not frame.wait_ms:
+            self._forget_flows({frame.flow})
+            return True
         waiting = WaitingFlow(
             flow=frame.flow,
             in_time_until=now + frame.in_time_ms / 1000,
@@ -153,6 +156,9 @@
 
     def _forget(self, balancers: set[Endpoint]) -> None:
         gone = {f for f, b in self._balancers_by_flow.items() if b in balancers}
-        for flow in gone:
-            del self._balancers_by_flow[flow]
-        self._queue.remove_all(gone)
+        self._forget_flows(gone)
+
+    def _forget_flows(self, flows: set[bytes]) -> None:
+        for flow in flows:
+            self._balancers_by_flow.pop(flow, None)
+        self._queue.remove_all(flows)
--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -60,7 +60,8 @@
     SYN are on their way, one after its agent has said so. ``is_queued`` says that
     the SYN waits at the last of them for a slot. ``asked_at`` is when its caller
     asked first, on this flow or on one that it was refused before;
-    ``is_asked_for`` says that its keeper was asked when that was. ``sent_bytes``
+    ``is_asked_for`` says that its keeper was asked when that was. ``heard`` is how
+    long after its first SYN the last copy that came was sent. ``sent_bytes``
     are the caller's; what it has acknowledged since ``first_acknowledged`` are the
     answer's.
     """
@@ -70,6 +71,7 @@
     asked_at: float = 0.0
     tries: int = 1
     is_asked_for: bool = False
+    heard: float = 0.0
     holders: tuple[str, ...] = ()
     is_confirmed: bool = False
     is_accepted: bool = False
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -12,6 +12,7 @@
     run_seconds,
     wait_for_slot,
 )
+from monsoonpier.balancer.packets.presence import CallerPresence
 from monsoonpier.balancer.packets.reservations import SlotReservations
 from monsoonpier.balancer.packets.returning import EarlierTry
 from monsoonpier.balancer.packets.scope import PacketScope
@@ -65,6 +66,7 @@
         self._reservations = SlotReservations(
             scope=scope, waiting_room=self._waiting_room, is_on=reserves
         )
+        self._presence = CallerPresence()
         self._hedges_left = MAX_HEDGES
         self.wait_seconds = Histogram(
             name="flow_wait_seconds", help="From a flow's first SYN to a target."
@@ -98,8 +100,10 @@
         draw: random.Random,
     ) -> list:
         """Decide on a SYN or a copy of one."""
+        if known is not None:
+            known.heard = max(known.heard, packet.waited)
         if packet.flow in self._waiting_room:
-            return []
+            return self._copy_came(packet, now=now)
         if known is not None and known.holders:
             # A copy goes where the flow may be open already; only a target that
             # has not answered the first one in time is passed over.
@@ -117,6 +121,7 @@
             service=self._scope.choose_service(packet, route, now=now),
             created_at=now - packet.waited,
             asked_at=now - packet.waited,
+            heard=packet.waited,
             syn=packet,
         )
         earlier = self._scope.returning.earlier(packet, now=now)
@@ -182,11 +187,13 @@
         while (flow := self._reservations.take_up(frame, now=now)) is not None:
             known = self._scope.flows.get(flow)
             route = self._scope.route(known.syn) if known and known.syn else None
+            self._presence.gone(flow)
             if known is None or known.syn is None or route is None:
+                self._reservations.end(flow)
                 continue
             self._scope.counts_by_result["taken_up"] += 1
             table = self._scope.membership.table
-            return self._send_syn(
+            sent = self._send_syn(
                 known.syn,
                 known,
                 route,
@@ -195,6 +202,7 @@
                 is_offered=True,
                 now=now,
             )
+            return sent + self._reservations.withdraw(flow, kept=frame.agent)
         return self._reservations.decline(frame)
 
     def retry(self, *, now: float, draw: random.Random) -> list:
@@ -316,8 +324,39 @@
         reserved = self._reservations.begin(
             packet.flow, service=known.service, now=now, draw=draw
         )
+        is_doubtful = self._presence.waits(
+            packet.flow, began_at=known.created_at, heard=known.heard, now=now
+        )
+        if is_doubtful:
+            reserved += self._rekey(packet.flow, known, now=now)
         return self._ask_keeper(packet, known) + reserved
 
+    def _copy_came(self, packet: Packet, *, now: float) -> list:
+        """Give a flow its place back whose caller was thought to have left."""
+        known = self._scope.flows.get(packet.flow)
+        if known is None or not self._presence.heard(packet.flow, waited=packet.waited):
+            return []
+        self._scope.counts_by_result["doubt_ended"] += 1
+        return self._rekey(packet.flow, known, now=now)
+
+    def _note_silent_callers(self, *, now: float) -> list:
+        """Let flows go last whose callers failed to send a copy that was due."""
+        actions: list = []
+        for flow in self._presence.turned_doubtful(now=now):
+            known = self._scope.flows.get(flow)
+            if known is None or flow not in self._waiting_room:
+                self._presence.gone(flow)
+                continue
+            self._scope.counts_by_result["doubted"] += 1
+            self._scope.log.note(
+                "caller is silent",
+                now=now,
+                flow=flow,
+                waited_seconds=round(now - known.created_at, 3),
+            )
+            actions += self._rekey(flow, known, now=now)
+        return actions
+
     def _ask_keeper(self, packet: Packet, known: KnownFlow) -> list:
         """Ask once a flow whether its caller has been refused elsewhere."""
         if known.is_asked_for or known.asked_at < known.created_at:
@@ -328,8 +367,7 @@
     def first_asked(self, frame: FirstAsked, *, now: float) -> list:
         """Take a keeper's word that a flow's caller has asked before."""
         known = self._scope.flows.get(frame.flow)
-        route = self._scope.route(known.syn) if known and known.syn else None
-        if known is None or route is None:
+        if known is None or known.syn is None:
             return []
         asked_at = now - frame.asked_ms / 1000
         _take_up(known, EarlierTry(asked_at=asked_at, tries=frame.tries))
@@ -340,11 +378,24 @@
             flow=frame.flow,
             first_asked_seconds=round(now - known.asked_at, 3),
         )
+        return self._rekey(frame.flow, known, now=now)
+
+    def _rekey(self, flow: bytes, known: KnownFlow, *, now: float) -> list:
+        """Give a waiting flow the place that what is known of its caller asks for."""
+        route = self._scope.route(known.syn) if known.syn is not None else None
+        if route is None:
+            return []
         table = self._scope.membership.table
         candidates = reliable(table.candidates_of(known.service, now=now))
-        waiting = _waiting_flow(frame.flow, known, route, candidates)
+        waiting = _waiting_flow(
+            flow,
+            known,
+            route,
+            candidates,
+            is_doubtful=self._presence.doubts(flow),
+        )
         self._waiting_room.rekey(waiting, service=known.service)
-        return self._reservations.restate(frame.flow, service=known.service, now=now)
+        return self._reservations.restate(flow, service=known.service, now=now)
 
     def _refuse(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
@@ -384,9 +435,10 @@
 
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
-        actions: list = []
+        actions = self._note_silent_callers(now=now)
         for flow in self._waiting_room.expired(now=now):
             self._reservations.end(flow)
+            self._presence.gone(flow)
             known = self._scope.flows.get(flow)
             if known is not None and known.syn is not None:
                 actions += self._refuse(known.syn, known, "no slot came free", now=now)
@@ -407,7 +459,8 @@
             if not any(has_room(c, in_time=in_time) for c in usable):
                 break
             flow = self._waiting_room.pop(service)
-            self._reservations.end(flow)
+            actions += self._reservations.withdraw(flow)
+            self._presence.gone(flow)
             known = self._scope.flows.get(flow)
             if known is None or known.syn is None:
                 continue
@@ -481,13 +534,19 @@
 
 
 def _waiting_flow(
-    flow: bytes, known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
+    flow: bytes,
+    known: KnownFlow,
+    route: PacketRoute,
+    candidates: list[Candidate],
+    *,
+    is_doubtful: bool = False,
 ) -> WaitingFlow:
     return WaitingFlow(
         flow=flow,
         in_time_until=known.asked_at + route.aim_seconds,
         expires=_gives_up_at(known, route, candidates),
         priority=route.priority,
+        is_doubtful=is_doubtful,
     )
 
 
--- a/monsoonpier/balancer/packets/reservations.py
+++ b/monsoonpier/balancer/packets/reservations.py
@@ -19,14 +19,14 @@
 from monsoonpier.balancer.steering import Candidate
 from monsoonpier.model.target import QUEUE_AHEAD
 from monsoonpier.model.waiting import MARGIN_RUNS, RESERVED_AT
-from monsoonpier.wire.frames import Decline, Offer
+from monsoonpier.wire.frames import Decline, Offer, Reserve
 
 __all__ = ["SlotReservations"]
 
 # An agent that ends forgets what was reserved there. After so long one more is asked,
-# so that a flow has several chances before its caller gives up.
-RENEW_SECONDS = 0.4
-MAX_AGENTS = 6  # that one flow reserves at in its life
+# so that a flow has two chances more before its caller gives up.
+RENEW_SECONDS = 0.5
+MAX_AGENTS = 4  # that one flow reserves at in its life
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,14 +79,38 @@
         ]
 
     def restate(self, flow: bytes, *, service: str, now: float) -> list[ToAgent]:
-        """Return the frames that tell where a flow has reserved of its new times."""
+        """Return the frames that tell agents of the new times of a flow that waits."""
         reserved = self._reserved_by_flow.get(flow)
         waiting = self._waiting_room.find(flow, service=service)
         if reserved is None or waiting is None:
             return []
+        if waiting.is_doubtful:
+            # A slot that is offered for a caller that has left stands empty.
+            return self._withdrawn(flow, reserved.agents, service=service)
         names = reserved.agents
         return self._scope.reserve(waiting, service=service, names=names, now=now)
 
+    def withdraw(self, flow: bytes, *, kept: str = "") -> list[ToAgent]:
+        """Return the frames that take back what a flow has reserved.
+
+        Else agents take more for waiting than waits, and offer slots for nothing.
+
+        Args:
+            flow: Waits no longer.
+            kept: The target that has offered it a slot.
+        """
+        reserved = self._reserved_by_flow.pop(flow, None)
+        if reserved is None:
+            return []
+        names = tuple(name for name in reserved.agents if name != kept)
+        return self._withdrawn(flow, names, service=reserved.service)
+
+    def _withdrawn(
+        self, flow: bytes, names: tuple[str, ...], *, service: str
+    ) -> list[ToAgent]:
+        frame = Reserve(service=service, flow=flow, in_time_ms=0, wait_ms=0)
+        return self._scope.tell(frame, names=names)
+
     def end(self, flow: bytes) -> None:
         """Forget a flow that waits no longer; its agents' offers go to others."""
         self._reserved_by_flow.pop(flow, None)
@@ -97,7 +121,7 @@
         It no longer waits then.
         """
         record = self._scope.membership.table.record(offer.agent)
-        if record is None or not self._waiting_room.waiting(record.service):
+        if record is None or not self._waiting_room.certain(record.service):
             return None
         service = record.service
         candidates = self._candidates(service, now=now)
@@ -106,13 +130,11 @@
         )
         # It begins behind the run that is under way there.
         runs = MARGIN_RUNS + QUEUE_AHEAD / record.slots
-        flow = self._waiting_room.pop_for(
+        return self._waiting_room.pop_for(
             service,
             is_late_turn=offer.is_late_turn,
             answered_at=now + runs * offer.load.service_ms / 1000,
         )
-        self.end(flow)
-        return flow
 
     def decline(self, offer: Offer) -> list[ToAgent]:
         """Return the answer to an offer for which no flow is left."""
--- a/monsoonpier/balancer/packets/waiting.py
+++ b/monsoonpier/balancer/packets/waiting.py
@@ -53,6 +53,11 @@
         """Return how many flows wait for the service."""
         return len(self._queues_by_service.get(service, ()))
 
+    def certain(self, service: str) -> int:
+        """Return how many wait for the service whose callers aren't doubtful."""
+        queue = self._queues_by_service.get(service)
+        return queue.certain if queue is not None else 0
+
     def add(self, waiting: WaitingFlow, *, service: str) -> bool:
         """Let a flow wait; tell if there is room."""
         if waiting.flow in self._flows:
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -34,12 +34,14 @@
         in_time_until: When an answer stops being in time.
         expires: When its caller is about to give up.
         priority: Of its route; 0 goes first.
+        is_doubtful: Its caller may have left; it goes after all others.
     """
 
     flow: bytes
     in_time_until: float
     expires: float
     priority: int
+    is_doubtful: bool = False
 
 
 # Runs differ: one in two takes longer than the middle one. With a margin of one run
@@ -57,14 +59,15 @@
     def __init__(self) -> None:
         self._timely_by_priority: dict[int, list[WaitingFlow]] = {}
         self._late: list[WaitingFlow] = []
+        self._doubtful: list[WaitingFlow] = []
         self._turn = 0
 
     def __len__(self) -> int:
-        return self.timely + self.late
+        return self.timely + self.late + self.doubtful
 
     @property
     def _lists(self) -> tuple[list[WaitingFlow], ...]:
-        return (self._late, *self._timely_by_priority.values())
+        return (self._doubtful, self._late, *self._timely_by_priority.values())
 
     @property
     def flows(self) -> list[WaitingFlow]:
@@ -76,13 +79,26 @@
         """How many can still be answered in time, as of the last `sort_out`."""
         return sum(map(len, self._timely_by_priority.values()))
 
+    @property
+    def certain(self) -> int:
+        """How many there are whose callers aren't doubtful."""
+        return self.timely + self.late
+
     @property
     def late(self) -> int:
         """How many others there are."""
         return len(self._late)
 
+    @property
+    def doubtful(self) -> int:
+        """How many of them have a caller that may have left."""
+        return len(self._doubtful)
+
     def add(self, waiting: WaitingFlow) -> None:
         """Let a flow wait."""
+        if waiting.is_doubtful:
+            insort(self._doubtful, waiting, key=_by_end)
+            return
         timely = self._timely_by_priority.setdefault(waiting.priority, [])
         insort(timely, waiting, key=_by_aim)
 
@@ -160,13 +176,16 @@
         """
         is_late_turn = self.is_late_turn
         self._turn += 1
-        return self._late.pop(0) if is_late_turn else self._pop_timely(0)
+        if is_late_turn:
+            return self._late.pop(0)
+        return self._pop_timely(0) if self.timely else self._doubtful.pop(0)
 
     def pop_for(self, *, is_late_turn: bool, answered_at: float) -> WaitingFlow:
         """Return the flow that a certain slot is best given to.
 
-        Slots of one service may differ in speed. One that would be answered too late
-        by a slow slot is left for a faster one, as long as others wait.
+        A doubtful one comes last of all. Slots of one service may differ in speed. One
+        that would be answered too late by a slow slot is left for a faster one, as
+        long as others wait.
 
         Args:
             is_late_turn: Take a late one, if there is one.
@@ -182,7 +201,9 @@
                     return flows.pop(first)
         if self._late:
             return self._late.pop(0)
-        return self._pop_timely(-1)
+        if self.timely:
+            return self._pop_timely(-1)
+        return self._doubtful.pop(0)
 
     def _pop_timely(self, place: int) -> WaitingFlow:
         urgent = min(p for p, flows in self._timely_by_priority.items() if flows)
@@ -191,6 +212,8 @@
     @property
     def last(self) -> WaitingFlow | None:
         """The flow that would be served last."""
+        if self._doubtful:
+            return self._doubtful[-1]
         if self._late:
             return self._late[-1]
         priorities = [p for p, flows in self._timely_by_priority.items() if flows]
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -257,6 +257,7 @@
     """A balancer's wish for a slot, for a flow that waits there.
 
     The SYN stays at the balancer, so that it can go to whichever slot is free first.
+    With ``wait_ms`` 0 it is taken back: the flow waits no longer.
     Times and priority are those of `Carry`.
     """
 
