Let a balancer miss one offer of a slot

Two in a row forget it now, and a flow that comes after its offer has passed takes a place that is still free.

--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -108,8 +108,9 @@
         """Decide on a SYN of a flow that the target doesn't hold."""
         if packet.flow in self._queue:
             return [self._queued(packet, sender=sender, now=now)]
-        is_offered = frame.is_offered and self._reservations.taken(sender)
-        reason = self._refusal(frame, is_offered=is_offered, now=now)
+        if frame.is_offered:
+            self._reservations.taken(sender)
+        reason = self._refusal(frame, now=now)
         if reason == NO_SLOT and frame.wait_ms and not self._load.is_reserved:
             return self._enqueue(frame, packet, sender=sender, now=now)
         syn = QueuedSyn(packet=packet, tried=frame.tried, balancer=sender)
@@ -231,7 +232,7 @@
         )
         return ToProcess(endpoint=syn.balancer, frame=frame)
 
-    def _refusal(self, frame: Carry, *, is_offered: bool, now: float) -> str | None:
+    def _refusal(self, frame: Carry, *, now: float) -> str | None:
         if frame.service != self._service:
             return "another service's"
         if self._closed is not None:
@@ -239,7 +240,7 @@
         if len(self._flows_by_address) >= self._connections:
             return "no connection is free"
         allowed = self._load.slots
-        if is_offered or len(frame.tried) >= FORCED_TRIES:
+        if frame.is_offered or len(frame.tried) >= FORCED_TRIES:
             allowed += QUEUE_AHEAD
         is_full = self._load.busy >= allowed
         return NO_SLOT if is_full or not self._load.cold.allows(now=now) else None
--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -33,6 +33,7 @@
 # A way to a balancer and back takes 3 ms at most in a region. One that hasn't sent a
 # flow in seven times as long has ended, or its link is full.
 OFFER_SECONDS = 0.02
+MOST_PASSED = 2  # offers in a row that a balancer that lives may miss by a little
 # Late ones get what they need for all of them to be served, as long as that is no more
 # than this. Where more than that is late the rush is too large to serve all, and slots
 # that go to late ones only make others late.
@@ -54,6 +55,7 @@
         self._queue = WaitingQueue()
         self._balancers_by_flow: dict[bytes, Endpoint] = {}
         self._late_due = 0.0  # turns of late ones, in parts
+        self._passed_by_balancer: Counter[Endpoint] = Counter()
         self._offers: deque[tuple[float, Endpoint]] = deque()
 
     def __len__(self) -> int:
@@ -124,6 +126,7 @@
 
     def taken(self, balancer: Endpoint) -> bool:
         """Note that a balancer has sent a flow; tell if a slot was offered to it."""
+        self._passed_by_balancer.pop(balancer, None)
         for offer in self._offers:
             if offer[1] == balancer:
                 self._offers.remove(offer)
@@ -138,14 +141,14 @@
     def expire(self, *, now: float) -> Counter[Endpoint]:
         """Take back offers that weren't answered; return how many, by balancer.
 
-        Whoever lets an offer pass has ended or can't be reached: its reservations
-        would cost a slot's time each. If it lives it reserves again.
+        Whoever lets several pass in a row has ended or can't be reached: its
+        reservations would cost a slot's time each. If it lives it reserves again.
         """
         passed: Counter[Endpoint] = Counter()
         while self._offers and now - self._offers[0][0] >= OFFER_SECONDS:
             passed[self._offers.popleft()[1]] += 1
-        if passed:
-            self._forget(set(passed))
+        self._passed_by_balancer += passed
+        self._forget({b for b in passed if self._passed_by_balancer[b] >= MOST_PASSED})
         return passed
 
     def clear(self) -> None:
@@ -153,10 +156,15 @@
         self._queue = WaitingQueue()
         self._balancers_by_flow.clear()
         self._offers.clear()
+        self._passed_by_balancer.clear()
 
     def _forget(self, balancers: set[Endpoint]) -> None:
+        if not balancers:
+            return
         gone = {f for f, b in self._balancers_by_flow.items() if b in balancers}
         self._forget_flows(gone)
+        for balancer in balancers:
+            self._passed_by_balancer.pop(balancer, None)
 
     def _forget_flows(self, flows: set[bytes]) -> None:
         for flow in flows:
