Part what waits from how flows are opened

What is known of flows that wait, and their order, stands in queueing.py (FlowQueueing) now; openings.py places flows and refuses them. No decision changes.

--- a/monsoonpier/balancer/packets/first_asked.py
+++ b/monsoonpier/balancer/packets/first_asked.py
@@ -46,6 +46,8 @@
             back_at: When it learns of the refusal, or gives up by itself.
             now: The present time.
         """
+        if earlier.is_last:
+            return []
         keeper = self._keeper_of(packet)
         if keeper is None:
             self._returning.keep(
--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from monsoonpier.balancer.packets.returning import EarlierTry
 from monsoonpier.wire.packet import Packet, sequence_distance
 
 __all__ = ["FlowHabits", "FlowTable", "Inquiry", "KnownFlow"]
@@ -85,6 +86,11 @@
     sent_bytes: int = 0
     first_acknowledged: int | None = None
 
+    def follows(self, earlier: EarlierTry) -> None:
+        """Take the flow for a further try of a request that was refused before."""
+        self.asked_at = min(self.asked_at, earlier.asked_at)
+        self.tries = earlier.tries + 1
+
 
 class FlowTable:
     """The flows seen last, by their address."""
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -10,17 +10,19 @@
     place,
     reliable,
     run_seconds,
-    wait_for_slot,
 )
-from monsoonpier.balancer.packets.presence import CallerPresence
-from monsoonpier.balancer.packets.reservations import SlotReservations
+from monsoonpier.balancer.packets.queueing import (
+    CannotWait,
+    FlowQueueing,
+    gives_up_at,
+    is_in_time,
+)
 from monsoonpier.balancer.packets.returning import EarlierTry
 from monsoonpier.balancer.packets.scope import PacketScope
-from monsoonpier.balancer.packets.waiting import WaitingRoom
 from monsoonpier.balancer.steering import Candidate, Chosen, NoTarget
 from monsoonpier.model.address import Address
 from monsoonpier.model.service import PacketRoute
-from monsoonpier.model.waiting import MARGIN_RUNS, WaitingFlow
+from monsoonpier.model.waiting import WaitingFlow
 from monsoonpier.process.readings import Histogram
 from monsoonpier.wire.frames import (
     MAX_TRIED,
@@ -43,10 +45,6 @@
 # longer. After that its agent may have ended.
 QUEUE_SILENCE_SECONDS = 0.7
 GIVE_UP_SECONDS = 1.4  # after which callers open another flow, by the platform
-MAX_WAIT_SECONDS = 1.3  # of the 1.4 s after which callers give a SYN up
-# Of the time after which an answer is of no use: the rest is for the run, and for
-# one more try elsewhere.
-MAX_WAIT_SHARE = 0.7
 MOST_PLACEMENTS = 6  # of one SYN in a row; then it waits for news of a free slot
 
 
@@ -62,11 +60,7 @@
         self._scope = scope
         self._habits_by_address: dict[Address, FlowHabits] = {}
         self._unanswered: deque[tuple[float, bytes]] = deque()
-        self._waiting_room = WaitingRoom()
-        self._reservations = SlotReservations(
-            scope=scope, waiting_room=self._waiting_room, is_on=reserves
-        )
-        self._presence = CallerPresence()
+        self._queueing = FlowQueueing(scope=scope, reserves=reserves)
         self._hedges_left = MAX_HEDGES
         self.wait_seconds = Histogram(
             name="flow_wait_seconds", help="From a flow's first SYN to a target."
@@ -78,12 +72,12 @@
     @property
     def is_waiting(self) -> bool:
         """Whether `retry` has something to look after."""
-        return bool(self._unanswered) or len(self._waiting_room) > 0
+        return bool(self._unanswered) or len(self._queueing) > 0
 
     @property
     def waiting_by_service(self) -> dict[str, list[WaitingFlow]]:
         """All that wait here for a slot."""
-        return self._waiting_room.flows_by_service
+        return self._queueing.flows_by_service
 
     def configured(self) -> None:
         """Forget what was learned of addresses that have no route any more."""
@@ -102,8 +96,8 @@
         """Decide on a SYN or a copy of one."""
         if known is not None:
             known.heard = max(known.heard, packet.waited)
-        if packet.flow in self._waiting_room:
-            return self._copy_came(packet, now=now)
+        if packet.flow in self._queueing:
+            return self._queueing.copy_came(packet, now=now)
         if known is not None and known.holders:
             # A copy goes where the flow may be open already; only a target that
             # has not answered the first one in time is passed over.
@@ -126,7 +120,7 @@
         )
         earlier = self._scope.returning.earlier(packet, now=now)
         if earlier is not None:
-            _take_up(known, earlier)
+            known.follows(earlier)
         self._scope.flows.put(packet.flow, known)
         self._scope.waits.asked(known.service, route)
         return self._place(packet, known, now=now, draw=draw)
@@ -177,38 +171,42 @@
             return []
         known.is_queued = False
         known.holders = tuple(name for name in known.holders if name != frame.agent)
-        if known.holders or packet.flow in self._waiting_room:
+        if known.holders or packet.flow in self._queueing:
             return []
         return self._place(packet, known, now=now, draw=draw)
 
     def offered(self, frame: Offer, *, now: float) -> list:
         """Send an agent that offers a slot the flow that goes first by now."""
         self._scope.membership.table.heard(frame.agent, frame.load, now=now)
-        while (flow := self._reservations.take_up(frame, now=now)) is not None:
+        while (taken := self._queueing.take_up(frame, now=now)) is not None:
+            flow, withdrawn = taken
             known = self._scope.flows.get(flow)
             route = self._scope.route(known.syn) if known and known.syn else None
-            self._presence.gone(flow)
             if known is None or known.syn is None or route is None:
-                self._reservations.end(flow)
                 continue
             self._scope.counts_by_result["taken_up"] += 1
             table = self._scope.membership.table
+            candidates = table.candidates_of(known.service, now=now)
             sent = self._send_syn(
                 known.syn,
                 known,
                 route,
-                table.candidates_of(known.service, now=now),
+                candidates,
                 frame.agent,
                 is_offered=True,
                 now=now,
             )
-            return sent + self._reservations.withdraw(flow, kept=frame.agent)
-        return self._reservations.decline(frame)
+            return sent + withdrawn
+        return self._queueing.decline(frame)
+
+    def first_asked(self, frame: FirstAsked, *, now: float) -> list:
+        """Take a keeper's word that a flow's caller has asked before."""
+        return self._queueing.first_asked(frame, now=now)
 
     def retry(self, *, now: float, draw: random.Random) -> list:
         """Look after SYNs that wait for a slot or for a target's answer."""
         actions = self.place_waiting(now=now, draw=draw)
-        actions += self._reservations.renew(now=now, draw=draw)
+        actions += self._queueing.renew(now=now, draw=draw)
         return actions + self._retry_unanswered(now=now, draw=draw)
 
     def _place(
@@ -227,7 +225,7 @@
             data_centre=self._scope.membership.peers.own.data_centre,
             long_share=habits.long_share,
             short_bytes=habits.short_bytes,
-            in_time=_is_in_time(known, route, candidates, now=now),
+            in_time=is_in_time(known, route, candidates, now=now),
         )
         match place(query, candidates, draw=draw):
             case NoTarget():
@@ -276,7 +274,7 @@
             known,
             name=name,
             in_time_seconds=known.asked_at + route.aim_seconds - now,
-            wait_seconds=_gives_up_at(known, route, candidates) - now,
+            wait_seconds=gives_up_at(known, route, candidates) - now,
             priority=route.priority,
             is_offered=is_offered,
         )
@@ -294,108 +292,13 @@
         route = self._scope.route(packet)
         if known.holders or route is None:
             return []  # One that was asked earlier may still answer.
-        waiting = _waiting_flow(packet.flow, known, route, candidates)
-        # Others may wait elsewhere too: what waits here is the least.
-        ahead = self._waiting_room.ahead(
-            waiting,
-            service=known.service,
-            in_time=_is_in_time(known, route, candidates, now=now),
-        )
-        wait = wait_for_slot(candidates, ahead=ahead)
-        if not self._scope.is_settled(now=now):
-            wait = 0.0  # More targets may just not be known yet.
-        if wait is None:
-            return self._refuse(packet, known, "no target serves", now=now)
-        if now + wait >= waiting.expires:
-            return self._refuse(packet, known, "would be late", now=now)
-        known.tried = ()
-        if not self._waiting_room.add(waiting, service=known.service):
-            return self._refuse(packet, known, "too many wait", now=now)
-        self._scope.counts_by_result["waited"] += 1
-        self._scope.log.note(
-            "flow waits for a slot",
-            now=now,
-            flow=packet.flow,
-            service=known.service,
-            ahead=ahead,
-            expected_seconds=round(wait, 3),
-            at_most_seconds=round(waiting.expires - now, 3),
-        )
-        reserved = self._reservations.begin(
-            packet.flow, service=known.service, now=now, draw=draw
-        )
-        is_doubtful = self._presence.waits(
-            packet.flow, began_at=known.created_at, heard=known.heard, now=now
-        )
-        if is_doubtful:
-            reserved += self._rekey(packet.flow, known, now=now)
-        return self._ask_keeper(packet, known) + reserved
-
-    def _copy_came(self, packet: Packet, *, now: float) -> list:
-        """Give a flow its place back whose caller was thought to have left."""
-        known = self._scope.flows.get(packet.flow)
-        if known is None or not self._presence.heard(packet.flow, waited=packet.waited):
-            return []
-        self._scope.counts_by_result["doubt_ended"] += 1
-        return self._rekey(packet.flow, known, now=now)
-
-    def _note_silent_callers(self, *, now: float) -> list:
-        """Let flows go last whose callers failed to send a copy that was due."""
-        actions: list = []
-        for flow in self._presence.turned_doubtful(now=now):
-            known = self._scope.flows.get(flow)
-            if known is None or flow not in self._waiting_room:
-                self._presence.gone(flow)
-                continue
-            self._scope.counts_by_result["doubted"] += 1
-            self._scope.log.note(
-                "caller is silent",
-                now=now,
-                flow=flow,
-                waited_seconds=round(now - known.created_at, 3),
-            )
-            actions += self._rekey(flow, known, now=now)
-        return actions
-
-    def _ask_keeper(self, packet: Packet, known: KnownFlow) -> list:
-        """Ask once a flow whether its caller has been refused elsewhere."""
-        if known.is_asked_for or known.asked_at < known.created_at:
-            return []
-        known.is_asked_for = True
-        return self._scope.first_asked.ask(packet)
-
-    def first_asked(self, frame: FirstAsked, *, now: float) -> list:
-        """Take a keeper's word that a flow's caller has asked before."""
-        known = self._scope.flows.get(frame.flow)
-        if known is None or known.syn is None:
-            return []
-        asked_at = now - frame.asked_ms / 1000
-        _take_up(known, EarlierTry(asked_at=asked_at, tries=frame.tries))
-        self._scope.counts_by_result["asked_before"] += 1
-        self._scope.log.note(
-            "caller asked before",
-            now=now,
-            flow=frame.flow,
-            first_asked_seconds=round(now - known.asked_at, 3),
-        )
-        return self._rekey(frame.flow, known, now=now)
-
-    def _rekey(self, flow: bytes, known: KnownFlow, *, now: float) -> list:
-        """Give a waiting flow the place that what is known of its caller asks for."""
-        route = self._scope.route(known.syn) if known.syn is not None else None
-        if route is None:
-            return []
-        table = self._scope.membership.table
-        candidates = reliable(table.candidates_of(known.service, now=now))
-        waiting = _waiting_flow(
-            flow,
-            known,
-            route,
-            candidates,
-            is_doubtful=self._presence.doubts(flow),
+        begun = self._queueing.begin(
+            packet, known, route, candidates, now=now, draw=draw
         )
-        self._waiting_room.rekey(waiting, service=known.service)
-        return self._reservations.restate(flow, service=known.service, now=now)
+        match begun:
+            case CannotWait(reason=reason):
+                return self._refuse(packet, known, reason, now=now)
+        return begun
 
     def _refuse(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
@@ -403,28 +306,20 @@
         self._scope.flows.drop(packet.flow)
         self._scope.counts_by_result["refused"] += 1
         self._note_refused(packet, known, reason, now=now)
+        back_at = known.created_at + GIVE_UP_SECONDS if packet.waited else now
+        earlier = EarlierTry(asked_at=known.asked_at, tries=known.tries)
+        told = self._scope.first_asked.refused(
+            packet, earlier, back_at=back_at, now=now
+        )
         if packet.waited:
             # The first SYN may wait at another balancer, or be placed by now: a
             # reset would end what that one is about to serve.
             self._scope.log.note(
                 "copy not placed", now=now, flow=packet.flow, reason=reason
             )
-            return self._tell_keeper(
-                packet, known, back_at=known.created_at + GIVE_UP_SECONDS, now=now
-            )
-        told = self._tell_keeper(packet, known, back_at=now, now=now)
+            return told
         return [*told, self._scope.reset(packet, reason, now=now)]
 
-    def _tell_keeper(
-        self, packet: Packet, known: KnownFlow, *, back_at: float, now: float
-    ) -> list:
-        earlier = EarlierTry(asked_at=known.asked_at, tries=known.tries)
-        if earlier.is_last:
-            return []
-        return self._scope.first_asked.refused(
-            packet, earlier, back_at=back_at, now=now
-        )
-
     def _note_refused(
         self, packet: Packet, known: KnownFlow, reason: str, *, now: float
     ) -> None:
@@ -435,14 +330,12 @@
 
     def place_waiting(self, *, now: float, draw: random.Random) -> list:
         """Place flows for which a slot has come free, refuse those it's late for."""
-        actions = self._note_silent_callers(now=now)
-        for flow in self._waiting_room.expired(now=now):
-            self._reservations.end(flow)
-            self._presence.gone(flow)
+        actions = self._queueing.note_silent_callers(now=now)
+        for flow in self._queueing.expired(now=now):
             known = self._scope.flows.get(flow)
             if known is not None and known.syn is not None:
                 actions += self._refuse(known.syn, known, "no slot came free", now=now)
-        for service in self._waiting_room.services:
+        for service in self._queueing.services:
             actions += self._place_waiting_for(service, now=now, draw=draw)
         return actions
 
@@ -450,17 +343,16 @@
         self, service: str, *, now: float, draw: random.Random
     ) -> list:
         actions: list = []
-        for _ in range(self._waiting_room.waiting(service)):
+        for _ in range(self._queueing.waiting(service)):
             candidates = self._scope.membership.table.candidates_of(service, now=now)
             usable = [c for c in reliable(candidates) if not c.suspected]
-            in_time = self._waiting_room.sort_out(
+            in_time = self._queueing.sort_out(
                 service, now=now, run_seconds=run_seconds(usable)
             )
             if not any(has_room(c, in_time=in_time) for c in usable):
                 break
-            flow = self._waiting_room.pop(service)
-            actions += self._reservations.withdraw(flow)
-            self._presence.gone(flow)
+            flow, withdrawn = self._queueing.pop(service)
+            actions += withdrawn
             known = self._scope.flows.get(flow)
             if known is None or known.syn is None:
                 continue
@@ -531,52 +423,3 @@
             load_age=round(load_age, 3),
             version=self._scope.membership.configuration.version,
         )
-
-
-def _waiting_flow(
-    flow: bytes,
-    known: KnownFlow,
-    route: PacketRoute,
-    candidates: list[Candidate],
-    *,
-    is_doubtful: bool = False,
-) -> WaitingFlow:
-    return WaitingFlow(
-        flow=flow,
-        in_time_until=known.asked_at + route.aim_seconds,
-        expires=_gives_up_at(known, route, candidates),
-        priority=route.priority,
-        is_doubtful=is_doubtful,
-    )
-
-
-def _gives_up_at(
-    known: KnownFlow, route: PacketRoute, candidates: list[Candidate]
-) -> float:
-    """Return until when a SYN may wait for a slot.
-
-    A caller that was refused before has less time left for the whole request: a run
-    that begins at its end is for one that has left.
-    """
-    most = min(MAX_WAIT_SECONDS, MAX_WAIT_SHARE * route.timeout_seconds)
-    needed = MARGIN_RUNS * run_seconds(candidates)
-    left_at = known.asked_at + route.timeout_seconds - needed
-    return min(known.created_at + most, left_at)
-
-
-def _take_up(known: KnownFlow, earlier: EarlierTry) -> None:
-    """Take a flow for a further try of a request that was refused before."""
-    known.asked_at = min(known.asked_at, earlier.asked_at)
-    known.tries = earlier.tries + 1
-
-
-def _is_in_time(
-    known: KnownFlow,
-    route: PacketRoute,
-    candidates: list[Candidate],
-    *,
-    now: float,
-) -> bool:
-    """Tell whether a flow that got a slot now would be answered in time."""
-    needed = MARGIN_RUNS * run_seconds(candidates)
-    return now + needed < known.asked_at + route.aim_seconds
