--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -108,8 +108,6 @@
         """Decide on a SYN of a flow that the target doesn't hold."""
         if packet.flow in self._queue:
             return [self._queued(packet, sender=sender, now=now)]
-        if frame.is_offered:
-            self._reservations.taken(sender)
         reason = self._refusal(frame, now=now)
         if reason == NO_SLOT and frame.wait_ms and not self._load.is_reserved:
             return self._enqueue(frame, packet, sender=sender, now=now)
@@ -150,6 +148,11 @@
         if not self._reservations.reserve(frame, balancer=balancer, now=now):
             self._counts_by_result["not_reserved"] += 1
 
+    def came(self, frame: Carry, *, sender: tuple[str, int]) -> None:
+        """Note the answer to an offer, whatever becomes of the flow."""
+        if frame.is_offered:
+            self._reservations.taken(sender)
+
     def declined(self, balancer: tuple[str, int]) -> None:
         """Note that no flow waits at a balancer that had reserved a slot."""
         self._counts_by_result["declined"] += 1
@@ -179,9 +182,13 @@
         return actions
 
     def _has_slot_to_offer(self, *, now: float) -> bool:
-        taken = self._load.busy + len(self._queue) + self._reservations.offered
-        is_free = taken < self._load.slots + QUEUE_AHEAD
-        return is_free and self._load.cold.allows(now=now)
+        offered = self._reservations.offered
+        taken = self._load.busy + len(self._queue) + offered
+        if taken >= self._load.slots + QUEUE_AHEAD:
+            return False
+        if len(self._flows_by_address) + offered >= self._connections:
+            return False
+        return self._load.cold.allows(now=now, promised=offered)
 
     @property
     def _ahead(self) -> int:
@@ -239,10 +246,14 @@
             return self._closed
         if len(self._flows_by_address) >= self._connections:
             return "no connection is free"
-        allowed = self._load.slots
-        if frame.is_offered or len(frame.tried) >= FORCED_TRIES:
+        allowed, taken = self._load.slots, self._load.busy
+        if frame.is_offered:
+            allowed += QUEUE_AHEAD
+        elif self._load.is_reserved:
+            taken += self._reservations.offered
+        elif len(frame.tried) >= FORCED_TRIES:
             allowed += QUEUE_AHEAD
-        is_full = self._load.busy >= allowed
+        is_full = taken >= allowed
         return NO_SLOT if is_full or not self._load.cold.allows(now=now) else None
 
     @property
@@ -256,7 +267,7 @@
         packet = syn.packet
         ended = self._flows_by_address.pop(packet.flow, None)
         if ended is not None:
-            self._load.dropped(ended)
+            self._load.dropped(ended, now=now)
         flow = PacketFlow(
             caller_ip=packet.caller_ip,
             balancer=syn.balancer,
--- a/monsoonpier/agent/packets/cold.py
+++ b/monsoonpier/agent/packets/cold.py
@@ -26,13 +26,18 @@
         self.until = 0.0
         self._taken: deque[float] = deque()
 
-    def allows(self, *, now: float) -> bool:
-        """Tell whether the target may take one flow more now."""
+    def allows(self, *, now: float, promised: int = 0) -> bool:
+        """Tell whether the target may take one flow more now.
+
+        Args:
+            now: The present time.
+            promised: Flows that will come, besides those that were taken.
+        """
         if not self.per_second or now >= self.until:
             return True
         while self._taken and now - self._taken[0] > SPAN_SECONDS:
             self._taken.popleft()
-        return len(self._taken) < max(1, int(self.per_second))
+        return len(self._taken) + promised < max(1, int(self.per_second))
 
     def took(self, *, now: float) -> None:
         """Count a new flow."""
--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -287,6 +287,7 @@
     ) -> list:
         flow = self._flows_by_address.get(packet.flow)
         if packet.is_syn:
+            self._admission.came(frame, sender=sender)
             self._reports.placed_by(sender, now=now)
             return self._syn(frame, packet, flow, sender=sender, now=now)
         if flow is None:
@@ -341,7 +342,7 @@
             return self._deny(packet, sender=sender, now=now, asks=frame.asks)
         if sequence_distance(first, packet.acknowledged) > MAX_OPENING_BYTES:
             # The SYN's copy opened the flow at another target.
-            self._drop(packet.flow)
+            self._drop(packet.flow, now=now)
             return self._deny(packet, sender=sender, now=now, asks=frame.asks)
         self._admission.answered(now - flow.changed_at)
         self._opened(packet.flow, flow, now=now)
@@ -366,7 +367,7 @@
             flow.has_caller_fin = True
             self.target_load.enter(flow, Phase.IDLE, now=now)
         if packet.is_reset:
-            self._drop(packet.flow)
+            self._drop(packet.flow, now=now)
         return [ToTarget(raw=packet.raw)]
 
     def _unknown(
@@ -448,7 +449,7 @@
             self.counts_by_result["foreign_reset"] += 1
             return []
         self.target_load.broken_off(flow, now=now)
-        self._drop(packet.flow)
+        self._drop(packet.flow, now=now)
         if flow.guessed is not None:
             return self._deny(
                 flow.guessed, sender=flow.balancer, now=now, asks=flow.asks
@@ -475,10 +476,10 @@
         if packet.is_syn:
             if flow.is_open or flow.target_sequence is not None:
                 return []  # Only a copy was refused.
-            self._drop(packet.flow)
+            self._drop(packet.flow, now=now)
             syn = QueuedSyn(packet=packet, tried=flow.tried, balancer=flow.balancer)
             return [self._admission.turn(syn, "the target refused it", now=now)]
-        self._drop(packet.flow)
+        self._drop(packet.flow, now=now)
         return self._deny(packet, sender=flow.balancer, now=now, asks=flow.asks)
 
     # Time
@@ -489,7 +490,7 @@
             if flow.phase is Phase.RUNNING:
                 self._check_run(flow, now=now)
             if now - flow.seen_at > _keep_seconds(flow):
-                self._drop(address)
+                self._drop(address, now=now)
         self._reports.forget(now=now)
         self._note_use(now=now)
         return self.expire(now=now)
@@ -518,11 +519,11 @@
 
     # Helpers
 
-    def _drop(self, address: bytes) -> None:
+    def _drop(self, address: bytes, *, now: float) -> None:
         flow = self._flows_by_address.pop(address, None)
         if flow is None:
             return
-        self.target_load.dropped(flow)
+        self.target_load.dropped(flow, now=now)
 
     def _claim(
         self, flow: bytes, *, sender: tuple[str, int], is_open: bool, now: float
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -116,6 +116,8 @@
     def _move(self, flow: PacketFlow, phase: Phase, *, now: float) -> None:
         if phase is Phase.EXPECTED and flow.phase is not Phase.EXPECTED:
             flow.kept_from = self.use.kept_each(now=now)
+        if flow.phase is Phase.RUNNING:
+            self._runs.broken_off(flow, now=now)  # unless its answer has come
         self._busy_share = self.busy_share(now=now)
         self._share_at = now
         self.busy += int(phase is not Phase.IDLE) - int(flow.phase is not Phase.IDLE)
@@ -156,7 +158,6 @@
         """Count a request that got no answer as failed."""
         if flow.phase is Phase.RUNNING:
             self._failures.count(is_failure=True, now=now)
-            self._runs.broken_off(flow, now=now)
             self.enter(flow, Phase.IDLE, now=now)
 
     def overdue(self, flow: PacketFlow, *, now: float) -> None:
@@ -170,12 +171,11 @@
         flow.is_open = True
         self.open += 1
 
-    def dropped(self, flow: PacketFlow) -> None:
+    def dropped(self, flow: PacketFlow, *, now: float) -> None:
         """Count a flow no more."""
-        self.busy -= int(flow.phase is not Phase.IDLE)
-        self._running -= int(flow.phase is Phase.RUNNING)
         if flow.phase is Phase.EXPECTED:
             self.use.was_dropped()
+        self._move(flow, Phase.IDLE, now=now)
         self.open -= int(flow.is_open)
 
     def ended(self, *, is_planned: bool, now: float) -> None:
--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -74,7 +74,9 @@
     def reserve(self, frame: Reserve, *, balancer: Endpoint, now: float) -> bool:
         """Note a reservation, or its new times; tell if there is room for it."""
         if not frame.wait_ms:
-            self._forget_flows({frame.flow})
+            # Its SYN's copy may wait at another balancer.
+            if self._balancers_by_flow.get(frame.flow) == balancer:
+                self._forget_flows({frame.flow})
             return True
         waiting = WaitingFlow(
             flow=frame.flow,
@@ -116,7 +118,7 @@
     def _is_late_turn(self, *, seconds_each: float, now: float) -> bool:
         """Tell whether a late one is due, by the share that they need."""
         if not self._queue.late or not self._queue.timely:
-            return self._queue.late > 0
+            return False
         needed = self._queue.needed_late_share(now=now, seconds_each=seconds_each)
         share = needed if needed <= MOST_LATE_SHARE else 0.0
         self._late_due += max(share, 1 / LATE_TURN)
@@ -147,7 +149,8 @@
         passed: Counter[Endpoint] = Counter()
         while self._offers and now - self._offers[0][0] >= OFFER_SECONDS:
             passed[self._offers.popleft()[1]] += 1
-        self._passed_by_balancer += passed
+        # Several that pass at the same moment are one sign.
+        self._passed_by_balancer.update(set(passed))
         self._forget({b for b in passed if self._passed_by_balancer[b] >= MOST_PASSED})
         return passed
 
@@ -156,6 +159,7 @@
         self._queue = WaitingQueue()
         self._balancers_by_flow.clear()
         self._offers.clear()
+        self._late_due = 0.0
         self._passed_by_balancer.clear()
 
     def _forget(self, balancers: set[Endpoint]) -> None:
--- a/monsoonpier/agent/packets/run_times.py
+++ b/monsoonpier/agent/packets/run_times.py
@@ -39,18 +39,20 @@
         if flow.run_began_at is not None and not is_failure:
             self._learn(max(MIN_RUN_MS, 1000 * (now - flow.run_began_at)))
         flow.run_began_at = None
-        self._begin_next(now=now)
+        self._begin_next(besides=flow, now=now)
 
     def broken_off(self, flow: PacketFlow, *, now: float) -> None:
         """Note a request that gets no answer; it may have waited still."""
         if flow.run_began_at is not None:
             flow.run_began_at = None
-            self._begin_next(now=now)
+            self._begin_next(besides=flow, now=now)
 
-    def _begin_next(self, *, now: float) -> None:
+    def _begin_next(self, *, besides: PacketFlow, now: float) -> None:
         while self._behind:
             following = self._behind.popleft()
-            if following.phase is Phase.RUNNING and following.run_began_at is None:
+            if following is besides or following.phase is not Phase.RUNNING:
+                continue
+            if following.run_began_at is None:
                 following.run_began_at = now
                 return
 
--- a/monsoonpier/balancer/packets/openings.py
+++ b/monsoonpier/balancer/packets/openings.py
@@ -98,6 +98,8 @@
             known.heard = max(known.heard, packet.waited)
         if packet.flow in self._queueing:
             return self._queueing.copy_came(packet, now=now)
+        if known is not None and known.syn is None and not known.is_confirmed:
+            known = None  # Known from a question only: its caller's ports are new.
         if known is not None and known.holders:
             # A copy goes where the flow may be open already; only a target that
             # has not answered the first one in time is passed over.
@@ -178,16 +180,21 @@
     def offered(self, frame: Offer, *, now: float) -> list:
         """Send an agent that offers a slot the flow that goes first by now."""
         self._scope.membership.table.heard(frame.agent, frame.load, now=now)
+        actions: list = []
         while (taken := self._queueing.take_up(frame, now=now)) is not None:
             flow, withdrawn = taken
+            actions += withdrawn
             known = self._scope.flows.get(flow)
-            route = self._scope.route(known.syn) if known and known.syn else None
-            if known is None or known.syn is None or route is None:
+            if known is None or known.syn is None or known.holders:
+                continue
+            route = self._scope.route(known.syn)
+            if route is None:
+                actions += self._refuse(known.syn, known, "no route", now=now)
                 continue
             self._scope.counts_by_result["taken_up"] += 1
             table = self._scope.membership.table
             candidates = table.candidates_of(known.service, now=now)
-            sent = self._send_syn(
+            return actions + self._send_syn(
                 known.syn,
                 known,
                 route,
@@ -196,8 +203,7 @@
                 is_offered=True,
                 now=now,
             )
-            return sent + withdrawn
-        return self._queueing.decline(frame)
+        return actions + self._queueing.decline(frame)
 
     def first_asked(self, frame: FirstAsked, *, now: float) -> list:
         """Take a keeper's word that a flow's caller has asked before."""
--- a/monsoonpier/balancer/packets/queueing.py
+++ b/monsoonpier/balancer/packets/queueing.py
@@ -137,15 +137,14 @@
         if not known.is_asked_for and known.asked_at >= known.created_at:
             known.is_asked_for = True
             actions += self._scope.first_asked.ask(packet)
-        actions += self._reservations.begin(
-            packet.flow, service=known.service, now=now, draw=draw
-        )
         is_doubtful = self._presence.waits(
             packet.flow, began_at=known.created_at, heard=known.heard, now=now
         )
         if is_doubtful:
             actions += self._rekey(packet.flow, known, now=now)
-        return actions
+        return actions + self._reservations.begin(
+            packet.flow, service=known.service, now=now, draw=draw
+        )
 
     def expired(self, *, now: float) -> list[bytes]:
         """Return the flows that have waited too long, which then no longer wait."""
--- a/monsoonpier/balancer/packets/reservations.py
+++ b/monsoonpier/balancer/packets/reservations.py
@@ -125,6 +125,12 @@
             return None
         service = record.service
         candidates = self._candidates(service, now=now)
+        # It may leave, or its data centre may be evacuated: its agent needn't know.
+        may_take = any(
+            c.record.name == offer.agent and c.takes_flows for c in candidates
+        )
+        if not may_take:
+            return None
         self._waiting_room.sort_out(
             service, now=now, run_seconds=fastest_run_seconds(candidates)
         )
@@ -151,6 +157,8 @@
         if waiting is None:
             self.end(flow)
             return []
+        if waiting.is_doubtful:
+            return []
         known = self._reserved_by_flow.get(flow)
         earlier = known.agents if known is not None else ()
         usable = [
--- a/monsoonpier/balancer/packets/returning.py
+++ b/monsoonpier/balancer/packets/returning.py
@@ -84,12 +84,12 @@
         Each refusal counts once.
         """
         refusals = self._refusals_by_caller.get((caller, service), deque())
-        while refusals and now - refusals[0][0] > RETURN_SECONDS:
-            refusals.popleft()
         # One that gives up by itself later on may stand before one that is back.
-        for refusal in refusals:
+        for refusal in list(refusals):
             back_at, earlier = refusal
-            if back_at <= came_at:
+            if now - back_at > RETURN_SECONDS:
+                refusals.remove(refusal)
+            elif back_at <= came_at:
                 refusals.remove(refusal)
                 return earlier
         return None
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -290,7 +290,10 @@
         """
         if packet.is_syn or record.service == known.service:
             return known.service
-        is_named = record.service in self.services_of(packet, known)
+        # A keeper may name a holder of a service that this balancer never heard of.
+        is_named = not known.service or record.service in self.services_of(
+            packet, known
+        )
         return record.service if is_named else known.service
 
     def carry_syn(
--- a/monsoonpier/operator/slot_use.py
+++ b/monsoonpier/operator/slot_use.py
@@ -115,7 +115,7 @@
     before: Mapping[str, float], after: Mapping[str, float]
 ) -> dict[str, float] | None:
     """Return what an agent did meanwhile; ``None`` for one that began anew."""
-    present = ("slots", "running", "queued", "queued_late")
+    present = ("slots", "running", "queued", "queued_late", "reserved")
     gained = {
         name: value if name in present else value - before.get(name, 0)
         for name, value in after.items()
--- a/tests/operator/test_caller_waits.py
+++ b/tests/operator/test_caller_waits.py
@@ -108,6 +108,7 @@
             "running": 2,
             "queued": 1,
             "queued_late": 1,
+            "reserved": 9,
             "busy_seconds": 100.0,
             "kept_seconds": 9.0,
             "idle_seconds": 50.0,
@@ -119,6 +120,7 @@
         gains = {"busy_seconds": 3.0, "idle_seconds": 1.0, "runs": 60}
         gains["idle_while_queued_seconds"] = 0.4
         late = {name: value + gains.get(name, 0) for name, value in early.items()}
+        late["reserved"] = 0
         anew = dict.fromkeys(early, 0.0)
         (found,) = added_slots(
             targets,
--- a/tests/packets/test_first_asked.py
+++ b/tests/packets/test_first_asked.py
@@ -4,7 +4,11 @@
 from unittest import mock
 
 from monsoonpier.balancer.packets.first_asked import FirstAskedTimes
-from monsoonpier.balancer.packets.returning import MAX_REFUSALS, ReturningCallers
+from monsoonpier.balancer.packets.returning import (
+    MAX_REFUSALS,
+    EarlierTry,
+    ReturningCallers,
+)
 from monsoonpier.wire.frames import Carry, FirstAsked, Refused, Turned, WhenAsked
 from standins.packets.simulation import Simulation, World
 from tests.packets.rig import SERVICE, SETTLED, load, packet, replace, resets
@@ -112,6 +116,15 @@
         """Of several users of one address, as many are late as were refused."""
         self.assertEqual(self.answers((1_300, 0)), [1_400])
 
+    def test_long_gone_behind_one_that_gives_up_later(self) -> None:
+        """What can't belong to a new request any more isn't taken for its own."""
+        callers = ReturningCallers()
+        for asked_at, back_at in ((1.0, 3.4), (0.5, 2.0)):
+            earlier = EarlierTry(asked_at=asked_at)
+            callers.keep("100.64.0.7", SERVICE, earlier, back_at=back_at)
+        found = callers.take("100.64.0.7", SERVICE, came_at=3.1, now=3.1)
+        self.assertIsNone(found)
+
     def test_one_that_gives_up_later(self) -> None:
         """It doesn't stand before one that is back already."""
         self.assertEqual(self.answers((100, 1_300), (700, 0)), [800])
--- a/tests/packets/test_reservations.py
+++ b/tests/packets/test_reservations.py
@@ -11,6 +11,7 @@
 from monsoonpier.balancer.packets.reservations import (
     MAX_AGENTS,
 )
+from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition
 from monsoonpier.model.waiting import LATE_TURN, RESERVED_AT, WaitingFlow, WaitingQueue
 from monsoonpier.wire.frames import Carry, Decline, Offer, Reserve, Turned
@@ -93,6 +94,22 @@
             self.reservations.taken(BALANCER)
         self.assertEqual(len(self.reservations), 1)
 
+    def test_several_that_pass_at_once(self) -> None:
+        """A balancer that is behind for a moment keeps its places."""
+        for number in range(4):
+            self.reserve(number, BALANCER, in_time_ms=300)
+        self.assertEqual([self.offer(), self.offer()], [BALANCER, BALANCER])
+        self.reservations.expire(now=OFFER_SECONDS)
+        self.assertEqual(len(self.reservations), 2)
+
+    def test_taken_back_by_its_own_balancer_only(self) -> None:
+        """A copy of the SYN that waits elsewhere takes no place away."""
+        self.reserve(1, BALANCER)
+        self.reserve(1, OTHER_BALANCER, wait_ms=0)
+        self.assertEqual(len(self.reservations), 1)
+        self.reserve(1, BALANCER, wait_ms=0)
+        self.assertEqual(len(self.reservations), 0)
+
     def test_caller_that_gave_up(self) -> None:
         """Nothing is offered for a flow whose caller has given up meanwhile."""
         self.reserve(1, BALANCER, in_time_ms=0, wait_ms=200)
@@ -213,6 +230,29 @@
         refused = frames(self.bring(2, now=1.1), Turned)
         self.assertEqual([frame.reason for frame in refused], ["leaving"])
 
+    def test_connection_limit(self) -> None:
+        """A target without a free connection offers none of its slots."""
+        for number in range(10, 109):
+            self.holder.from_target(answer(number, size=5), now=1.0)
+        self.assertGreaterEqual(self.holder.flows, 100)
+        self.assertEqual(frames(self.reserve(2), Offer), [])
+
+    def test_cold_limit(self) -> None:
+        """A cold target offers no more than it bears in a second."""
+        self.holder = holder(slots=4)
+        cold = self.holder.target_load.cold
+        cold.per_second, cold.until = 2.0, 5.0
+        offers = [frames(self.reserve(number), Offer) for number in range(4)]
+        self.assertEqual([len(found) for found in offers], [1, 1, 0, 0])
+
+    def test_offered_slot_is_kept(self) -> None:
+        """A flow that nobody asked for takes no slot that was offered."""
+        self.holder = holder(slots=1)
+        self.reserve(2)
+        self.reserve(3, balancer=OTHER_BALANCER)
+        unasked = self.bring(9, now=1.001, is_offered=False)
+        self.assertEqual(len(frames(unasked, Turned)), 1)
+
     def test_offer_that_is_not_answered(self) -> None:
         """A balancer that ends leaves the slot to others a moment later."""
         self.reserve(2)
@@ -292,6 +332,18 @@
             now += 1.35
         self.assertEqual(in_time_ms, [200, 0, 0, 200])
 
+    def test_evacuated_data_centre(self) -> None:
+        """An agent that hasn't heard of the order yet is sent nothing."""
+        self.rig.caller(packet(1, syn=True))
+        self.rig.membership.table.evacuated = frozenset({"dc-1"})
+        self.assertEqual(len(frames(self.offer(), Decline)), 1)
+
+    def test_route_removed(self) -> None:
+        """A flow whose route a configuration drops is told so, not forgotten."""
+        self.rig.caller(packet(1, syn=True))
+        self.rig.membership.configure(Configuration(version=2))
+        self.assertEqual(resets(self.offer()), ["no route"])
+
     def test_caller_that_left(self) -> None:
         """No slot is kept for one that sends no copy of its SYN when one is due."""
         begun = self.rig.caller(packet(1, syn=True))
@@ -302,6 +354,10 @@
         self.assertEqual({f.wait_ms for f in frames(left, Reserve)}, {0})
         actions = self.offer(now=SETTLED + 0.32)
         self.assertEqual(len(frames(actions, Decline)), 1)
+        for number in (1, 2, 3):
+            self.rig.report(f"maps-{number}", now=SETTLED + 0.6, in_flight=3)
+        later = self.rig.steering.retry(now=SETTLED + 0.61, draw=self.rig.draw)
+        self.assertEqual(later, [])
 
     def test_refused_while_reserved(self) -> None:
         """A flow whose time is over is reset, and later offers find nothing."""
--- a/tests/packets/test_run_times.py
+++ b/tests/packets/test_run_times.py
@@ -44,6 +44,17 @@
         learnt = self.holder.target_load.run_seconds
         self.assertAlmostEqual(learnt, 3 * self.RUN_SECONDS, delta=0.01)
 
+    def test_request_without_an_answer(self) -> None:
+        """One whose caller breaks it off doesn't end what is learnt."""
+        self.play(runs=10, seconds=self.RUN_SECONDS)
+        sent = packet(self.number, reset=True)
+        self.holder.from_balancer(carry(sent), sent, sender=BALANCER, now=self.now)
+        self.number += 1
+        self.ask(self.number, now=self.now)
+        self.play(runs=60, seconds=3 * self.RUN_SECONDS)
+        learnt = self.holder.target_load.run_seconds
+        self.assertAlmostEqual(learnt, 3 * self.RUN_SECONDS, delta=0.01)
+
     def test_failures_say_nothing(self) -> None:
         """A request that fails at once leaves the time of a run as it was."""
         self.play(runs=40, seconds=self.RUN_SECONDS)
