--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -126,14 +126,13 @@
         self._late_due -= int(is_due)
         return is_due
 
-    def taken(self, balancer: Endpoint) -> bool:
-        """Note that a balancer has sent a flow; tell if a slot was offered to it."""
+    def taken(self, balancer: Endpoint) -> None:
+        """Note that a balancer has answered an offer, if one was made to it."""
         self._passed_by_balancer.pop(balancer, None)
         for offer in self._offers:
             if offer[1] == balancer:
                 self._offers.remove(offer)
-                return True
-        return False
+                return
 
     def declined(self, balancer: Endpoint) -> None:
         """Forget a balancer's reservations: nothing waits there any more."""
--- a/monsoonpier/model/waiting.py
+++ b/monsoonpier/model/waiting.py
@@ -104,8 +104,7 @@
 
     def remove(self, waiting: WaitingFlow) -> None:
         """Let a flow wait no longer."""
-        for flows in self._lists:
-            flows[:] = [other for other in flows if other.flow != waiting.flow]
+        self.remove_all({waiting.flow})
 
     def find(self, flow: bytes) -> WaitingFlow | None:
         """Return what is known of a flow that waits here."""
--- a/tests/packets/test_reservations.py
+++ b/tests/packets/test_reservations.py
@@ -67,7 +67,7 @@
         offered = [self.offer() for _ in range(4)]
         self.assertEqual(offered, [NEXT_BALANCER, OTHER_BALANCER, BALANCER, None])
 
-    def test_silent_balancer_loses_one_turn(self) -> None:
+    def test_silent_balancer_loses_its_turns(self) -> None:
         """A balancer that has ended costs two offers' time, not one a flow."""
         for number in range(5):
             self.reserve(number, BALANCER, in_time_ms=300)
@@ -395,7 +395,7 @@
     """Seconds of more callers than slots, most of them in one data centre.
 
     Eighteen targets of one slot, of speeds 0.7, 0.7 and 1.7, nine balancers; for three
-    seconds 1.25 times what the targets can do.
+    seconds 1.28 times what the targets can do.
     """
 
     WORLD = World(
