Take a target's end for an answer that never came only if nothing was sent

Slots then looked free during runs, runs weren't timed and targets looked as if they failed. The sequence of the end tells whether anything was sent before.

--- a/monsoonpier/agent/packets/holder.py
+++ b/monsoonpier/agent/packets/holder.py
@@ -434,7 +434,8 @@
             self.target_load.answered(flow, is_failure=is_failure, now=now)
         if packet.is_fin:
             flow.has_target_fin = True
-            self.target_load.broken_off(flow, now=now)
+            if _is_without_answer(packet, flow):
+                self.target_load.broken_off(flow, now=now)
         return actions
 
     def _reset_by_target(
@@ -563,6 +564,16 @@
     return 0 < distance < MAX_STREAM_BYTES
 
 
+def _is_without_answer(packet: Packet, flow: PacketFlow) -> bool:
+    """Tell whether a target closes a flow on which it has sent nothing.
+
+    Its end may overtake its answer: the sequence tells.
+    """
+    if flow.target_sequence is None or packet.size:
+        return False
+    return sequence_distance(flow.target_sequence, packet.sequence) <= 1
+
+
 def _keep_seconds(flow: PacketFlow) -> float:
     if flow.is_ended:
         return ENDED_SECONDS
--- a/tests/packets/test_holder.py
+++ b/tests/packets/test_holder.py
@@ -354,6 +354,17 @@
         self.holder.from_target(answer(fin=True), now=1.02)
         self.assertEqual(self.holder.busy, 0)
 
+    def test_end_that_overtakes_the_answer(self) -> None:
+        """A target's end that comes before its answer makes it no failure."""
+        self.open()
+        self.bring(packet(size=10), now=1.0)
+        end = answer(fin=True, sequence=TARGET_SEQUENCE + 2_001)
+        self.holder.from_target(end, now=1.05)
+        self.assertEqual(self.holder.busy, 1)
+        self.holder.from_target(answer(size=1_200), now=1.05)
+        load = self.holder.load(now=1.1)
+        self.assertEqual((load.failed_percent, load.service_ms), (0, 50))
+
     def test_opened_elsewhere(self) -> None:
         """A slot is not kept for long for a flow that doesn't open here."""
         self.bring(packet(syn=True), now=1.0)
