Find near balancers, and round times for frames, in one place each

first_asked.py repeated directory.py's list of the data centre's balancers and scope.py's conversion to a frame's milliseconds. Both call the peers' near_by_name and frames' to_milliseconds now. Behaviour is the same: the keeper of a caller is drawn from the same names by the same hash, a time that is over is 0. make test on this tree: formatter and linter clean, 750 passed.

--- a/monsoonpier/balancer/packets/directory.py
+++ b/monsoonpier/balancer/packets/directory.py
@@ -52,7 +52,7 @@
     def register(self, flows: list[tuple[bytes, str]]) -> list[ToAgent]:
         """Return the frames that tell the keepers of these flows' holders."""
         entries_by_keeper: dict[str, list[tuple[bytes, str]]] = {}
-        records_by_name = self._near_by_name()
+        records_by_name = self._membership.peers.near_by_name
         for flow, holder in flows:
             for name in _keepers(flow, records_by_name):
                 entries_by_keeper.setdefault(name, []).append((flow, holder))
@@ -83,7 +83,7 @@
 
     def find(self, flow: bytes) -> list[ToAgent]:
         """Return the questions to the flow's keepers; none if it is this balancer."""
-        records_by_name = self._near_by_name()
+        records_by_name = self._membership.peers.near_by_name
         own = self._membership.peers.own.name
         return [
             ToAgent(endpoint=records_by_name[name].endpoint, frame=Find(flow=flow))
@@ -101,12 +101,6 @@
         if len(self._holders_by_flow) > MAX_HOLDERS:
             self._holders_by_flow.popitem(last=False)
 
-    def _near_by_name(self) -> dict[str, BalancerRecord]:
-        own = self._membership.peers.own
-        records = self._membership.peers.records_by_name
-        records[own.name] = own
-        return {n: r for n, r in records.items() if r.data_centre == own.data_centre}
-
 
 def _keepers(flow: bytes, records_by_name: dict[str, BalancerRecord]) -> list[str]:
     return list(top(flow.hex(), records_by_name, count=KEEPERS))
--- a/monsoonpier/balancer/packets/first_asked.py
+++ b/monsoonpier/balancer/packets/first_asked.py
@@ -17,11 +17,11 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.rendezvous import top
 from monsoonpier.wire.frames import (
-    MAX_MILLISECONDS,
     BalancerRecord,
     FirstAsked,
     Refused,
     WhenAsked,
+    to_milliseconds,
 )
 from monsoonpier.wire.packet import Packet
 
@@ -57,9 +57,9 @@
         frame = Refused(
             caller=packet.caller_ip,
             service=_endpoint(packet.service_address),
-            asked_ms=_milliseconds(now - earlier.asked_at),
+            asked_ms=to_milliseconds(now - earlier.asked_at),
             tries=earlier.tries,
-            back_ms=_milliseconds(back_at - now),
+            back_ms=to_milliseconds(back_at - now),
         )
         return [ToAgent(endpoint=keeper.endpoint, frame=frame)]
 
@@ -75,7 +75,7 @@
             flow=packet.flow,
             caller=packet.caller_ip,
             service=_endpoint(packet.service_address),
-            waited_ms=_milliseconds(packet.waited),
+            waited_ms=to_milliseconds(packet.waited),
         )
         return [ToAgent(endpoint=keeper.endpoint, frame=frame)]
 
@@ -100,22 +100,18 @@
             return []
         answer = FirstAsked(
             flow=frame.flow,
-            asked_ms=_milliseconds(now - earlier.asked_at),
+            asked_ms=to_milliseconds(now - earlier.asked_at),
             tries=earlier.tries,
         )
         return [ToAgent(endpoint=sender, frame=answer)]
 
     def _keeper_of(self, packet: Packet) -> BalancerRecord | None:
         """Return the balancer that keeps a caller; ``None`` if it is this one."""
-        own = self._membership.peers.own
-        near_by_name = {
-            name: record
-            for name, record in self._membership.peers.records_by_name.items()
-            if record.data_centre == own.data_centre and name != own.name
-        }
+        peers = self._membership.peers
+        near_by_name = peers.near_by_name
         subject = f"{packet.caller_ip} {packet.service_address}"
-        (keeper,) = top(subject, (*near_by_name, own.name), count=1)
-        return near_by_name.get(keeper)
+        (keeper,) = top(subject, near_by_name, count=1)
+        return None if keeper == peers.own.name else near_by_name[keeper]
 
 
 def _endpoint(address: Address) -> tuple[str, int]:
@@ -125,7 +121,3 @@
 def _address(endpoint: tuple[str, int]) -> Address:
     ip, port = endpoint
     return Address(ip=ip, port=port)
-
-
-def _milliseconds(seconds: float) -> int:
-    return min(MAX_MILLISECONDS, max(0, round(seconds * 1000)))
--- a/monsoonpier/balancer/packets/scope.py
+++ b/monsoonpier/balancer/packets/scope.py
@@ -20,11 +20,11 @@
 from monsoonpier.model.waiting import WaitingFlow
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
-    MAX_MILLISECONDS,
     MAX_PRIORITY,
     MAX_TRIED,
     Carry,
     Reserve,
+    to_milliseconds,
 )
 from monsoonpier.wire.packet import Packet
 
@@ -312,8 +312,8 @@
             service=known.service,
             payload=packet.raw,
             tried=known.tried[-MAX_TRIED:],
-            in_time_ms=_milliseconds(in_time_seconds),
-            wait_ms=_milliseconds(wait_seconds),
+            in_time_ms=to_milliseconds(in_time_seconds),
+            wait_ms=to_milliseconds(wait_seconds),
             priority=min(priority, MAX_PRIORITY),
             is_offered=is_offered,
         )
@@ -326,8 +326,8 @@
         frame = Reserve(
             service=service,
             flow=waiting.flow,
-            in_time_ms=_milliseconds(waiting.in_time_until - now),
-            wait_ms=_milliseconds(waiting.expires - now),
+            in_time_ms=to_milliseconds(waiting.in_time_until - now),
+            wait_ms=to_milliseconds(waiting.expires - now),
             priority=min(waiting.priority, MAX_PRIORITY),
         )
         return self.tell(frame, names=names)
@@ -362,7 +362,3 @@
             targets=len(self.membership.table),
         )
         return ResetCaller(packet=packet, reason=reason)
-
-
-def _milliseconds(seconds: float) -> int:
-    return min(MAX_MILLISECONDS, max(0, round(seconds * 1000)))
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -74,6 +74,13 @@
         records[self._own.name] = self._own
         return {n: r for n, r in records.items() if not r.leaving}
 
+    @property
+    def near_by_name(self) -> dict[str, BalancerRecord]:
+        """Those of this data centre; this balancer too, while it leaves."""
+        records = self.records_by_name | {self._own.name: self._own}
+        place = self._own.data_centre
+        return {n: r for n, r in records.items() if r.data_centre == place}
+
     def learn(self, record: BalancerRecord) -> None:
         """Take a peer's record if it is newer than the one held."""
         if record.name == self._own.name:
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -40,6 +40,7 @@
     "HeartbeatAck",
     "Return",
     "Silence",
+    "to_milliseconds",
 ]
 
 MAX_FRAME_BYTES = 2_048
@@ -63,6 +64,11 @@
 Tried = Annotated[tuple[Name, ...], Meta(max_length=MAX_TRIED)]
 
 
+def to_milliseconds(seconds: float) -> int:
+    """Return a time as frames carry it; one that is over is 0."""
+    return min(MAX_MILLISECONDS, max(0, round(seconds * 1000)))
+
+
 class _Frame(msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False):
     """Base of all frames: an array whose first element is the tag."""
 
