Keep revoked evacuations revoked when older orders arrive late

What callers saw: a data centre that had been readmitted got no new flows again.

Cause: a read of the store revoked only orders that were active at that time. A revocation known before kept its own revision, and `joined` compared a late order with that revision alone, so an order between the revocation and the read was accepted. The revision of the read was consulted only for data centres without any known order. An inconclusive read of a newer generation also replaced the one of the generation before, and a rejected order taught its sender nothing.

Ruled out: the watch (events follow the read's revision, and belong to one generation) and reads themselves (pages, `may_be_stale`): the failures need no I/O.

Fix: what a read supersedes is decided in one place, for every data centre, and for each generation. An active order that a read has superseded becomes a revocation at the read's revision, which the next gossip takes to its sender. Reads before the newest conclusive one change nothing.

--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -277,7 +277,7 @@
             if before.of(order.data_centre) == order:
                 continue
             _log.info(
-                "evacuation in force" if order.is_active else "evacuation revoked",
+                _evacuation_event(order, before=before),
                 data_centre=order.data_centre,
                 revision=order.revision,
                 generation=order.generation,
@@ -443,5 +443,15 @@
         )
 
 
+def _evacuation_event(order: Evacuation, *, before: Evacuations) -> str:
+    """Return the log event of a changed order."""
+    if order.is_active:
+        return "evacuation in force"
+    if before.is_evacuated(order.data_centre):
+        return "evacuation revoked"
+    # The order, or its revocation, was reported too late to matter.
+    return "evacuation already revoked"
+
+
 def _now() -> float:
     return time.monotonic()
--- a/monsoonpier/model/evacuation.py
+++ b/monsoonpier/model/evacuation.py
@@ -68,17 +68,16 @@
 
     Attributes:
         known: The latest order on each data centre that ever had one.
-        read_at: The store's revision of the newest full read. For data
-            centres without a known order, updates of the same generation are
-            ignored unless they are newer than this read.
-        concluded_at: The revision of the newest conclusive read. For data
-            centres without a known order, updates of any generation are
-            ignored unless they are newer than this read.
+        concluded_at: The store's revision of the newest conclusive read. An order
+            of this revision or before, of any generation, is in force only if
+            that read found it.
+        read_at: The newest inconclusive read of each generation after
+            ``concluded_at``. The same holds for orders of its generation.
     """
 
     known: tuple[Evacuation, ...] = ()
-    read_at: Revision = NO_REVISION
     concluded_at: Revision = NO_REVISION
+    read_at: tuple[Revision, ...] = ()
 
     def is_evacuated(self, data_centre: str) -> bool:
         """Return whether no new flow may go to the data centre."""
@@ -100,20 +99,17 @@
     def joined(self, orders: Iterable[Evacuation]) -> "Evacuations":
         """Return these orders merged with updates; the newer order wins.
 
-        The merge is commutative and idempotent, up to `MAX_EVACUATIONS` data
-        centres.
+        The merge is commutative and idempotent, also with `as_read`, up to
+        `MAX_EVACUATIONS` data centres. An order that a read has superseded becomes a
+        revocation, which corrects the sender when it is told of it.
         """
         newest_by_name = {order.data_centre: order for order in self.known}
         is_changed = False
         for order in orders:
             current = newest_by_name.get(order.data_centre)
-            is_newer = (
-                order.written_at > current.written_at
-                if current is not None
-                else not self._is_outdated(order.written_at)
-            )
-            if is_newer:
-                newest_by_name[order.data_centre] = order
+            newest = self._merged(current, order)
+            if newest is not None and newest != current:
+                newest_by_name[order.data_centre] = newest
                 is_changed = True
         if not is_changed:
             return self
@@ -138,37 +134,70 @@
                 earlier generation stays active even if the read did not find
                 it.
         """
+        if revision <= self.concluded_at:
+            return self
         found = [
             evacuation(name, written_at=written, is_active=True)
             for name, written in revisions_by_data_centre.items()
         ]
         missing = [
-            evacuation(order.data_centre, written_at=revision, is_active=False)
+            _revoked(order.data_centre, at=revision)
             for order in self.known
             if order.is_active
             and order.data_centre not in revisions_by_data_centre
             and (is_conclusive or order.generation >= revision.generation)
         ]
-        is_newest = revision > self.read_at
-        base = Evacuations(known=self.known) if is_newest else self
-        after = base.joined(found + missing)
-        return replace(
-            after,
-            read_at=max(revision, self.read_at),
-            concluded_at=max(revision, self.concluded_at)
-            if is_conclusive
-            else self.concluded_at,
+        after = self.joined(found + missing)
+        if is_conclusive:
+            later = tuple(read for read in self.read_at if read > revision)
+            return replace(after, concluded_at=revision, read_at=later)
+        return replace(after, read_at=_newest_by_generation(*self.read_at, revision))
+
+    def _merged(
+        self, current: Evacuation | None, update: Evacuation
+    ) -> Evacuation | None:
+        """Return the order that is in force after an update on its data centre."""
+        read = self._superseding_read(update.written_at)
+        if read is None:
+            return _newest(current, update)
+        if not update.is_active:
+            is_concluded = update.written_at <= self.concluded_at
+            return current if is_concluded else _newest(current, update)
+        was_found = current is not None and (
+            current.is_active and current.generation >= read.generation
         )
+        if was_found:
+            return current
+        return _newest(current, _revoked(update.data_centre, at=read))
+
+    def _superseding_read(self, written_at: Revision) -> Revision | None:
+        """Return the newest read that tells whether an order is still in force."""
+        reads = [
+            read
+            for read in self.read_at
+            if written_at <= read and written_at.generation == read.generation
+        ]
+        if written_at <= self.concluded_at:
+            reads.append(self.concluded_at)
+        return max(reads, default=None)
 
-    def _is_outdated(self, written_at: Revision) -> bool:
-        """Return whether an update was written before a read that did not find it.
 
-        Applies only to data centres without a known order.
-        """
-        if written_at <= self.concluded_at:
-            return True
-        is_same_generation = written_at.generation == self.read_at.generation
-        return is_same_generation and written_at <= self.read_at
+def _revoked(data_centre: str, *, at: Revision) -> Evacuation:
+    return evacuation(data_centre, written_at=at, is_active=False)
+
+
+def _newest(current: Evacuation | None, update: Evacuation) -> Evacuation:
+    if current is None or update.written_at > current.written_at:
+        return update
+    return current
+
+
+def _newest_by_generation(*revisions: Revision) -> tuple[Revision, ...]:
+    """Return the newest revision of each generation."""
+    newest_by_generation: dict[int, Revision] = {}
+    for revision in sorted(revisions):
+        newest_by_generation[revision.generation] = revision
+    return tuple(newest_by_generation.values())
 
 
 def _limit_orders(orders: Iterable[Evacuation]) -> tuple[Evacuation, ...]:
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -12,12 +12,19 @@
     ConfigurationCopy,
     encode_copy,
 )
+from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
 from monsoonpier.balancer.stored_configuration import CurrentConfiguration
 from monsoonpier.model.evacuation import Evacuation, Evacuations
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import Put
 from monsoonpier.store.keys import CONFIGURATION, CONFIGURATION_COPY, EVACUATIONS
-from monsoonpier.wire.frames import ForwardPacket, FrameCodec, Gossip, HeartbeatAck
+from monsoonpier.wire.frames import (
+    ForwardPacket,
+    FrameCodec,
+    Gossip,
+    HeartbeatAck,
+)
 from standins.fake_store import FakeStore
 from tests.packets.rig import CONVERGED, OWN, SteeringRig, packet, record
 from tests.rig import KEYS, balancer
@@ -202,3 +209,50 @@
         self.assertEqual(action.endpoint[0], "10.2.0.1")
         self.assertIsInstance(action.frame, HeartbeatAck)
         self.assertEqual(action.frame.evacuation, order(5))
+
+
+class RevokedOrderTests(unittest.TestCase):
+    """Orders that some process still believes after they were revoked."""
+
+    def setUp(self) -> None:
+        self.draw = random.Random(1)
+        self.lagging = Membership(own=OWN)
+        peer = msgspec.structs.replace(OWN, name="lb-2", ip="10.1.0.2")
+        self.current = Membership(own=peer)
+        self.current.evacuate(Evacuations().as_read({}, revision=Revision(number=20)))
+        self.lagging.evacuate(Evacuations().joined((order(12),)))
+
+    def _gossip(self, sender: Membership, receiver: Membership) -> None:
+        """Send a message and its answer."""
+        sent = sender.extra_gossip(
+            receiver.peers.own.endpoint, now=CONVERGED, draw=self.draw
+        )
+        answers = receiver.from_process(
+            sent.frame,
+            sender=sender.peers.own.endpoint,
+            now=CONVERGED,
+            draw=self.draw,
+        )
+        for answer in answers:
+            if isinstance(answer, ToAgent):
+                sender.from_process(
+                    answer.frame,
+                    sender=receiver.peers.own.endpoint,
+                    now=CONVERGED,
+                    draw=self.draw,
+                )
+
+    def test_peer_is_corrected(self):
+        """A peer that reports an order from before a read learns of its end."""
+        self._gossip(self.lagging, self.current)
+        self.assertEqual(self.current.evacuations.active, set())
+        self.assertEqual(self.lagging.evacuations.active, set())
+        self.assertTrue(self.current.has_updates)
+
+    def test_known_revocation_is_not_overridden(self):
+        """A read supersedes the orders after a revocation that was known before."""
+        known = Evacuations().joined((order(5, active=False),))
+        self.current.evacuate(known.as_read({}, revision=Revision(number=20)))
+        self._gossip(self.lagging, self.current)
+        self.assertEqual(self.current.evacuations.active, set())
+        self.assertEqual(self.lagging.evacuations.active, set())
