Revoke evacuations at agents whose balancers never knew the order

What callers saw: after a loss of all balancers during which the operator readmitted a data centre, it got no new flow at all.

Cause: agents learn of orders from acknowledgements only. Balancers that start after the readmission find no order in the store, so they know of none and their acknowledgements carried none. The agents kept the old one and rejected every flow with "data centre evacuated" (in their logs), and balancers then saw them as shedding.

Ruled out: a missed datagram.

Fix: when a heartbeat reports a target that sheds flows, the acknowledgement carries the end of all orders that the balancer's last conclusive read supersedes. Acknowledgements to serving targets stay as they are, so the control traffic of an undisturbed deployment doesn't change; frames keep their format, and agents of older builds understand it. Agents don't log repeated revocations. A read after a restore that isn't conclusive revokes nothing.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -167,10 +167,13 @@
         order = ack.evacuation
         if order is None or order.data_centre != self._settings.data_centre:
             return
+        was_evacuated = self.is_evacuated
         merged = self.evacuations.joined((order,))
         if merged == self.evacuations:
             return
         self.evacuations = merged
+        if not was_evacuated and not order.is_active:
+            return  # Balancers repeat revocations while the target sheds flows.
         _log.info(
             "evacuation in force" if order.is_active else "evacuation revoked",
             revision=order.revision,
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -8,7 +8,7 @@
 from monsoonpier.balancer.table import TargetTable
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.service import Configuration
-from monsoonpier.model.target import TargetRecord
+from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.wire.frames import (
     Announce,
     BalancerRecord,
@@ -91,7 +91,12 @@
         if known:
             self.table.record_heartbeat(frame.name, frame.load, now=now)
         return self._ack(
-            record, known=known, name_balancers=False, sender=sender, now=now
+            record,
+            known=known,
+            name_balancers=False,
+            sender=sender,
+            now=now,
+            is_shedding=frame.load.condition is Condition.SHEDDING,
         )
 
     def _take_announcement(
@@ -112,15 +117,20 @@
         name_balancers: bool,
         sender: tuple[str, int],
         now: float,
+        is_shedding: bool = False,
     ) -> ToAgent:
         allowed = True
         cold_per_second = 0.0
         balancers: tuple = ()
+        evacuation = None
         if record is not None and self.configuration.version:
             allowed = self.configuration.allows(
                 service=record.service, target=record.name
             )
         if record is not None:
+            evacuation = self._evacuation_in(
+                record.data_centre, is_shedding=is_shedding
+            )
             limits = self.configuration.cold_per_second_by_service
             cold_per_second = limits.get(record.service, 0.0)
         if record is not None and name_balancers:
@@ -135,11 +145,24 @@
             leaving=self.peers.own.leaving,
             balancers=balancers,
             known_epoch=record.epoch if record is not None else 0,
-            evacuation=self.evacuations.of(record.data_centre) if record else None,
+            evacuation=evacuation,
             cold_per_second=cold_per_second,
         )
         return ToAgent(endpoint=sender, frame=ack)
 
+    def _evacuation_in(
+        self, data_centre: str, *, is_shedding: bool
+    ) -> Evacuation | None:
+        """Return the order, or its revocation, to send to an agent.
+
+        An agent whose target sheds flows may do so because of an order that was
+        revoked while no balancer could inform it, or that none knows any more.
+        """
+        revocation = self.evacuations.revocation_of(data_centre)
+        if is_shedding and revocation is not None:
+            return revocation
+        return self.evacuations.of(data_centre)
+
     def _take_gossip(
         self,
         frame: Gossip,
--- a/monsoonpier/model/evacuation.py
+++ b/monsoonpier/model/evacuation.py
@@ -91,6 +91,18 @@
                 return order
         return None
 
+    def revocation_of(self, data_centre: str) -> Evacuation | None:
+        """Return a revocation of all orders known to have ended on a data centre.
+
+        Returns ``None`` while an order is in force, and before anything is known.
+        """
+        order = self.of(data_centre)
+        if order is not None and order.is_active:
+            return None
+        if self.concluded_at == NO_REVISION:
+            return order
+        return _newest(order, _revoked(data_centre, at=self.concluded_at))
+
     @property
     def active(self) -> frozenset[str]:
         """The names of the evacuated data centres."""
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -17,12 +17,14 @@
 from monsoonpier.balancer.stored_configuration import CurrentConfiguration
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.revision import Revision
+from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.store.interface import Put
 from monsoonpier.store.keys import CONFIGURATION, CONFIGURATION_COPY, EVACUATIONS
 from monsoonpier.wire.frames import (
     ForwardPacket,
     FrameCodec,
     Gossip,
+    Heartbeat,
     HeartbeatAck,
 )
 from standins.fake_store import FakeStore
@@ -256,3 +258,34 @@
         self._gossip(self.lagging, self.current)
         self.assertEqual(self.current.evacuations.active, set())
         self.assertEqual(self.lagging.evacuations.active, set())
+
+    def _evacuation_sent(self, condition: Condition) -> Evacuation | None:
+        """Return the order in the answer to an agent's heartbeat."""
+        target = record("maps-1")
+        self.current.table.learn(target, now=CONVERGED)
+        heartbeat = Heartbeat(
+            name=target.name,
+            epoch=target.epoch,
+            change=target.change,
+            load=LoadReport(number=1, condition=condition),
+        )
+        (action,) = self.current.from_process(
+            heartbeat, sender=("10.1.0.9", 7720), now=CONVERGED, draw=self.draw
+        )
+        return action.frame.evacuation
+
+    def test_agent_is_corrected(self):
+        """An agent that sheds flows is told of the end of orders unknown here."""
+        sent = self._evacuation_sent(Condition.SHEDDING)
+        self.assertEqual(sent, order(20, active=False))
+
+    def test_serving_agent(self):
+        """An agent that accepts flows needs no revocation."""
+        self.assertIsNone(self._evacuation_sent(Condition.SERVING))
+
+    def test_inconclusive_read(self):
+        """A read after a restore revokes nothing at agents until it is conclusive."""
+        reading = Revision(generation=1, number=20)
+        unknown = Evacuations().as_read({}, revision=reading, is_conclusive=False)
+        self.current.evacuate(unknown)
+        self.assertIsNone(self._evacuation_sent(Condition.SHEDDING))
--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -7,6 +7,7 @@
 from standins.packets.deployment import SERVICES, PacketDeployment
 from standins.packets.load import PacketLoad
 
+IN_FORCE_SECONDS = 13.0  # within which a change must be in force everywhere
 PAIRS = (("maps-1", "maps"), ("maps-2", "maps"), ("logs-1", "logs"))
 
 
@@ -26,6 +27,23 @@
         )
         return deployment
 
+    async def _start_two_data_centres(
+        self, net: str, *balancers: str
+    ) -> PacketDeployment:
+        """Start a deployment with a target of one service in either data centre."""
+        deployment = PacketDeployment(net=net, seed=3, zones=("dc-1", "dc-2"))
+        await self.enterAsyncContext(deployment)
+        deployment.configure()
+        for name in balancers:
+            deployment.ip(name)
+        await asyncio.gather(
+            *(deployment.start_balancer(name) for name in balancers),
+            deployment.start_pair("maps-1", "maps"),
+            deployment.start_pair("maps-2", "maps", zone="dc-2"),
+            deployment.start_pair("logs-1", "logs"),
+        )
+        return deployment
+
     async def _load(self, deployment: PacketDeployment) -> PacketLoad:
         load = PacketLoad(deployment=deployment, seed=5)
         load.start(readers=6, writers=3, uploaders=1)
@@ -77,18 +95,8 @@
 
     async def test_evacuated(self) -> None:
         """An evacuated data centre gets no new flow, even after restarts."""
-        deployment = PacketDeployment(net="127.84.12", seed=3, zones=("dc-1", "dc-2"))
-        await self.enterAsyncContext(deployment)
-        deployment.configure()
         balancers = ("lb-1", "lb-2")
-        for name in balancers:
-            deployment.ip(name)
-        await asyncio.gather(
-            *(deployment.start_balancer(name) for name in balancers),
-            deployment.start_pair("maps-1", "maps"),
-            deployment.start_pair("maps-2", "maps", zone="dc-2"),
-            deployment.start_pair("logs-1", "logs"),
-        )
+        deployment = await self._start_two_data_centres("127.84.12", *balancers)
         emptied = deployment.targets_by_name["maps-2"]
         load = await self._load(deployment)
         self.assertGreater(emptied.opened, 0)
@@ -107,6 +115,30 @@
         verdict = await load.stop()
         self.assertTrue(verdict.is_clean, f"{verdict} {load.reasons}")
 
+    async def test_readmitted_without_balancers(self) -> None:
+        """Agents accept flows again if all balancers start after the readmission.
+
+        These balancers never knew the order, which agents still believe.
+        """
+        balancers = ("lb-1", "lb-2", "lb-3")
+        deployment = await self._start_two_data_centres("127.84.23", *balancers)
+        readmitted = deployment.targets_by_name["maps-2"]
+        load = await self._load(deployment)
+        deployment.store.put("op/evacuate/dc-2", b"{}")
+        await asyncio.sleep(1.0)
+        before = readmitted.opened
+        for name in balancers:
+            deployment.nodes_by_name[name].signal(signal.SIGKILL)
+            await deployment.nodes_by_name[name].wait()
+        self.assertEqual(readmitted.opened, before)
+        deployment.store.remove("op/evacuate/dc-2")
+        await asyncio.gather(*(deployment.start_balancer(name) for name in balancers))
+        async with asyncio.timeout(IN_FORCE_SECONDS):
+            while readmitted.opened == before:
+                await asyncio.sleep(0.05)
+        verdict = await load.stop()
+        self.assertTrue(verdict.is_clean, f"{verdict} {load.reasons}")
+
     async def test_changed_settings(self) -> None:
         """SIGHUP, which announces changed settings, ends no process."""
         deployment = await self._start("127.84.7")
