Stop the tests when KNOWN-RED.txt names a test that doesn't exist

The restore drill's entry named `DrillTests.test_drill`; the test is `RestoreTests.test_restore_under_load` since the wording of the code.

Each entry is now resolved to a test method before any test runs; all that name none are printed together and the run ends with status 1 (with the old entry: "KNOWN-RED.txt names no test: ...DrillTests.test_drill").

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,51 @@
-"""A nose2 plugin that collects the names of the tests that failed."""
+"""The tests that may fail, and a nose2 plugin that collects those that did."""
+
+import importlib
+import unittest
+from pathlib import Path
 
 from nose2.events import Plugin
 
-__all__ = ["FailedNames"]
+__all__ = ["FailedNames", "KnownRedError", "read_known_red"]
+
+MAX_KNOWN_RED = 3
+
+
+class KnownRedError(Exception):
+    """The list of known failures is invalid."""
+
+
+def read_known_red(file: Path) -> dict[str, str]:
+    """Return the entries of KNOWN-RED.txt, a line each, by the test that each names.
+
+    Raises:
+        KnownRedError: If there are too many, or any names no test; the message lists
+            all of these.
+    """
+    if not file.exists():
+        return {}
+    lines = [line for line in file.read_text().splitlines() if line.strip()]
+    if len(lines) > MAX_KNOWN_RED:
+        raise KnownRedError(f"{file.name} lists more than {MAX_KNOWN_RED} tests")
+    lines_by_name = {line.split(",")[0].strip(): line for line in lines}
+    unknown = [name for name in lines_by_name if not _is_test(name)]
+    if unknown:
+        raise KnownRedError(f"{file.name} names no test: {', '.join(unknown)}")
+    return lines_by_name
+
+
+def _is_test(name: str) -> bool:
+    """Return whether a dotted name is that of a test method."""
+    class_path, _, method = name.rpartition(".")
+    module_name, _, class_name = class_path.rpartition(".")
+    try:
+        module = importlib.import_module(module_name)
+    except (ImportError, ValueError):
+        return False
+    case = getattr(module, class_name, None)
+    if not isinstance(case, type) or not issubclass(case, unittest.TestCase):
+        return False
+    return method in unittest.defaultTestLoader.getTestCaseNames(case)
 
 
 class FailedNames(Plugin):
