Don't conclude that an order is lost from a read begun too early

Cause: after a restore, a missing order stays in force for 5 s, until operators have had the time to write it again. Whether a read is conclusive was decided when its answer arrived, so a read that was requested within the 5 s and answered after them (a call may take 2 s) revoked an order that the operator had written again meanwhile. New flows then went to a data centre that is being emptied until the watch reported the rewritten order.

Fix: the time of the request decides. `test_read_across_the_end_of_the_grace_period` failed before and passes.

--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -168,11 +168,12 @@
             copy = await self._copies.read(may_be_stale=True)
             if copy is None:
                 return
+            asked_at = self._now()
             evacuations, _ = await asyncio.gather(
                 self._store.read(EVACUATIONS, prefix=True),
                 self._read_balancers(may_be_stale=True),
             )
-            self._apply_evacuations(evacuations)
+            self._apply_evacuations(evacuations, asked_at=asked_at)
             self._configuration.apply_packed(copy.packed)
         except StoreError as error:
             _log.info("store unreachable", reason=str(error), key=CONFIGURATION_COPY)
@@ -230,9 +231,10 @@
         """Read balancers, evacuations and configuration; return the revision."""
         if self._now() - self._balancers_read_at > BALANCERS_FRESH_SECONDS:
             await self._read_balancers()
+        asked_at = self._now()
         stored = await self._store.read(CONFIGURATION, prefix=True)
         # Evacuations come first: flows are placed as soon as a configuration is known.
-        self._apply_evacuations(stored)
+        self._apply_evacuations(stored, asked_at=asked_at)
         if CONFIGURATION in stored.values_by_key:
             self._configuration.apply(stored.values_by_key[CONFIGURATION].value)
         self._last_read = self._now()
@@ -250,16 +252,18 @@
         return self._conclusive_generation < number and is_due
 
     async def _try_conclusive_read(self) -> None:
+        asked_at = self._now()
         try:
             stored = await self._store.read(EVACUATIONS, prefix=True)
         except StoreError as error:
             _log.info("store unreachable", reason=str(error), key=EVACUATIONS)
             return
-        self._apply_evacuations(stored)
+        self._apply_evacuations(stored, asked_at=asked_at)
 
-    def _apply_evacuations(self, stored: Snapshot) -> None:
+    def _apply_evacuations(self, stored: Snapshot, *, asked_at: float) -> None:
+        """Apply a read; it may show the store as it was at ``asked_at``."""
         self._learn_generation(stored.revision)
-        is_conclusive = self._generation.is_restore_grace_over(now=self._now())
+        is_conclusive = self._generation.is_restore_grace_over(now=asked_at)
         if is_conclusive:
             self._conclusive_generation = stored.revision.generation
         self._evacuate(_evacuations_in(stored, is_conclusive=is_conclusive))
--- a/tests/balancer/test_store_restore.py
+++ b/tests/balancer/test_store_restore.py
@@ -193,6 +193,26 @@
                 self.now += RESTORE_GRACE_SECONDS
                 await self._wait_for(lambda: not self.known.is_evacuated(PLACE))
 
+    async def test_read_across_the_end_of_the_grace_period(self) -> None:
+        """A read that began too early to find a rewritten order doesn't revoke it."""
+        backup = self.store.backup()
+        await self._order()
+        await self.link._read()
+        self.store.restore(backup)
+        await self.link._read()
+        read = self.platform.read
+
+        async def answer_late(*arguments, **options):
+            stored = await read(*arguments, **options)
+            self.now += RESTORE_GRACE_SECONDS
+            return stored
+
+        with mock.patch.object(self.platform, "read", answer_late):
+            await self.link._try_conclusive_read()
+        self.assertTrue(self.known.is_evacuated(PLACE))
+        await self.link._try_conclusive_read()
+        self.assertFalse(self.known.is_evacuated(PLACE))
+
     async def test_lost_copy(self):
         """A lost copy of the configuration is written again; a newer one is kept."""
         empty_backup = self.store.backup()
