Let each balancer that starts after a restore read the orders once more

Cause: a balancer that reads the store within 5 s of learning of a restore can't tell a revoked order from one that the operator will write again. Only balancers that watch the store read it again after the 5 s; the others learned the result by gossip, which names only orders that some balancer knows. After a start of all balancers in those seconds, an agent with an order that the restore had lost kept rejecting flows until its balancers polled the store, after up to 62 s.

Fix: a balancer whose own last read was inconclusive reads the orders again when the 5 s are over, within the 1 to 2 s of its usual check. At 460 balancers these are at most the 460 reads that they made at their start, spread over a second.

`test_started_after_a_restore` failed before (timeout) and passes. The time until flows are opened again was not measured on processes.

--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -110,6 +110,7 @@
         self._generation = generation or StoreGeneration()
         self._on_restored = on_restored
         self._conclusive_generation = 0
+        self._is_last_read_conclusive = True
         self.registration = Registration(
             store=store,
             peers=peers,
@@ -150,7 +151,7 @@
                     self._watching.cancel()
                 if not is_watcher and self._now() - self._last_read > POLL_SECONDS:
                     await self._try_read()
-                if is_watcher and self._is_conclusive_read_due:
+                if self._is_conclusive_read_due(is_watcher=is_watcher):
                     await self._try_conclusive_read()
                 await asyncio.sleep(WATCH_CHECK_SECONDS * self._draw.uniform(0.5, 1.0))
         finally:
@@ -240,13 +241,15 @@
         self._last_read = self._now()
         return stored.revision
 
-    @property
-    def _is_conclusive_read_due(self) -> bool:
-        """Whether the evacuation orders must be read once more after a restore.
+    def _is_conclusive_read_due(self, *, is_watcher: bool) -> bool:
+        """Return whether the evacuation orders must be read again after a restore.
 
-        Watchers do so when operators have had the time to write lost orders again;
-        the other balancers learn the result by gossip.
+        Watchers do so when operators have had the time to write lost orders again.
+        The other balancers learn by gossip which known orders were lost, but only a
+        read of their own can tell them which orders of agents were.
         """
+        if not is_watcher and self._is_last_read_conclusive:
+            return False
         number = self._generation.number
         is_due = self._generation.is_restore_grace_over(now=self._now())
         return self._conclusive_generation < number and is_due
@@ -266,6 +269,7 @@
         is_conclusive = self._generation.is_restore_grace_over(now=asked_at)
         if is_conclusive:
             self._conclusive_generation = stored.revision.generation
+        self._is_last_read_conclusive = is_conclusive
         self._evacuate(_evacuations_in(stored, is_conclusive=is_conclusive))
 
     def _learn_generation(self, revision: Revision) -> None:
--- a/tests/balancer/test_store_restore.py
+++ b/tests/balancer/test_store_restore.py
@@ -213,6 +213,25 @@
         await self.link._try_conclusive_read()
         self.assertFalse(self.known.is_evacuated(PLACE))
 
+    async def test_started_after_a_restore(self) -> None:
+        """A balancer that starts then soon knows which orders have ended.
+
+        It needs that for agents, also if it doesn't watch the store.
+        """
+        self.store.generation = 1
+        for number in range(2, 7):
+            peer = balancer(f"a{number}", host=number).peers.own
+            self.membership.peers.learn(peer)
+        self.assertFalse(self.membership.peers.is_watcher(now=self.now))
+        with mock.patch.object(store_link, "WATCH_CHECK_SECONDS", 0.02):
+            async with self._running(self.link._watch_or_poll_forever()):
+                await self._wait_for(lambda: self.membership.store_generation.number)
+                await asyncio.sleep(0.2)
+                self.assertIsNone(self.known.revocation_of(PLACE))
+                self.now += RESTORE_GRACE_SECONDS
+                await self._wait_for(lambda: self.known.revocation_of(PLACE))
+        self.assertEqual(self.known.revocation_of(PLACE).generation, 1)
+
     async def test_lost_copy(self):
         """A lost copy of the configuration is written again; a newer one is kept."""
         empty_backup = self.store.backup()
