Let the soak run with up to 225 processes

The soak ran 9 processes only, and docs/SOAK.md listed larger sizes as not run. `--scale N` multiplies the numbers of processes and callers; a plan draws its subjects from all of them. At scale 1 plans and starts are as before. Scales over 25 are rejected, since the addresses come from a /24 network.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -15,16 +15,18 @@
 from typing import Annotated
 
 import uvloop
-from cyclopts import App, Parameter
+from cyclopts import App, Parameter, validators
 
 from standins.packets.deployment import PacketDeployment
 from standins.packets.load import PacketLoad, PacketLoadResult
 
 __all__ = ["Plan", "Report", "make_plan", "run_seed"]
 
+# Processes at scale 1.
 BALANCERS = 3
 MAPS = 4
 LOGS = 2
+MAX_SCALE = 25  # 225 processes, each with an address of a /24 network
 RECOVERY_SECONDS = 6.0  # twice the time until a silent target is suspected
 DELAY_SECONDS = 0.15  # of a slow link; half the timeout of a heartbeat
 LOSS_SHARE = 0.1
@@ -79,10 +81,12 @@
     timeline: tuple[str, ...]
 
 
-def make_plan(seed: int, *, seconds: float, edition: int = EDITION) -> Plan:
+def make_plan(
+    seed: int, *, seconds: float, edition: int = EDITION, scale: int = 1
+) -> Plan:
     """Return a seed's faults over ``seconds``; they may overlap."""
     draw = random.Random(seed)
-    subjects_by_kind = _subjects_by_kind(edition)
+    subjects_by_kind = _subjects_by_kind(edition, scale=scale)
     steps = []
     at = 0.0
     while at < seconds:
@@ -94,10 +98,20 @@
     return Plan(seed=seed, edition=edition, steps=tuple(steps))
 
 
-def _subjects_by_kind(edition: int) -> dict[str, list[str]]:
-    balancers = [f"lb-{n}" for n in range(1, BALANCERS + 1)]
-    agents = [f"maps-{n}" for n in range(1, MAPS + 1)]
-    agents += [f"logs-{n}" for n in range(1, LOGS + 1)]
+def _numbered(prefix: str, count: int) -> list[str]:
+    return [f"{prefix}-{n}" for n in range(1, count + 1)]
+
+
+def _balancers(scale: int) -> list[str]:
+    return _numbered("lb", BALANCERS * scale)
+
+
+def _agents(scale: int) -> list[str]:
+    return _numbered("maps", MAPS * scale) + _numbered("logs", LOGS * scale)
+
+
+def _subjects_by_kind(edition: int, *, scale: int) -> dict[str, list[str]]:
+    balancers, agents = _balancers(scale), _agents(scale)
     subjects_by_kind = {
         "kill": balancers + agents,
         "restart": balancers + agents,
@@ -289,17 +303,26 @@
     faults.is_compacted = False
 
 
-async def run_seed(seed: int, *, seconds: float, edition: int = EDITION) -> Report:
-    """Inject a seed's faults into a loaded deployment and check the guarantees."""
-    plan = make_plan(seed, seconds=seconds, edition=edition)
+async def run_seed(
+    seed: int, *, seconds: float, edition: int = EDITION, scale: int = 1
+) -> Report:
+    """Inject a seed's faults into a loaded deployment and check the guarantees.
+
+    Args:
+        seed: The seed of the plan and of the load.
+        seconds: The duration of faults.
+        edition: The edition of the plan.
+        scale: Multiplies the numbers of processes and callers.
+    """
+    plan = make_plan(seed, seconds=seconds, edition=edition, scale=scale)
     net = f"127.90.{seed % NETS}"
     has_proxies = edition > 1
     async with PacketDeployment(
         net=net, seed=seed, has_proxies=has_proxies
     ) as deployment:
-        await _start_all(deployment)
+        await _start_all(deployment, scale=scale)
         load = PacketLoad(deployment=deployment, seed=seed)
-        load.start(readers=8, writers=4, uploaders=2)
+        load.start(readers=8 * scale, writers=4 * scale, uploaders=2 * scale)
         await asyncio.sleep(1.0)
         soak = _Soak(deployment=deployment)
         await soak.inject(plan)
@@ -307,7 +330,7 @@
         deployment.caller.faults.clear()
         for links in deployment.links_by_name.values():
             links.clear()
-        broken = await _check_recovery(deployment, load)
+        broken = await _check_recovery(deployment, load, scale=scale)
         result = await load.stop()
         broken += [name for name, count in _violation_counts(result).items() if count]
         if broken:
@@ -321,20 +344,26 @@
         )
 
 
-async def _start_all(deployment: PacketDeployment) -> None:
+async def _start_all(deployment: PacketDeployment, *, scale: int) -> None:
+    """Start all processes, as many at a time as there are at scale 1."""
     deployment.configure()
-    balancers = [f"lb-{n}" for n in range(1, BALANCERS + 1)]
-    pairs = [(f"maps-{n}", "maps") for n in range(1, MAPS + 1)]
-    pairs += [(f"logs-{n}", "logs") for n in range(1, LOGS + 1)]
-    for name in balancers:
+    for name in _balancers(scale):
         deployment.ip(name)
-    await asyncio.gather(
-        *(deployment.start_balancer(name) for name in balancers),
-        *(deployment.start_pair(name, service) for name, service in pairs),
-    )
+    agents = _agents(scale)
+    for group in range(scale):
+        balancers = _balancers(scale)[group * BALANCERS : (group + 1) * BALANCERS]
+        await asyncio.gather(
+            *(deployment.start_balancer(name) for name in balancers),
+            *(
+                deployment.start_pair(name, name.split("-")[0])
+                for name in agents[group::scale]
+            ),
+        )
 
 
-async def _check_recovery(deployment: PacketDeployment, load: PacketLoad) -> list[str]:
+async def _check_recovery(
+    deployment: PacketDeployment, load: PacketLoad, *, scale: int
+) -> list[str]:
     """Check that requests succeed after the last fault; return what is violated."""
     await asyncio.sleep(RECOVERY_SECONDS)
     before = load.counts.copy()
@@ -346,7 +375,7 @@
         broken.append("requests fail after the last fault")
     version = deployment.configure()
     await asyncio.sleep(CONFIG_SECONDS)
-    for name in (f"lb-{n}" for n in range(1, BALANCERS + 1)):
+    for name in _balancers(scale):
         applied = await deployment.metric(name, "monsoonpier_configuration_version")
         if applied != version:
             broken.append(f"{name} has version {applied} instead of {version}")
@@ -379,12 +408,21 @@
     edition: Annotated[
         int, Parameter(help="Edition of plans; 1 has no faults of links.")
     ] = EDITION,
+    scale: Annotated[
+        int,
+        Parameter(
+            help="Multiplies the numbers of processes and callers.",
+            validator=validators.Number(gte=1, lte=MAX_SCALE),
+        ),
+    ] = 1,
 ) -> int:
     """Run seeds; print a line for each, and a report if a guarantee is violated."""
     chosen = [replay] if replay is not None else _random_seeds(seeds)
     failed = 0
     for number, seed in enumerate(chosen, start=1):
-        report = uvloop.run(_run_one(seed, seconds=seconds, edition=edition))
+        report = uvloop.run(
+            _run_one(seed, seconds=seconds, edition=edition, scale=scale)
+        )
         state = ", ".join(report.broken) or "clean"
         print(
             f"[{number}/{len(chosen)}] seed {seed}: {len(report.plan.steps)} faults,"
@@ -398,12 +436,12 @@
     return 1 if failed else 0
 
 
-async def _run_one(seed: int, *, seconds: float, edition: int) -> Report:
+async def _run_one(seed: int, *, seconds: float, edition: int, scale: int) -> Report:
     """Run a seed; SIGTERM ends its processes too."""
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await run_seed(seed, seconds=seconds, edition=edition)
+    return await run_seed(seed, seconds=seconds, edition=edition, scale=scale)
 
 
 def _random_seeds(count: int) -> list[int]:
