Make the restore drill's readmission depend on the order alone

Cause: the test counted flows that need not go there. New flows prefer the callers' data centre, so a second without a flow at the other one says nothing about the order.

--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -110,7 +110,10 @@
         await asyncio.sleep(1.0)
         self.assertEqual(emptied.opened, before)
         deployment.store.remove("op/evacuate/dc-2")
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.0)
+        # New flows prefer the callers' data centre, dc-1, while it accepts them.
+        deployment.store.put("op/evacuate/dc-1", b"{}")
+        await asyncio.sleep(1.0)
         self.assertGreater(emptied.opened, before)
         verdict = await load.stop()
         self.assertTrue(verdict.is_clean, f"{verdict} {load.reasons}")
--- a/tests/packets/test_store_return.py
+++ b/tests/packets/test_store_return.py
@@ -65,7 +65,10 @@
         self.assertEqual(await self._opened(4.0), 0)
         self.store.remove("op/evacuate/dc-2")
         await asyncio.sleep(1.0)
+        # New flows prefer the callers' data centre, dc-1, while it accepts them.
+        self.store.put("op/evacuate/dc-1", b"{}")
         self.assertGreater(await self._opened(1.0), 0)
+        self.store.remove("op/evacuate/dc-1")
         self.store.put("op/evacuate/dc-2", b"{}")
         await asyncio.sleep(1.0)
         self.assertEqual(await self._opened(1.0), 0)
