--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -28,7 +28,14 @@
     HeartbeatAck,
 )
 from standins.fake_store import FakeStore
-from tests.packets.rig import CONVERGED, OWN, SteeringRig, packet, record
+from tests.packets.rig import (
+    CONVERGED,
+    OWN,
+    SteeringRig,
+    exchange_gossip,
+    packet,
+    record,
+)
 from tests.rig import KEYS, balancer
 
 HERE = OWN.data_centre
@@ -224,29 +231,12 @@
         self.current.evacuate(Evacuations().as_read({}, revision=Revision(number=20)))
         self.lagging.evacuate(Evacuations().joined((order(12),)))
 
-    def _gossip(self, sender: Membership, receiver: Membership) -> None:
-        """Send a message and its answer."""
-        sent = sender.extra_gossip(
-            receiver.peers.own.endpoint, now=CONVERGED, draw=self.draw
-        )
-        answers = receiver.from_process(
-            sent.frame,
-            sender=sender.peers.own.endpoint,
-            now=CONVERGED,
-            draw=self.draw,
-        )
-        for answer in answers:
-            if isinstance(answer, ToAgent):
-                sender.from_process(
-                    answer.frame,
-                    sender=receiver.peers.own.endpoint,
-                    now=CONVERGED,
-                    draw=self.draw,
-                )
+    def _gossip(self) -> None:
+        exchange_gossip(self.lagging, self.current, now=CONVERGED, draw=self.draw)
 
     def test_peer_is_corrected(self):
         """A peer that reports an order from before a read learns of its end."""
-        self._gossip(self.lagging, self.current)
+        self._gossip()
         self.assertEqual(self.current.evacuations.active, set())
         self.assertEqual(self.lagging.evacuations.active, set())
         self.assertTrue(self.current.has_updates)
@@ -255,7 +245,7 @@
         """A read supersedes the orders after a revocation that was known before."""
         known = Evacuations().joined((order(5, active=False),))
         self.current.evacuate(known.as_read({}, revision=Revision(number=20)))
-        self._gossip(self.lagging, self.current)
+        self._gossip()
         self.assertEqual(self.current.evacuations.active, set())
         self.assertEqual(self.lagging.evacuations.active, set())
 
--- a/tests/model/test_evacuation_histories.py
+++ b/tests/model/test_evacuation_histories.py
@@ -9,8 +9,8 @@
 
 from monsoonpier.model.evacuation import Evacuation, Evacuations, evacuation
 from monsoonpier.model.revision import Revision
+from tests.model.test_evacuation import DATA_CENTRES, store_at
 
-DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 HISTORIES = 1_000  # per test
 MAX_CHANGES = 8  # of the store, in each generation
 MAX_STEPS = 20
@@ -33,7 +33,7 @@
             )
             for change in lost[: draw.randint(0, len(lost))]
         ]
-        active = set(orders_at(changes, len(changes)))
+        active = set(store_at(changes, len(changes)))
         for number in range(len(changes) + 1, draw.randint(1, MAX_CHANGES) + 1):
             data_centre = draw.choice(DATA_CENTRES)
             active ^= {data_centre}
@@ -46,16 +46,6 @@
     return generations
 
 
-def orders_at(changes: list[Evacuation], number: int) -> dict[str, Revision]:
-    """Return the orders in the store after its first ``number`` changes."""
-    orders: dict[str, Revision] = {}
-    for change in changes[:number]:
-        orders.pop(change.data_centre, None)
-        if change.is_active:
-            orders[change.data_centre] = change.written_at
-    return orders
-
-
 @dataclass(kw_only=True)
 class Model:
     """All that was ever received about one data centre.
@@ -114,7 +104,7 @@
                 models[update.data_centre].states[update.written_at] = update.is_active
             else:
                 revision = Revision(generation=generation, number=number)
-                found = orders_at(changes, number)
+                found = store_at(changes, number)
                 is_conclusive = not has_inconclusive or draw.random() < 0.5
                 known = known.as_read(
                     found, revision=revision, is_conclusive=is_conclusive
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from monsoonpier.agent.packets.owner import PacketFlowOwner
-from monsoonpier.balancer.actions import ToAgent
+from monsoonpier.balancer.actions import FetchTable, ToAgent
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.packets.context import ResetCaller
 from monsoonpier.balancer.packets.steering import PacketSteering
@@ -14,7 +14,12 @@
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.platform.packets import PlatformPackets
 from monsoonpier.process.logs import DecisionLog
-from monsoonpier.wire.frames import BalancerRecord, ForwardPacket, RelayPacket
+from monsoonpier.wire.frames import (
+    BalancerRecord,
+    ForwardPacket,
+    Gossip,
+    RelayPacket,
+)
 from monsoonpier.wire.packet import Packet
 
 LOG = DecisionLog("tests")
@@ -220,3 +225,30 @@
 def replace(struct, **fields):
     """Return a copy of a message with some fields replaced."""
     return msgspec.structs.replace(struct, **fields)
+
+
+def exchange_gossip(
+    sender: Membership, receiver: Membership, *, now: float, draw: random.Random
+) -> None:
+    """Deliver a gossip message, its answer, and the table that either asks for."""
+    sent = sender.extra_gossip(receiver.peers.own.endpoint, now=now, draw=draw)
+    _deliver(sent.frame, sender, receiver, now=now, draw=draw)
+
+
+def _deliver(
+    frame: Gossip,
+    sender: Membership,
+    receiver: Membership,
+    *,
+    now: float,
+    draw: random.Random,
+) -> None:
+    endpoint = sender.peers.own.endpoint
+    for action in receiver.from_process(frame, sender=endpoint, now=now, draw=draw):
+        match action:
+            case ToAgent(frame=answer):
+                _deliver(answer, receiver, sender, now=now, draw=draw)
+            case FetchTable():
+                digests = receiver.table.bucket_digests
+                for found in sender.table.records_in_differing_buckets(digests):
+                    receiver.table.learn(found, now=now)
