Show how balancers fared with the store when the restore drill fails

In the one whose output was kept, the registrations of lb-1 and lb-2 were missing 2 s after the restore; no flow was broken.

Ruled out by runs: a slow registration as such (all three were back after at most 0.97 s in 77 scratch runs of the drill's first half, 69 of them while a soak of 90 or 108 processes started and ran), and the moment of the restore in a long poll (8 of these, restored 0.6 s after a watch had begun: at most 0.83 s). The assertion now shows the balancers' log lines on the store, so that the next failure tells which step was late.

--- a/tests/packets/test_store_return.py
+++ b/tests/packets/test_store_return.py
@@ -40,6 +40,16 @@
         found = self.store.store.read("", end=b"\xff", now=0.0).values_by_key
         return REGISTERED & set(found)
 
+    def _store_events(self) -> str:
+        """Return the log lines of balancers that tell how each fared with the store."""
+        events = ("store restored", "store unreachable", "registered", "watch")
+        return "\n".join(
+            line
+            for name in BALANCERS
+            for line in self.deployment.nodes_by_name[name].log.read_text().splitlines()
+            if any(event in line for event in events)
+        )
+
     async def _restore_store(self) -> None:
         """Take the store down and restore it from the backup."""
         self.store.faults.is_down = True
@@ -59,7 +69,7 @@
         await asyncio.sleep(1.5)
         await self._restore_store()
         await asyncio.sleep(2.0)
-        self.assertEqual(self._registered(), REGISTERED)
+        self.assertEqual(self._registered(), REGISTERED, self._store_events())
         self.assertEqual(await self._opened(1.0), 0)  # before the order is given again
         self.store.put("op/evacuate/dc-2", b"{}")
         self.assertEqual(await self._opened(4.0), 0)
