Keep the soak's load the same at every scale

One process runs the store, all targets and all callers; with 140 callers it no longer answered in time: balancers logged TimeoutError for calls to the store, after 2 s each, while it had no fault. That the product alone would have served at this load isn't shown.

The scale now multiplies the processes only.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -312,7 +312,8 @@
         seed: The seed of the plan and of the load.
         seconds: The duration of faults.
         edition: The edition of the plan.
-        scale: Multiplies the numbers of processes and callers.
+        scale: Multiplies the numbers of processes. The load stays the same, since
+            one process runs all callers and targets.
     """
     plan = make_plan(seed, seconds=seconds, edition=edition, scale=scale)
     net = f"127.90.{seed % NETS}"
@@ -322,7 +323,7 @@
     ) as deployment:
         await _start_all(deployment, scale=scale)
         load = PacketLoad(deployment=deployment, seed=seed)
-        load.start(readers=8 * scale, writers=4 * scale, uploaders=2 * scale)
+        load.start(readers=8, writers=4, uploaders=2)
         await asyncio.sleep(1.0)
         soak = _Soak(deployment=deployment)
         await soak.inject(plan)
@@ -411,7 +412,7 @@
     scale: Annotated[
         int,
         Parameter(
-            help="Multiplies the numbers of processes and callers.",
+            help="Multiplies the numbers of processes.",
             validator=validators.Number(gte=1, lte=MAX_SCALE),
         ),
     ] = 1,
