Compute the soak's names once, and report broken imports of listed tests

From reading the whole change again; nothing else changes. The soak's start made the list of balancers for each group. The check of KNOWN-RED.txt called an entry void if importing its module failed for any reason, which hid the reason; now only a module that doesn't exist counts as void.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -348,13 +348,16 @@
 async def _start_all(deployment: PacketDeployment, *, scale: int) -> None:
     """Start all processes, as many at a time as there are at scale 1."""
     deployment.configure()
-    for name in _balancers(scale):
+    balancers, agents = _balancers(scale), _agents(scale)
+    for name in balancers:
         deployment.ip(name)
-    agents = _agents(scale)
     for group in range(scale):
-        balancers = _balancers(scale)[group * BALANCERS : (group + 1) * BALANCERS]
+        first = group * BALANCERS
         await asyncio.gather(
-            *(deployment.start_balancer(name) for name in balancers),
+            *(
+                deployment.start_balancer(name)
+                for name in balancers[first : first + BALANCERS]
+            ),
             *(
                 deployment.start_pair(name, name.split("-")[0])
                 for name in agents[group::scale]
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -40,7 +40,7 @@
     module_name, _, class_name = class_path.rpartition(".")
     try:
         module = importlib.import_module(module_name)
-    except (ImportError, ValueError):
+    except (ModuleNotFoundError, ValueError):
         return False
     case = getattr(module, class_name, None)
     if not isinstance(case, type) or not issubclass(case, unittest.TestCase):
