Believe a record from a peer only after its agent has confirmed it

Callers' new flows went to targets that had ended: each was lost for 0.2 s until the balancer had missed two answers, and anew at each balancer and after each removal.

Cause: a record was credible to whoever didn't know a newer one, whoever sent it. - A suspected target left each table at that balancer's own moment. Balancers that had removed it learned it back from one that hadn't, as a new record without the reports of its silence, and no balancer that learned it so would ever observe that silence. - A balancer that was paused or cut off when a target left taught it to all the others after they had removed their tombstones. - A tombstone that was learned back started its time anew, so some never expired. - Only balancers with reports of two observers ever suspected a target; one that ended together with its observers, or had one observer, was offered for ever.

Now only the agent makes its record credible. A record of an agent process that is new to a balancer, and that comes from a peer, counts as suspected until the agent has answered a query (frames RecordQuery and RecordReply) or has sent any other frame. It is passed on with the next gossip as before, but not handed out in tables. A balancer queries: what is unconfirmed, suspected, or reported silent by one observer, each round; all it knows after a pause or a cut of its own; the others when they have sent nothing for 30 s, 8 a round. Three queries without an answer, while other frames arrive, make a target suspected, and 120 s of it remove it. An answer refutes all reports of silence before it, so no living target stays suspected. A balancer that has just started believes its peers, since it must serve, and queries all it has learned at once. Tombstones no longer count in digests, and one of an unknown target is ignored: an older record can't come back without its agent.

Ruled out: longer bounds (a pause is longer than any); ages or heartbeat numbers in gossip (4,800 of them must reach 460 balancers all the time, and a stopped clock makes them young); tombstones for good (they grow with every restart of a host).

The harnesses of test_decision, test_evacuation and packets/rig pass over queries, or store fetched tables as the product does; their checks are the same.

Agents must run this build before balancers do: an older agent doesn't answer.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -26,6 +26,7 @@
     FrameCodec,
     Heartbeat,
     HeartbeatAck,
+    RecordReply,
 )
 
 __all__ = ["BalancerLink", "target_record"]
@@ -140,6 +141,11 @@
         )
         self.announce(self.record.condition)
 
+    def answer_query(self, balancer: tuple[str, int]) -> None:
+        """Answer a balancer's query with the target's record and load."""
+        reply = RecordReply(record=self.record, load=self._read_load())
+        self._send(reply, balancer)
+
     def handle_ack(self, ack: HeartbeatAck) -> bool:
         """Process a balancer's response to a heartbeat.
 
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -42,6 +42,7 @@
     FrameCodec,
     HeartbeatAck,
     OwnershipQuery,
+    RecordQuery,
     RelayPacket,
     ReserveSlot,
 )
@@ -386,6 +387,8 @@
             case HeartbeatAck():
                 self._link.handle_ack(frame)
                 self._apply_cold_limit(frame)
+            case RecordQuery():
+                self._link.answer_query(sender)
             case Dropped(reason=reason):
                 self._drop(reason)
             case _:
--- a/monsoonpier/agent/tokens/process.py
+++ b/monsoonpier/agent/tokens/process.py
@@ -52,6 +52,7 @@
     FrameCodec,
     HeartbeatAck,
     OpenReturned,
+    RecordQuery,
 )
 
 __all__ = ["AgentProcess"]
@@ -173,6 +174,9 @@
             case HeartbeatAck():
                 self._control_bytes["in"] += len(data)
                 self._handle_heartbeat_ack(frame)
+            case RecordQuery():
+                self._control_bytes["in"] += len(data)
+                self._link.answer_query(sender)
             case Dropped(reason=reason):
                 self._count_drop(reason)
             case _:
--- /dev/null
+++ b/monsoonpier/balancer/evidence.py
@@ -0,0 +1,201 @@
+"""Evidence of whether the agent of a target is alive."""
+
+from dataclasses import dataclass, field
+
+from monsoonpier.wire.frames import SilenceReport
+
+__all__ = ["FORGET_SECONDS", "SUSPECT_SECONDS", "Evidence"]
+
+SUSPECT_SECONDS = 3.0  # without a frame; agents send a heartbeat a second
+FORGET_SECONDS = 120.0  # a suspected target is removed after this
+OBSERVERS_NEEDED = 2  # one may just be cut off from the agent
+UNANSWERED_FLOWS_LIMIT = 2  # one SYN or its answer may just be lost
+UNANSWERED_QUERIES_LIMIT = 3
+RETRY_SECONDS = 0.7  # between queries of an agent that has not answered
+VERIFY_SECONDS = 30.0  # an agent that sent no frame for this long is queried
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Silence:
+    """The latest report of one observer.
+
+    Attributes:
+        rank: The report's rank.
+        is_silent: Whether the observer misses heartbeats.
+        received_at: When the report was received.
+    """
+
+    rank: tuple[int, int]
+    is_silent: bool
+    received_at: float
+
+
+@dataclass(slots=True, kw_only=True)
+class Evidence:
+    """What one balancer knows of whether a target's agent is alive. Does no I/O.
+
+    A record that a peer has sent is no evidence: the peer may have been paused since
+    the target ended. Only frames of the agent itself confirm a record.
+
+    Attributes:
+        since: When the record of this agent process was learned.
+        is_confirmed: Whether the agent has confirmed its record, or the balancer
+            had just started when it learned it.
+        received_at: When the agent last sent a frame here.
+        is_observed: Whether the agent sends heartbeats here.
+        was_suspected: Whether the target was suspected when last reviewed.
+        unanswered_flows: New flows in a row that got no answer.
+        unanswered_queries: Queries in a row that got no answer.
+    """
+
+    since: float
+    is_confirmed: bool
+    received_at: float | None = None
+    is_observed: bool = False
+    was_suspected: bool = False
+    unanswered_flows: int = 0
+    unanswered_queries: int = 0
+    _queried_at: float | None = None  # the last query without an answer yet
+    _unanswered_since: float = 0.0
+    _silences_by_observer: dict[str, _Silence] = field(default_factory=dict)
+
+    # Frames of the agent
+
+    def record_frame(self, *, now: float) -> None:
+        """Record a frame of the agent, which confirms its record."""
+        self.is_confirmed = True
+        self.received_at = now
+        self.unanswered_flows = 0
+        self.unanswered_queries = 0
+        self._queried_at = None
+
+    def record_heartbeat(self, *, now: float) -> None:
+        """Record a heartbeat, which makes the balancer an observer of the target."""
+        self.record_frame(now=now)
+        self.is_observed = True
+
+    # Queries
+
+    def record_query(self, *, contact_at: float, now: float) -> None:
+        """Record that a query is sent to the agent.
+
+        Args:
+            contact_at: When any frame of another process last arrived. A query counts
+                as unanswered only if this balancer has not been cut off since.
+            now: The present time.
+        """
+        if self._queried_at is not None and contact_at > self._queried_at:
+            if not self.unanswered_queries:
+                self._unanswered_since = self._queried_at
+            self.unanswered_queries += 1
+        self._queried_at = now
+
+    def is_query_urgent(self, *, resumed_at: float, now: float) -> bool:
+        """Return whether to query the agent now, since it may have ended.
+
+        Args:
+            resumed_at: When this balancer last started, resumed or regained contact.
+                What it knew before may be outdated.
+            now: The present time.
+        """
+        if self._queried_at is not None and now - self._queried_at < RETRY_SECONDS:
+            return False
+        if not self.is_confirmed or self._queried_at is not None:
+            return True
+        if self.received_at is not None and self.received_at <= resumed_at:
+            return True
+        if self._silences_by_observer and self._silence_times():
+            return True  # One observer isn't enough to suspect the target.
+        return self.is_suspected(now=now)
+
+    def is_query_due(self, *, now: float) -> bool:
+        """Return whether the agent has sent no frame here for long."""
+        if self._queried_at is not None:
+            return False
+        return self.received_at is None or now - self.received_at > VERIFY_SECONDS
+
+    @property
+    def last_word_at(self) -> float:
+        """When the agent was last queried, or else last sent a frame here."""
+        if self._queried_at is not None:
+            return self._queried_at
+        return -1.0 if self.received_at is None else self.received_at
+
+    @property
+    def is_credible(self) -> bool:
+        """Whether the record may be passed on as that of a living agent."""
+        return self.is_confirmed and self.unanswered_queries < UNANSWERED_QUERIES_LIMIT
+
+    # Reports of observers
+
+    def record_silence(self, silence: SilenceReport, *, now: float) -> bool:
+        """Record an observer's report; return whether to pass it on.
+
+        Reports of older builds have no rank. They aren't passed on, since without
+        an order two of them could supersede each other forever.
+        """
+        known = self._silences_by_observer.get(silence.observer)
+        if known is not None and silence.rank <= known.rank:
+            if silence.is_ranked or known.rank != silence.rank:
+                return False
+            if silence.silent == known.is_silent:
+                return False
+        self._silences_by_observer[silence.observer] = _Silence(
+            rank=silence.rank, is_silent=silence.silent, received_at=now
+        )
+        return silence.is_ranked
+
+    def is_silent(self, *, now: float) -> bool:
+        """Return whether this balancer, as an observer, misses the heartbeats."""
+        if not self.is_observed or self.received_at is None:
+            return False
+        return now - self.received_at > SUSPECT_SECONDS
+
+    def has_reported_silence(self, observer: str) -> bool:
+        """Return whether the latest report of an observer says "silent"."""
+        silence = self._silences_by_observer.get(observer)
+        return silence is not None and silence.is_silent
+
+    def remove_old_silences(self, *, now: float) -> None:
+        """Remove reports that no longer count and are too old to circulate."""
+        if not self._silences_by_observer:
+            return
+        self._silences_by_observer = {
+            observer: silence
+            for observer, silence in self._silences_by_observer.items()
+            if silence.is_silent or now - silence.received_at <= FORGET_SECONDS
+        }
+
+    # Suspicion
+
+    def is_suspected(self, *, now: float) -> bool:
+        """Return whether the target is believed to have failed."""
+        if self.unanswered_flows >= UNANSWERED_FLOWS_LIMIT:
+            return True
+        return self.suspected_since(now=now) is not None
+
+    def suspected_since(self, *, now: float) -> float | None:
+        """Return when a target that should be removed in the end became suspected.
+
+        This is so if its agent has not confirmed its record, has left queries
+        unanswered, or is silent to several observers and to this balancer too.
+        """
+        if not self.is_confirmed:
+            return self.since
+        if self.unanswered_queries >= UNANSWERED_QUERIES_LIMIT:
+            return self._unanswered_since
+        if self.received_at is not None and now - self.received_at <= SUSPECT_SECONDS:
+            return None
+        if len(self._silences_by_observer) < OBSERVERS_NEEDED:
+            return None
+        times = sorted(self._silence_times())
+        return times[OBSERVERS_NEEDED - 1] if len(times) >= OBSERVERS_NEEDED else None
+
+    def _silence_times(self) -> list[float]:
+        """Return when reports of silence arrived that no later frame refutes."""
+        return [
+            silence.received_at
+            for silence in self._silences_by_observer.values()
+            if silence.is_silent
+            and (self.received_at is None or silence.received_at > self.received_at)
+        ]
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -1,11 +1,12 @@
 """Membership protocol of balancers: gossip, heartbeats and announcements."""
 
 import random
+from collections.abc import Iterable
 
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
-from monsoonpier.balancer.table import TargetTable
+from monsoonpier.balancer.table import BeliefChange, TargetTable
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition, TargetRecord
@@ -15,6 +16,8 @@
     Gossip,
     Heartbeat,
     HeartbeatAck,
+    RecordQuery,
+    RecordReply,
     SilenceReport,
 )
 
@@ -26,6 +29,10 @@
 AGREED_SECONDS = 1.0
 ALONE_SECONDS = 4.0
 NAMED_BALANCERS = 6  # an agent sends heartbeats to the first few that it reaches
+# A balancer whose rounds of gossip are further apart was paused, and one that receives
+# no frame for so long is cut off. What it knew before may be outdated.
+MAX_ROUND_SECONDS = 2.5
+CONTACT_SECONDS = 2.0
 
 
 class Membership:
@@ -44,6 +51,8 @@
         evacuations: The last known evacuation orders.
         store_generation: The newest known generation of the store.
         started_at: When this balancer started, by its monotonic clock.
+        belief_changes: Targets newly suspected, trusted or removed, since the caller
+            last emptied the list.
 
     Args:
         own: This balancer's own record.
@@ -60,7 +69,11 @@
         self.has_agreed = False
         self.has_agreed_with_any = False
         self.started_at = started_at
+        self.belief_changes: list[BeliefChange] = []
         self._differing_peer: str | None = None
+        self._contact_at = started_at  # when a frame of another process last arrived
+        self._round_at = started_at
+        self._resumed_at = started_at
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
@@ -74,11 +87,17 @@
 
         Returns ``None`` for a frame that doesn't belong to the membership protocol.
         """
+        if now - self._contact_at > CONTACT_SECONDS:
+            self._resumed_at = now
+        self._contact_at = now
         match frame:
             case Heartbeat():
                 return [self._take_heartbeat(frame, sender=sender, now=now)]
             case Announce():
                 return [self._take_announcement(frame.record, sender=sender, now=now)]
+            case RecordReply():
+                self._take_reply(frame, now=now)
+                return []
             case Gossip():
                 return self._take_gossip(frame, sender=sender, now=now, draw=draw)
         return None
@@ -102,13 +121,31 @@
     def _take_announcement(
         self, record: TargetRecord, *, sender: tuple[str, int], now: float
     ) -> ToAgent:
-        if self.table.learn(record, now=now):
-            self._queue_update(record)
+        self._learn_from_agent(record, now=now)
         newest = self.table.record(record.name) or record
         return self._ack(
             newest, known=True, name_balancers=True, sender=sender, now=now
         )
 
+    def _take_reply(self, reply: RecordReply, *, now: float) -> None:
+        self._learn_from_agent(reply.record, now=now)
+        self.table.record_reply(reply.record, reply.load, now=now)
+
+    def _learn_from_agent(self, record: TargetRecord, *, now: float) -> None:
+        if self.table.learn(record, now=now):
+            self._queue_update(record)
+        self.table.record_announcement(record, now=now)
+
+    def learn_records(self, records: Iterable[TargetRecord], *, now: float) -> None:
+        """Store newer records that a peer has sent on request."""
+        for record in records:
+            if self._learn_from_peer(record, now=now):
+                self.has_updates = True  # Queries are sent with the next round.
+
+    def _learn_from_peer(self, record: TargetRecord, *, now: float) -> bool:
+        is_starting = not self.is_converged(now=now)
+        return self.table.learn_from_peer(record, is_starting=is_starting, now=now)
+
     def _ack(
         self,
         record: TargetRecord | None,
@@ -177,7 +214,7 @@
         for record in frame.balancers:
             self.peers.learn(record)
         for record in frame.records:
-            if self.table.learn(record, now=now):
+            if self._learn_from_peer(record, now=now):
                 self._queue_update(record)
         for silence in frame.silences:
             if self.table.record_silence(silence, now=now):
@@ -229,16 +266,41 @@
         """Return one round of gossip; an eager one is sent at once for an update."""
         self.has_updates = False
         if not eager:
-            own = self.peers.own
-            for silence in self.table.changed_silences(
-                observer=own.name, observer_epoch=own.epoch, now=now
-            ):
-                self.peers.queue_update(silence)
-            self.table.remove_expired(now=now)
-        return [
+            self._review_targets(now=now)
+        gossip = [
             self._gossip_to(peer.endpoint, is_answer=False, now=now, draw=draw)
             for peer in self.peers.pick_for_round(now=now, draw=draw, eager=eager)
         ]
+        return gossip + self._queries(only_new=eager, now=now)
+
+    def _review_targets(self, *, now: float) -> None:
+        """Report observed silences, and remove targets that have ended."""
+        if now - self._round_at > MAX_ROUND_SECONDS:
+            self._resumed_at = now
+        self._round_at = now
+        own = self.peers.own
+        for silence in self.table.changed_silences(
+            observer=own.name, observer_epoch=own.epoch, now=now
+        ):
+            self.peers.queue_update(silence)
+        self.belief_changes += self.table.remove_expired(now=now)
+
+    def _queries(self, *, only_new: bool, now: float) -> list[ToAgent]:
+        """Return queries of agents that may have ended, and of some others."""
+        # Without peers, agents are the only processes that could be in contact.
+        contact_at = self._contact_at if self.peers.has_peers else now
+        if only_new:
+            queried = self.table.first_queries(contact_at=contact_at, now=now)
+        else:
+            queried = self.table.queries(
+                contact_at=contact_at, resumed_at=self._resumed_at, now=now
+            )
+        return [
+            ToAgent(
+                endpoint=record.address.endpoint, frame=RecordQuery(name=record.name)
+            )
+            for record in queried
+        ]
 
     def _queue_update(self, item: TargetRecord | SilenceReport) -> None:
         self.peers.queue_update(item)
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import asdict
 
 import structlog
 
@@ -334,9 +335,16 @@
         membership = self._membership
         for action in membership.gossip_round(now=_now(), draw=self._draw, eager=eager):
             self.execute(action)
+        self._log_beliefs()
         if not len(membership.table):
             self._send_join()
 
+    def _log_beliefs(self) -> None:
+        """Log what this balancer has concluded about targets."""
+        changes, self._membership.belief_changes = self._membership.belief_changes, []
+        for change in changes:
+            _log.info("belief in target changed", **asdict(change))
+
     def _send_join(self) -> None:
         """Send gossip to the seeds and some peers, to learn of the first targets.
 
@@ -397,8 +405,7 @@
             case ConfigurationReply(packed=packed) if packed:
                 self._configuration.apply_packed(packed)
             case TableReply(records=records, balancers=balancers):
-                for record in records:
-                    membership.table.learn(record, now=_now())
+                membership.learn_records(records, now=_now())
                 for balancer in balancers:
                     membership.peers.learn(balancer)
 
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -1,26 +1,28 @@
 """A balancer's table of targets: their records, loads and suspected failures."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from hashlib import blake2b
+from heapq import nsmallest
 
 import msgspec
 
+from monsoonpier.balancer.evidence import FORGET_SECONDS, Evidence
 from monsoonpier.balancer.target_choice import Candidate
 from monsoonpier.model.service import Service
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.wire.frames import SilenceReport
 
-__all__ = ["TargetTable"]
+__all__ = ["BeliefChange", "TargetTable"]
 
-SUSPECT_SECONDS = 3.0  # without a heartbeat; agents send one a second
-FORGET_SECONDS = 120.0  # a suspected target is removed after this
 GONE_SECONDS = 30.0  # the record of a gone target is kept as a tombstone
-OBSERVERS_NEEDED = 2  # one may just be cut off from the agent
-UNANSWERED_LIMIT = 2  # one SYN or its answer may just be lost
 ANSWER_SECONDS = 0.2  # a new flow without an answer by then counts as lost
 STALE_SECONDS = 0.5  # older reports of requests in flight are ignored
 FAILED_STALE_SECONDS = 10.0  # older reports of failed requests are ignored
+# Queries per round of gossip. Suspected targets are queried first, so that one that
+# lives is soon offered again; after the loss of a data centre they are many.
+MAX_QUERIES = 32
+MAX_ROUTINE_QUERIES = 8
 BUCKETS = 16
 DIGEST_BYTES = 8
 
@@ -30,15 +32,39 @@
     record: TargetRecord
     load: LoadReport
     learned_at: float
-    received_at: float | None = None  # when its agent last sent a frame here
-    is_observed: bool = False  # its agent sends heartbeats to this balancer
+    evidence: Evidence
     sent_since: int = 0  # new flows sent that its reports don't include yet
     sent_at: float = 0.0  # when the last of them was sent
     load_received_at: float = 0.0
-    unanswered: int = 0  # new flows in a row that got no answer
-    # Balancers that miss its heartbeats, with the time when that was learned.
-    silent_observers: dict[str, float] = field(default_factory=dict)
-    silence_ranks_by_observer: dict[str, tuple[int, int]] = field(default_factory=dict)
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether this is the tombstone of a target that has left."""
+        return self.record.condition is Condition.GONE
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BeliefChange:
+    """A change of what a balancer believes of a target.
+
+    Attributes:
+        name: The target's name.
+        epoch: The start of its agent.
+        belief: ``suspected``, ``trusted`` again, or ``removed``.
+        seconds: The time since its agent last sent a frame here, or since its record
+            was learned.
+        is_confirmed: Whether the agent has confirmed the record.
+        unanswered_flows: New flows in a row that got no answer.
+        unanswered_queries: Queries in a row that got no answer.
+    """
+
+    name: str
+    epoch: int
+    belief: str
+    seconds: float
+    is_confirmed: bool
+    unanswered_flows: int
+    unanswered_queries: int
 
 
 class TargetTable:
@@ -55,6 +81,7 @@
         self._names_by_endpoint: dict[tuple[str, int], str] = {}
         self._bucket_sums = [0] * BUCKETS
         self._silences_reported = 0
+        self._new_names: list[str] = []  # with records to be confirmed
 
     def __len__(self) -> int:
         return len(self._entries_by_name)
@@ -77,41 +104,69 @@
 
     def learn(self, record: TargetRecord, *, now: float) -> bool:
         """Store a record if it is newer than the known one; return whether it was."""
+        return self._learn(record, is_confirmed=True, now=now)
+
+    def learn_from_peer(
+        self, record: TargetRecord, *, is_starting: bool, now: float
+    ) -> bool:
+        """Store a newer record that a peer has sent; return whether it was.
+
+        The peer may have missed that the target has ended. The record of an agent
+        process that is new here must be confirmed by the agent itself, unless this
+        balancer starts and would have no target to offer otherwise. A tombstone of an
+        unknown target is ignored, since it would be passed on after others have
+        removed theirs.
+        """
+        known = self.record(record.name)
+        if known is None and record.condition is Condition.GONE:
+            return False
+        return self._learn(record, is_confirmed=is_starting, now=now)
+
+    def _learn(self, record: TargetRecord, *, is_confirmed: bool, now: float) -> bool:
         entry = self._entries_by_name.get(record.name)
+        if entry is not None and record.rank <= entry.record.rank:
+            return False
         if entry is None:
-            self._entries_by_name[record.name] = _Entry(
+            entry = _Entry(
                 record=record,
                 load=LoadReport(number=0, condition=record.condition),
                 load_received_at=now,
                 learned_at=now,
+                evidence=Evidence(since=now, is_confirmed=is_confirmed),
             )
-        elif record.rank <= entry.record.rank:
-            return False
+            self._entries_by_name[record.name] = entry
         else:
             self._remove_from_index(entry.record)
-            earlier = entry.record
-            entry.record = record
-            entry.learned_at = now
-            entry.silent_observers.clear()
-            # The announced condition is newer than the one in the last report.
-            entry.load = msgspec.structs.replace(entry.load, condition=record.condition)
-            if record.epoch != earlier.epoch:
-                self._reset_load(entry, number=0, now=now)
-            elif record.instance != earlier.instance and earlier.instance:
-                # The agent is the same process and continues its numbering.
-                self._reset_load(entry, number=entry.load.number, now=now)
+            self._replace_record(entry, record, is_confirmed=is_confirmed, now=now)
         self._names_by_service.setdefault(record.service, set()).add(record.name)
         self._toggle_digest(record)
-        if record.condition is not Condition.GONE:
+        if not entry.evidence.is_confirmed:
+            self._new_names.append(record.name)
+        elif not entry.is_gone:
             self._assign_endpoint(record, now=now)
         return True
 
+    def _replace_record(
+        self, entry: _Entry, record: TargetRecord, *, is_confirmed: bool, now: float
+    ) -> None:
+        earlier = entry.record
+        entry.record = record
+        entry.learned_at = now
+        # The announced condition is newer than the one in the last report.
+        entry.load = msgspec.structs.replace(entry.load, condition=record.condition)
+        if record.epoch != earlier.epoch:
+            entry.evidence = Evidence(since=now, is_confirmed=is_confirmed)
+            self._reset_load(entry, number=0, now=now)
+        elif record.instance != earlier.instance and earlier.instance:
+            # The agent is the same process and continues its numbering.
+            self._reset_load(entry, number=entry.load.number, now=now)
+
     def _reset_load(self, entry: _Entry, *, number: int, now: float) -> None:
         """Discard the load reported by an earlier agent process or target instance."""
         entry.load = LoadReport(number=number, condition=entry.record.condition)
         entry.load_received_at = now
         entry.sent_since = 0
-        entry.unanswered = 0
+        entry.evidence.unanswered_flows = 0
 
     def _assign_endpoint(self, record: TargetRecord, *, now: float) -> None:
         """Assign an agent's address to its target, and mark the earlier one as gone.
@@ -130,13 +185,27 @@
             self.learn(entry.record.with_condition(Condition.GONE), now=now)
             self._names_by_endpoint[endpoint] = record.name
 
+    def record_announcement(self, record: TargetRecord, *, now: float) -> None:
+        """Record that an agent has sent its record itself, whether or not it is new."""
+        entry = self._entries_by_name.get(record.name)
+        if entry is not None and entry.record.rank == record.rank:
+            self._record_frame(entry, now=now)
+
+    def record_reply(
+        self, record: TargetRecord, load: LoadReport, *, now: float
+    ) -> None:
+        """Record an agent's answer to a query, after its record was learned."""
+        entry = self._entries_by_name.get(record.name)
+        if entry is None or entry.record.rank != record.rank:
+            return
+        self.record_load(record.name, load, now=now)
+
     def record_load(self, name: str, load: LoadReport, *, now: float) -> None:
         """Record a load report received directly from the target's agent."""
         entry = self._entries_by_name.get(name)
         if entry is None:
             return
-        entry.received_at = now
-        entry.unanswered = 0
+        self._record_frame(entry, now=now)
         if load.number > entry.load.number:
             entry.load = load
             entry.load_received_at = now
@@ -146,10 +215,17 @@
         self.record_load(name, load, now=now)
         entry = self._entries_by_name.get(name)
         if entry is not None:
-            entry.is_observed = True
+            entry.evidence.record_heartbeat(now=now)
             # Otherwise an OPEN whose answer was lost would count forever.
             entry.sent_since = 0
 
+    def _record_frame(self, entry: _Entry, *, now: float) -> None:
+        """Record a frame of an agent; a target that it confirms gets its address."""
+        was_confirmed = entry.evidence.is_confirmed
+        entry.evidence.record_frame(now=now)
+        if not was_confirmed and not entry.is_gone:
+            self._assign_endpoint(entry.record, now=now)
+
     def record_flow_sent(self, name: str, *, now: float) -> None:
         """Count a new flow that was sent to a target and is not yet answered."""
         entry = self._entries_by_name.get(name)
@@ -167,27 +243,14 @@
         """Record that a new flow sent to a target got no answer in time."""
         entry = self._entries_by_name.get(name)
         if entry is not None:
-            entry.unanswered += 1
+            entry.evidence.unanswered_flows += 1
 
     def record_silence(self, silence: SilenceReport, *, now: float) -> bool:
-        """Record an observer's report; return whether to pass it on.
-
-        Reports of older builds have no rank. They aren't passed on, since without
-        an order two of them could supersede each other forever.
-        """
+        """Record an observer's report; return whether to pass it on."""
         entry = self._entries_by_name.get(silence.name)
         if entry is None or entry.record.epoch != silence.epoch:
             return False
-        ranks = entry.silence_ranks_by_observer
-        if silence.observer in ranks and silence.rank <= ranks[silence.observer]:
-            return False
-        if silence.is_ranked:
-            ranks[silence.observer] = silence.rank
-        if silence.silent:
-            entry.silent_observers[silence.observer] = now
-        else:
-            entry.silent_observers.pop(silence.observer, None)
-        return silence.is_ranked
+        return entry.evidence.record_silence(silence, now=now)
 
     def changed_silences(
         self, *, observer: str, observer_epoch: int = 0, now: float
@@ -201,10 +264,8 @@
         """
         changed = []
         for name, entry in self._entries_by_name.items():
-            if not entry.is_observed or entry.received_at is None:
-                continue
-            silent = now - entry.received_at > SUSPECT_SECONDS
-            if silent == (observer in entry.silent_observers):
+            silent = entry.evidence.is_silent(now=now)
+            if silent == entry.evidence.has_reported_silence(observer):
                 continue
             self._silences_reported += 1
             silence = SilenceReport(
@@ -219,16 +280,69 @@
             changed.append(silence)
         return changed
 
-    def remove_expired(self, *, now: float) -> None:
-        """Remove targets that have been gone or suspected for long."""
+    def first_queries(self, *, contact_at: float, now: float) -> list[TargetRecord]:
+        """Return new targets to query at once, and count the queries."""
+        names, self._new_names = self._new_names[:MAX_QUERIES], []
+        entries = [self._entries_by_name.get(name) for name in dict.fromkeys(names)]
+        return self._query(
+            [e for e in entries if e is not None and not e.evidence.is_confirmed],
+            contact_at=contact_at,
+            now=now,
+        )
+
+    def queries(
+        self, *, contact_at: float, resumed_at: float, now: float
+    ) -> list[TargetRecord]:
+        """Return the targets whose agents to query now, and count the queries.
+
+        Reads the whole table, so it isn't called for each update.
+
+        Args:
+            contact_at: When any frame of another process last arrived.
+            resumed_at: When this balancer last started, resumed or regained contact.
+            now: The present time.
+        """
+        self._new_names.clear()
+        urgent: list[_Entry] = []
+        routine: list[_Entry] = []
+        for entry in self._entries_by_name.values():
+            if entry.is_gone:
+                continue
+            if entry.evidence.is_query_urgent(resumed_at=resumed_at, now=now):
+                urgent.append(entry)
+            elif entry.evidence.is_query_due(now=now):
+                routine.append(entry)
+        chosen = nsmallest(MAX_QUERIES, urgent, key=_last_word)
+        chosen += nsmallest(MAX_ROUTINE_QUERIES, routine, key=_last_word)
+        return self._query(chosen, contact_at=contact_at, now=now)
+
+    def _query(
+        self, entries: list[_Entry], *, contact_at: float, now: float
+    ) -> list[TargetRecord]:
+        for entry in entries:
+            entry.evidence.record_query(contact_at=contact_at, now=now)
+        return [entry.record for entry in entries]
+
+    def remove_expired(self, *, now: float) -> list[BeliefChange]:
+        """Remove targets that have been gone or suspected for long; return changes."""
+        changes = []
         for name, entry in list(self._entries_by_name.items()):
-            age = now - entry.learned_at
-            if entry.record.condition is Condition.GONE and age > GONE_SECONDS:
-                self._remove(name)
+            if entry.is_gone:
+                if now - entry.learned_at > GONE_SECONDS:
+                    self._remove(name)
                 continue
-            oldest = min(entry.silent_observers.values(), default=now)
-            if self._is_suspected(entry, now=now) and now - oldest > FORGET_SECONDS:
+            entry.evidence.remove_old_silences(now=now)
+            since = entry.evidence.suspected_since(now=now)
+            if since is not None and now - since > FORGET_SECONDS:
                 self._remove(name)
+                changes.append(_belief_change(entry, "removed", now=now))
+                continue
+            suspected = entry.evidence.is_suspected(now=now)
+            if suspected != entry.evidence.was_suspected:
+                entry.evidence.was_suspected = suspected
+                belief = "suspected" if suspected else "trusted"
+                changes.append(_belief_change(entry, belief, now=now))
+        return changes
 
     def _remove(self, name: str) -> None:
         record = self._entries_by_name.pop(name).record
@@ -292,7 +406,7 @@
         return [
             entry.record
             for entry in self._entries_by_name.values()
-            if entry.is_observed and entry.record.data_centre == data_centre
+            if entry.evidence.is_observed and entry.record.data_centre == data_centre
         ]
 
     def _expire_failures(self, entry: _Entry, *, now: float) -> None:
@@ -326,21 +440,9 @@
             record=entry.record,
             load=entry.load,
             sent_since=entry.sent_since,
-            suspected=self._is_suspected(entry, now=now),
+            suspected=entry.evidence.is_suspected(now=now),
         )
 
-    def _is_suspected(self, entry: _Entry, *, now: float) -> bool:
-        """Return whether a target is believed to have failed.
-
-        This is so if several new flows in a row got no answer, or if several observers
-        miss its heartbeats and this balancer receives no frames from its agent either.
-        """
-        if entry.unanswered >= UNANSWERED_LIMIT:
-            return True
-        if entry.received_at is not None and now - entry.received_at <= SUSPECT_SECONDS:
-            return False
-        return len(entry.silent_observers) >= OBSERVERS_NEEDED
-
     # Comparison with a peer's table
 
     @property
@@ -354,13 +456,19 @@
         return blake2b(b"".join(self.bucket_digests), digest_size=DIGEST_BYTES).digest()
 
     def _toggle_digest(self, record: TargetRecord) -> None:
+        # Tombstones don't count, since they are removed at different times.
+        if record.condition is Condition.GONE:
+            return
         # With XOR the same operation adds and removes a record, in constant time.
         self._bucket_sums[_bucket(record.name)] ^= _record_sum(record)
 
     def records_in_differing_buckets(
         self, digests: Iterable[bytes]
     ) -> tuple[TargetRecord, ...]:
-        """Return the records of the buckets whose digests differ from ``digests``."""
+        """Return the records of the buckets whose digests differ from ``digests``.
+
+        Records that are in doubt here are left out.
+        """
         differing = {
             number
             for number, (own, other) in enumerate(
@@ -372,9 +480,29 @@
             entry.record
             for name, entry in self._entries_by_name.items()
             if _bucket(name) in differing
+            and (entry.is_gone or entry.evidence.is_credible)
         )
 
 
+def _last_word(entry: _Entry) -> float:
+    """Return when an agent last sent a frame or was last queried."""
+    return entry.evidence.last_word_at
+
+
+def _belief_change(entry: _Entry, belief: str, *, now: float) -> BeliefChange:
+    evidence = entry.evidence
+    received_at = evidence.received_at
+    return BeliefChange(
+        name=entry.record.name,
+        epoch=entry.record.epoch,
+        belief=belief,
+        seconds=now - (evidence.since if received_at is None else received_at),
+        is_confirmed=evidence.is_confirmed,
+        unanswered_flows=evidence.unanswered_flows,
+        unanswered_queries=evidence.unanswered_queries,
+    )
+
+
 def _bucket(name: str) -> int:
     return blake2b(name.encode(), digest_size=1).digest()[0] % BUCKETS
 
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -42,6 +42,8 @@
     "SynRejected",
     "FirstAttemptQuery",
     "OwnershipQuery",
+    "RecordQuery",
+    "RecordReply",
     "HeartbeatAck",
     "ReplyDatagram",
     "SilenceReport",
@@ -183,6 +185,22 @@
     record: TargetRecord
 
 
+class RecordQuery(_Frame, tag=33, kw_only=True, gc=False):
+    """Asks the agent at an address for its record, to confirm that it is alive.
+
+    ``name`` is that of the target that the balancer expects there.
+    """
+
+    name: Name
+
+
+class RecordReply(_Frame, tag=34, kw_only=True, gc=False):
+    """Answers a `RecordQuery` with the agent's record and its target's load."""
+
+    record: TargetRecord
+    load: LoadReport
+
+
 class SilenceReport(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
 ):
@@ -453,6 +471,8 @@
     | HeartbeatAck
     | BalancerRecord
     | Announce
+    | RecordQuery
+    | RecordReply
     | Gossip
     | ForwardPacket
     | FlowOwned
--- a/tests/balancer/test_decision.py
+++ b/tests/balancer/test_decision.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings, strategies as st
 
 from monsoonpier.balancer.actions import FetchConfiguration, ToAgent, ToCaller
-from monsoonpier.balancer.table import FORGET_SECONDS, SUSPECT_SECONDS
+from monsoonpier.balancer.evidence import FORGET_SECONDS, SUSPECT_SECONDS
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition, LoadReport
@@ -23,6 +23,7 @@
     Announce,
     Heartbeat,
     OpenReturned,
+    RecordQuery,
     ReplyDatagram,
     SilenceReport,
 )
@@ -310,6 +311,8 @@
                 sender, action = queue.pop()
                 if not isinstance(action, ToAgent) or draw.random() < drop:
                     continue
+                if isinstance(action.frame, RecordQuery):
+                    continue  # There are no agents here.
                 receiver = by_endpoint[action.endpoint]
                 answers = receiver.from_process(
                     action.frame,
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -204,7 +204,8 @@
         peer = msgspec.structs.replace(OWN, name="lb-2", ip="10.1.0.2")
         rig.membership.peers.learn(peer)
         self._evacuate(rig, order(5))
-        (action,) = rig.membership.gossip_round(now=CONVERGED, draw=rig.draw)
+        actions = rig.membership.gossip_round(now=CONVERGED, draw=rig.draw)
+        (action,) = [a for a in actions if isinstance(a.frame, Gossip)]
         self.assertEqual(action.frame.evacuations, (order(5),))
 
     def test_agents_are_notified(self):
--- /dev/null
+++ b/tests/balancer/test_evidence.py
@@ -0,0 +1,185 @@
+"""What makes balancers believe that a target is alive, or that it has ended."""
+
+import random
+import unittest
+
+import msgspec
+
+from monsoonpier.balancer.evidence import (
+    UNANSWERED_QUERIES_LIMIT,
+    VERIFY_SECONDS,
+)
+from monsoonpier.balancer.table import MAX_QUERIES, MAX_ROUTINE_QUERIES
+from monsoonpier.model.target import Condition, LoadReport
+from monsoonpier.wire.frames import (
+    Gossip,
+    RecordQuery,
+    RecordReply,
+    SilenceReport,
+)
+from tests.rig import balancer, record
+
+NOW = 100.0  # the balancers have converged
+AGENT = ("10.1.0.1", 9000)
+
+
+def report(*, observer: str = "b2") -> SilenceReport:
+    """Return an observer's report that ``maps-1`` is silent."""
+    return SilenceReport(
+        name="maps-1",
+        epoch=1,
+        observer=observer,
+        silent=True,
+        observer_epoch=5,
+        number=1,
+    )
+
+
+class RecordTests(unittest.TestCase):
+    """Only the agent itself makes a record credible."""
+
+    def setUp(self) -> None:
+        self.node = balancer()
+        self.draw = random.Random(1)
+        self.target = record("maps-1", condition=Condition.SERVING)
+        other = msgspec.structs.replace(self.node.peers.own, name="b2", ip="10.2.0.2")
+        self.node.peers.learn(other)
+        self.peer = other
+
+    def gossip(self, *, now: float, **content) -> None:
+        """Receive a gossip message of the peer."""
+        gossip = Gossip(sender=self.peer, version=0, digest=b"d", **content)
+        self.node.from_process(
+            gossip, sender=self.peer.endpoint, now=now, draw=self.draw
+        )
+
+    def answer(self, target, *, now: float) -> None:
+        """Receive an agent's answer to a query."""
+        load = LoadReport(number=1, condition=target.condition)
+        reply = RecordReply(record=target, load=load)
+        self.node.from_process(reply, sender=AGENT, now=now, draw=self.draw)
+
+    def queried(self, *, now: float) -> list[str]:
+        """Return the targets whose agents are queried in a round of gossip."""
+        sent = self.node.membership.gossip_round(now=now, draw=self.draw)
+        queries = [a.frame for a in sent if isinstance(a.frame, RecordQuery)]
+        return [query.name for query in queries]
+
+    def is_offered(self, *, now: float) -> bool:
+        """Return whether the target is a candidate that isn't suspected."""
+        found = self.node.table.packet_candidates("maps", now=now)
+        return any(c.serves and not c.suspected for c in found)
+
+    def passed_on(self) -> list[str]:
+        """Return the names of the records that a peer with an empty table gets."""
+        records = self.node.table.records_in_differing_buckets([b""] * 16)
+        return [each.name for each in records]
+
+    def test_record_of_a_peer_must_be_confirmed(self):
+        """A record from a peer is offered and passed on after its agent answered."""
+        self.gossip(records=(self.target,), now=NOW)
+        self.assertFalse(self.is_offered(now=NOW))
+        self.assertEqual(self.passed_on(), [])
+        self.assertEqual(self.queried(now=NOW), ["maps-1"])
+        self.answer(self.target, now=NOW)
+        self.assertTrue(self.is_offered(now=NOW))
+        self.assertEqual(self.passed_on(), ["maps-1"])
+
+    def test_restarted_agent_must_be_confirmed(self):
+        """A record of a later agent process needs an answer of its own."""
+        self.answer(self.target, now=NOW)
+        later = msgspec.structs.replace(self.target, epoch=2)
+        self.gossip(records=(later,), now=NOW)
+        self.assertFalse(self.is_offered(now=NOW))
+        self.answer(later, now=NOW)
+        self.assertTrue(self.is_offered(now=NOW))
+
+    def test_changed_record_of_a_confirmed_agent(self):
+        """A change that a peer relays is in force at once."""
+        self.answer(self.target, now=NOW)
+        leaving = self.target.with_condition(Condition.LEAVING)
+        self.gossip(records=(leaving,), now=NOW)
+        self.assertFalse(self.is_offered(now=NOW))
+        serving = leaving.with_condition(Condition.SERVING)
+        self.gossip(records=(serving,), now=NOW)
+        self.assertTrue(self.is_offered(now=NOW))
+
+    def test_starting_balancer_trusts_a_peer(self):
+        """A balancer that has just started offers what its peers know."""
+        self.gossip(records=(self.target,), now=0.5)
+        self.assertTrue(self.is_offered(now=0.5))
+        self.assertEqual(self.queried(now=0.5), ["maps-1"])
+
+    def test_tombstone_of_an_unknown_target(self):
+        """It isn't kept, so that it can't circulate."""
+        gone = self.target.with_condition(Condition.GONE)
+        self.gossip(records=(gone,), now=NOW)
+        self.assertEqual(len(self.node.table), 0)
+
+    def test_tombstones_are_not_in_the_digest(self):
+        """Balancers that remove one at different times don't exchange tables."""
+        empty = self.node.table.digest
+        self.node.table.learn(self.target, now=NOW)
+        self.assertNotEqual(self.node.table.digest, empty)
+        self.node.table.learn(self.target.with_condition(Condition.GONE), now=NOW)
+        self.assertEqual(self.node.table.digest, empty)
+
+    def test_unconfirmed_record_takes_no_address(self):
+        """A record from a peer doesn't replace the target at its agent's address."""
+        self.answer(self.target, now=NOW)
+        other = record("logs-1", epoch=7, service="logs")
+        self.gossip(records=(other,), now=NOW)
+        self.assertTrue(self.is_offered(now=NOW))
+        self.answer(other, now=NOW)
+        self.assertEqual(self.node.table.record("maps-1").condition, Condition.GONE)
+
+    def test_unanswered_queries(self):
+        """A target that leaves queries unanswered is suspected, then removed."""
+        self.answer(self.target, now=NOW)
+        now = NOW + VERIFY_SECONDS + 0.1
+        while self.node.table.record("maps-1") is not None:
+            self.gossip(now=now)
+            self.queried(now=now)
+            now += 1.0
+            if now > NOW + VERIFY_SECONDS + UNANSWERED_QUERIES_LIMIT + 2:
+                self.assertFalse(self.is_offered(now=now))
+                self.assertEqual(self.passed_on(), [])
+            self.assertLess(now, NOW + 200)
+
+    def test_cut_off_balancer_concludes_nothing(self):
+        """Without any frame from elsewhere, missing answers mean nothing."""
+        self.answer(self.target, now=NOW)
+        for second in range(40):
+            self.queried(now=NOW + VERIFY_SECONDS + second)
+        self.assertTrue(self.is_offered(now=NOW + VERIFY_SECONDS + 40))
+
+    def test_one_silent_observer_causes_a_query(self):
+        """A report of one observer makes others ask, and the answer refutes it."""
+        self.gossip(now=NOW)
+        self.queried(now=NOW)
+        self.answer(self.target, now=NOW + 0.1)
+        self.assertEqual(self.queried(now=NOW + 1), [])
+        self.gossip(silences=(report(),), now=NOW + 2)
+        self.assertEqual(self.queried(now=NOW + 2), ["maps-1"])
+        self.answer(self.target, now=NOW + 2.1)
+        self.assertEqual(self.queried(now=NOW + 3), [])
+
+    def test_answer_refutes_earlier_silences(self):
+        """A living target is no longer suspected once its agent has answered."""
+        self.answer(self.target, now=NOW)
+        for observer in ("b2", "b3"):
+            self.gossip(silences=(report(observer=observer),), now=NOW + 5)
+        self.assertFalse(self.is_offered(now=NOW + 5))
+        self.answer(self.target, now=NOW + 5.1)
+        self.assertTrue(self.is_offered(now=NOW + 20))
+
+    def test_queries_are_bounded(self):
+        """Of many targets a round queries a few."""
+        for number in range(200):
+            self.node.table.learn(record(f"maps-{number}", host=number), now=NOW)
+        self.assertEqual(len(self.queried(now=NOW)), MAX_ROUTINE_QUERIES)
+        for number in range(200):
+            unconfirmed = record(f"logs-{number}", ip=f"10.3.0.{number}")
+            self.gossip(records=(unconfirmed,), now=NOW)
+        sent = len(self.queried(now=NOW + 1))
+        self.assertLessEqual(sent, MAX_QUERIES + MAX_ROUTINE_QUERIES)
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -250,5 +250,5 @@
                 _deliver(answer, receiver, sender, now=now, draw=draw)
             case FetchTable():
                 digests = receiver.table.bucket_digests
-                for found in sender.table.records_in_differing_buckets(digests):
-                    receiver.table.learn(found, now=now)
+                found = sender.table.records_in_differing_buckets(digests)
+                receiver.learn_records(found, now=now)
