Query an agent before its silence is reported

Callers' new flows avoided living targets: after a pause of some balancers, and for seconds to minutes after each start, balancers that place nothing at a target suspected it.

Cause: an agent sends heartbeats to three balancers and selects others as it learns of them, or as one misses heartbeats. The ones that it no longer selects kept counting as observers and reported it silent three seconds later, and nothing ever withdrew that. Two such reports make every balancer suspect the target that doesn't hear from it. A balancer that was paused reported all its agents before it had read their heartbeats.

An observer whose heartbeats are 1.6 s late now queries the agent. If it answers, it sends its heartbeats elsewhere, and the balancer stops being an observer without a report. If it has ended, it is reported after 3 s as before. A balancer that was paused, or that receives no frame from anyone, reports nothing until it has had 2 s to ask.

Ruled out: a last heartbeat to a balancer that is left (it may be lost, and is sent by the agents that are replaced last).

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -11,6 +11,9 @@
 OBSERVERS_NEEDED = 2  # one may just be cut off from the agent
 UNANSWERED_FLOWS_LIMIT = 2  # one SYN or its answer may just be lost
 UNANSWERED_QUERIES_LIMIT = 3
+# An observer queries an agent whose heartbeat is late before it reports silence,
+# since the agent may have selected another balancer for its heartbeats.
+LATE_HEARTBEAT_SECONDS = 1.6
 RETRY_SECONDS = 0.7  # between queries of an agent that has not answered
 VERIFY_SECONDS = 30.0  # an agent that sent no frame for this long is queried
 
@@ -55,6 +58,7 @@
     was_suspected: bool = False
     unanswered_flows: int = 0
     unanswered_queries: int = 0
+    _heartbeat_at: float = 0.0
     _queried_at: float | None = None  # the last query without an answer yet
     _unanswered_since: float = 0.0
     _silences_by_observer: dict[str, _Silence] = field(default_factory=dict)
@@ -73,6 +77,16 @@
         """Record a heartbeat, which makes the balancer an observer of the target."""
         self.record_frame(now=now)
         self.is_observed = True
+        self._heartbeat_at = now
+
+    def record_reply(self, *, now: float) -> None:
+        """Record the answer to a query.
+
+        An agent that answers while its heartbeats are late sends them elsewhere.
+        """
+        self.record_frame(now=now)
+        if now - self._heartbeat_at > LATE_HEARTBEAT_SECONDS:
+            self.is_observed = False
 
     # Queries
 
@@ -106,7 +120,7 @@
             return True
         if self._silences_by_observer and self._silence_times():
             return True  # One observer isn't enough to suspect the target.
-        return self.is_suspected(now=now)
+        return self._is_heartbeat_late(now=now) or self.is_suspected(now=now)
 
     def is_query_due(self, *, now: float) -> bool:
         """Return whether the agent has sent no frame here for long."""
@@ -114,6 +128,11 @@
             return False
         return self.received_at is None or now - self.received_at > VERIFY_SECONDS
 
+    def _is_heartbeat_late(self, *, now: float) -> bool:
+        if not self.is_observed or self.received_at is None:
+            return False
+        return now - self.received_at > LATE_HEARTBEAT_SECONDS
+
     @property
     def last_word_at(self) -> float:
         """When the agent was last queried, or else last sent a frame here."""
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -30,9 +30,11 @@
 ALONE_SECONDS = 4.0
 NAMED_BALANCERS = 6  # an agent sends heartbeats to the first few that it reaches
 # A balancer whose rounds of gossip are further apart was paused, and one that receives
-# no frame for so long is cut off. What it knew before may be outdated.
+# no frame for so long is cut off. It must not conclude from missed heartbeats that an
+# agent has ended.
 MAX_ROUND_SECONDS = 2.5
 CONTACT_SECONDS = 2.0
+SETTLE_SECONDS = 2.0  # after a pause; late agents are queried first
 
 
 class Membership:
@@ -74,6 +76,7 @@
         self._contact_at = started_at  # when a frame of another process last arrived
         self._round_at = started_at
         self._resumed_at = started_at
+        self._settled_at = started_at
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
@@ -277,12 +280,14 @@
         """Report observed silences, and remove targets that have ended."""
         if now - self._round_at > MAX_ROUND_SECONDS:
             self._resumed_at = now
+            self._settled_at = now + SETTLE_SECONDS
         self._round_at = now
-        own = self.peers.own
-        for silence in self.table.changed_silences(
-            observer=own.name, observer_epoch=own.epoch, now=now
-        ):
-            self.peers.queue_update(silence)
+        if now >= self._settled_at and now - self._contact_at <= CONTACT_SECONDS:
+            own = self.peers.own
+            for silence in self.table.changed_silences(
+                observer=own.name, observer_epoch=own.epoch, now=now
+            ):
+                self.peers.queue_update(silence)
         self.belief_changes += self.table.remove_expired(now=now)
 
     def _queries(self, *, only_new: bool, now: float) -> list[ToAgent]:
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -198,6 +198,7 @@
         entry = self._entries_by_name.get(record.name)
         if entry is None or entry.record.rank != record.rank:
             return
+        entry.evidence.record_reply(now=now)
         self.record_load(record.name, load, now=now)
 
     def record_load(self, name: str, load: LoadReport, *, now: float) -> None:
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -206,9 +206,9 @@
 ):
     """Reports that a balancer, the observer, misses an agent's heartbeats.
 
-    If ``silent`` is false, the observer receives them again. Of two reports of an
-    observer the one with the larger ``rank`` is valid. Older builds leave out the
-    observer's epoch and the number.
+    If ``silent`` is false, the observer receives them again, or the agent has selected
+    another observer. Of two reports of an observer the one with the larger ``rank`` is
+    valid. Older builds leave out the observer's epoch and the number.
     """
 
     name: Name
--- a/tests/balancer/test_evidence.py
+++ b/tests/balancer/test_evidence.py
@@ -6,13 +6,18 @@
 import msgspec
 
 from monsoonpier.balancer.evidence import (
+    RETRY_SECONDS,
+    SUSPECT_SECONDS,
     UNANSWERED_QUERIES_LIMIT,
     VERIFY_SECONDS,
 )
+from monsoonpier.balancer.membership import MAX_ROUND_SECONDS, SETTLE_SECONDS
 from monsoonpier.balancer.table import MAX_QUERIES, MAX_ROUTINE_QUERIES
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.wire.frames import (
+    Announce,
     Gossip,
+    Heartbeat,
     RecordQuery,
     RecordReply,
     SilenceReport,
@@ -183,3 +188,57 @@
             self.gossip(records=(unconfirmed,), now=NOW)
         sent = len(self.queried(now=NOW + 1))
         self.assertLessEqual(sent, MAX_QUERIES + MAX_ROUTINE_QUERIES)
+
+
+class ObserverTests(unittest.TestCase):
+    """An observer that gets no more heartbeats queries the agent before it reports."""
+
+    def setUp(self) -> None:
+        self.node = balancer()
+        self.draw = random.Random(1)
+        self.target = record("maps-1", condition=Condition.SERVING)
+        self.receive(Announce(record=self.target), now=NOW)
+        self.load = LoadReport(number=1, condition=Condition.SERVING)
+        beat = Heartbeat(name="maps-1", epoch=1, change=0, load=self.load)
+        self.receive(beat, now=NOW)
+        self.node.membership.gossip_round(now=NOW, draw=self.draw)
+
+    def receive(self, frame, *, now: float) -> None:
+        """Receive a frame of the agent."""
+        self.node.from_process(frame, sender=AGENT, now=now, draw=self.draw)
+
+    def rounds(self, *, start: float, end: float, is_answering: bool) -> None:
+        """Run a round of gossip a second; some frame arrives before each."""
+        now = start
+        while now < end:
+            self.receive(RecordQuery(name="any"), now=now)
+            for action in self.node.membership.gossip_round(now=now, draw=self.draw):
+                if is_answering and isinstance(action.frame, RecordQuery):
+                    reply = RecordReply(record=self.target, load=self.load)
+                    self.receive(reply, now=now + RETRY_SECONDS / 10)
+            now += 1.0
+
+    def has_reported(self) -> bool:
+        """Return whether this balancer has reported the agent as silent."""
+        (entry,) = self.node.table._entries_by_name.values()
+        return entry.evidence.has_reported_silence("b1")
+
+    def test_agent_that_ended(self):
+        """It is reported within the seconds that a suspicion takes."""
+        end = NOW + SUSPECT_SECONDS + 2
+        self.rounds(start=NOW + 1, end=end, is_answering=False)
+        self.assertTrue(self.has_reported())
+
+    def test_agent_that_selected_another_observer(self):
+        """It answers, and is not reported."""
+        self.rounds(start=NOW + 1, end=NOW + 60, is_answering=True)
+        self.assertFalse(self.has_reported())
+
+    def test_observer_that_was_paused(self):
+        """It reports nothing before it has had time to ask."""
+        resumed = NOW + MAX_ROUND_SECONDS + 30
+        self.rounds(start=resumed, end=resumed + SETTLE_SECONDS, is_answering=False)
+        self.assertFalse(self.has_reported())
+        later = resumed + SETTLE_SECONDS
+        self.rounds(start=later, end=later + 2, is_answering=False)
+        self.assertTrue(self.has_reported())
