Keep the private state of Evidence out of its constructor

Cause: a caller could have set the time of a query or the reports of observers when constructing it; nobody did. The fields are init=False. No change of behaviour; the tests of evidence and of the order of reports pass.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -58,10 +58,11 @@
     was_suspected: bool = False
     unanswered_flows: int = 0
     unanswered_queries: int = 0
-    _heartbeat_at: float = 0.0
-    _queried_at: float | None = None  # the last query without an answer yet
-    _unanswered_since: float = 0.0
-    _silences_by_observer: dict[str, _Silence] = field(default_factory=dict)
+    _heartbeat_at: float = field(default=0.0, init=False)
+    # When the last query without an answer yet was sent.
+    _queried_at: float | None = field(default=None, init=False)
+    _unanswered_since: float = field(default=0.0, init=False)
+    _silences_by_observer: dict[str, _Silence] = field(default_factory=dict, init=False)
 
     # Frames of the agent
 
