--- a/tests/balancer/test_evidence.py
+++ b/tests/balancer/test_evidence.py
@@ -178,6 +178,14 @@
         self.answer(self.target, now=NOW + 5.1)
         self.assertTrue(self.is_offered(now=NOW + 20))
 
+    def test_recent_frame_outweighs_later_reports(self):
+        """Reports just after a frame of the agent don't make its target suspected."""
+        self.answer(self.target, now=NOW)
+        for observer in ("b2", "b3"):
+            self.gossip(silences=(report(observer=observer),), now=NOW + 1)
+        self.assertTrue(self.is_offered(now=NOW + 1.5))
+        self.assertFalse(self.is_offered(now=NOW + SUSPECT_SECONDS + 0.1))
+
     def test_queries_are_bounded(self):
         """Of many targets a round queries a few."""
         for number in range(200):
@@ -207,16 +215,22 @@
         """Receive a frame of the agent."""
         self.node.from_process(frame, sender=AGENT, now=now, draw=self.draw)
 
-    def rounds(self, *, start: float, end: float, is_answering: bool) -> None:
-        """Run a round of gossip a second; some frame arrives before each."""
+    def rounds(self, *, start: float, end: float, is_answering: bool) -> int:
+        """Run a round of gossip a second; return how many queries were sent.
+
+        Some frame arrives before each round.
+        """
         now = start
+        queries = 0
         while now < end:
             self.receive(RecordQuery(name="any"), now=now)
             for action in self.node.membership.gossip_round(now=now, draw=self.draw):
+                queries += isinstance(action.frame, RecordQuery)
                 if is_answering and isinstance(action.frame, RecordQuery):
                     reply = RecordReply(record=self.target, load=self.load)
                     self.receive(reply, now=now + RETRY_SECONDS / 10)
             now += 1.0
+        return queries
 
     def has_reported(self) -> bool:
         """Return whether this balancer has reported the agent as silent."""
@@ -234,6 +248,12 @@
         self.rounds(start=NOW + 1, end=NOW + 60, is_answering=True)
         self.assertFalse(self.has_reported())
 
+    def test_agent_is_not_queried_for_ever(self):
+        """The balancer is no longer an observer after the answer."""
+        self.rounds(start=NOW + 1, end=NOW + 10, is_answering=True)
+        queries = self.rounds(start=NOW + 10, end=NOW + 25, is_answering=True)
+        self.assertEqual(queries, 0)
+
     def test_observer_that_was_paused(self):
         """It reports nothing before it has had time to ask."""
         resumed = NOW + MAX_ROUND_SECONDS + 30
