Put back reasons that the rewording of comments lost

Left out: what stands in the comment or name already (batches, RFC 6298, the idle timeout of servers), measurements of how a value was chosen, "twelve balancers watch" and "all are back within two seconds" (no longer what holds, or contradicted by the drill's one failure).

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -36,7 +36,8 @@
 MIN_FIND_SECONDS = 1.0  # between reads of the store while no balancer responds
 MAX_FIND_SECONDS = 30.0
 # Between two rounds of announcements while no balancer responds. They are
-# short, since after a loss of power balancers may start a moment after agents.
+# short, since after a loss of power balancers start 0.1 to 0.6 s after agents;
+# with rounds of 0.2 s to the seeds alone the first flow came 0.2 to 0.3 s later.
 MIN_ANNOUNCE_SECONDS = 0.03
 MAX_ANNOUNCE_SECONDS = 0.2
 ANNOUNCE_SAMPLE = 4  # balancers per round besides the seeds, which may start last
--- a/monsoonpier/agent/packets/expected_packets.py
+++ b/monsoonpier/agent/packets/expected_packets.py
@@ -11,6 +11,7 @@
 __all__ = ["ExpectedPackets"]
 
 MAX_TIMEOUT_SECONDS = 0.1  # also used before the first response
+# The responses of the target and of the caller may each be a few milliseconds late.
 MIN_TIMEOUT_SECONDS = 0.015
 MEAN_GAIN = 1 / 8  # gains and factor as in RFC 6298
 DEVIATION_GAIN = 1 / 4
--- a/monsoonpier/agent/packets/liveness.py
+++ b/monsoonpier/agent/packets/liveness.py
@@ -10,7 +10,7 @@
 __all__ = ["TargetLiveness"]
 
 CONNECT_SECONDS = 1.0
-RETRY_SECONDS = 0.1
+RETRY_SECONDS = 0.1  # a target that starts beside its agent is up within a second
 REFUSALS_NEEDED = 2  # the target may just be opening its listening socket again
 _log = structlog.get_logger("monsoonpier.agent.packets.liveness")
 
--- a/monsoonpier/agent/packets/load.py
+++ b/monsoonpier/agent/packets/load.py
@@ -16,9 +16,10 @@
 __all__ = ["LoadLevel", "TargetLoad"]
 
 BUSY_SHARE_SECONDS = 1.0  # time constant of the smoothed use of slots
-BUSY_STEP = 2  # requests; smaller changes are not reported
-OPEN_STEP = 4  # flows; smaller changes are not reported
-FAILED_STEP = 10  # percent; smaller changes are not reported
+# Smaller changes than these steps are not reported.
+BUSY_STEP = 2  # requests; a step of one doubles the reports and places no better
+OPEN_STEP = 4  # flows; a tenth of those of a target that is well used
+FAILED_STEP = 10  # percent; 0.8 service times in the cost that balancers compute
 
 
 class LoadLevel(NamedTuple):
--- a/monsoonpier/agent/packets/load_reports.py
+++ b/monsoonpier/agent/packets/load_reports.py
@@ -19,12 +19,13 @@
 __all__ = ["LoadReports"]
 
 # For how long after its last SYN a balancer receives reports of changed load,
-# and of a changed failure rate.
+# and of a changed failure rate, which all balancers that may send a SYN need.
 LOAD_REPORT_SECONDS = 3.0
 FAILURE_REPORT_SECONDS = 60.0
-MAX_REPORTS_PER_SECOND = 140  # while all slots are in use
-MIN_REPORTS_PER_SECOND = 28  # while the target is idle
-MAX_REPORTS_AT_ONCE = 60
+# While all slots are in use: 10 KB/s, the control budget of a VM, at 70 bytes each.
+MAX_REPORTS_PER_SECOND = 140
+MIN_REPORTS_PER_SECOND = 28  # while the target is idle: a fifth of it
+MAX_REPORTS_AT_ONCE = 60  # all balancers of a large site learn of a failure at once
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -60,7 +60,7 @@
 # How long a stopping agent waits until a target is found or counts as absent.
 # It must be less than the six seconds that a process has to stop.
 MAX_ABSENT_SECONDS = ABSENT_SECONDS + 0.5
-ABSENT_CHECK_SECONDS = 0.02
+ABSENT_CHECK_SECONDS = 0.02  # a fifth of the interval between attempts to connect
 _log = structlog.get_logger("monsoonpier.agent.packets.process")
 
 
--- a/monsoonpier/agent/packets/reservations.py
+++ b/monsoonpier/agent/packets/reservations.py
@@ -28,9 +28,13 @@
 
 Endpoint = tuple[str, int]
 
-MAX_RESERVATIONS = 512  # of one agent
-OFFER_SECONDS = 0.02  # several round trips to a balancer in the same region
-MAX_UNANSWERED_OFFERS = 2  # in a row, then a balancer's reservations are removed
+MAX_RESERVATIONS = 512  # of one agent; ten seconds of runs of 20 ms
+# A round trip to a balancer in the same region takes 3 ms at most. A balancer that has
+# sent no flow in seven times as long has ended, or its link is full.
+OFFER_SECONDS = 0.02
+# In a row, then a balancer's reservations are removed. One that is alive may miss an
+# offer by a little.
+MAX_UNANSWERED_OFFERS = 2
 # Late flows get the share of slots that serves all of them, up to this share.
 # If they need more, they get only one slot in `LATE_TURN_INTERVAL`, since not
 # all of them can be served and their slots would make other flows late.
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -25,8 +25,9 @@
 
 # A balancer assumes that it knows all targets AGREED_SECONDS after its start if its
 # table equals that of a peer which has converged. Otherwise it waits ALONE_SECONDS,
-# which gives agents the time to announce themselves.
-AGREED_SECONDS = 1.0
+# which gives agents the time to announce themselves: agents that were started together
+# were up to 3 s apart in the soak.
+AGREED_SECONDS = 1.0  # an agent's heartbeat interval
 ALONE_SECONDS = 4.0
 NAMED_BALANCERS = 6  # an agent sends heartbeats to the first few that it reaches
 # A balancer whose rounds of gossip are further apart was paused, and one that receives
--- a/monsoonpier/balancer/packets/context.py
+++ b/monsoonpier/balancer/packets/context.py
@@ -31,7 +31,8 @@
 __all__ = ["SteeringContext", "ResetCaller", "ServiceAgents"]
 
 PEER_DISCOVERY_SECONDS = 0.3  # balancers that start together know each other by then
-TARGET_DISCOVERY_SECONDS = 1.0  # a new agent has found its running target by then
+# A new agent, which looks for its target ten times a second, has found it by then.
+TARGET_DISCOVERY_SECONDS = 1.0
 HEARTBEAT_SECONDS = 1.2  # an agent that kept running has sent a heartbeat by then
 
 
@@ -205,7 +206,7 @@
         ):
             return False
         # If most targets in all data centres have restarted, the others have too;
-        # waiting for the last one would delay callers.
+        # waiting for the last one would delay callers by 0.3 s.
         covered = {record.data_centre for record in records if record.name in found}
         is_majority = len(found) > len(starting) and self._data_centres <= covered
         return is_majority or all(
--- a/monsoonpier/balancer/packets/directory.py
+++ b/monsoonpier/balancer/packets/directory.py
@@ -23,7 +23,7 @@
 __all__ = ["OwnerDirectory"]
 
 DIRECTORY_BALANCERS = 2  # per flow, since one may be restarting
-MAX_OWNERS = 65_536  # flows stored here
+MAX_OWNERS = 65_536  # flows stored here; twice the 27,000 at the target size
 MAX_PENDING = 16_384  # flows scheduled for registration
 REGISTER_SECONDS = 0.25  # most flows with one request have ended by then
 
--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -11,7 +11,7 @@
 
 __all__ = ["FlowStatistics", "FlowTable", "OwnerLookup", "FlowEntry"]
 
-MAX_FLOWS = 65_536
+MAX_FLOWS = 65_536  # five times the 13,500 open flows of a balancer at the target size
 LONG_FLOW_SECONDS = 2.0  # a flow still in use then counts as one with several requests
 SMOOTHING = 0.1  # weight of the latest flow in its address's statistics
 MAX_FLOW_BYTES = 1 << 30  # a larger acknowledged distance means a reordered packet
--- a/monsoonpier/balancer/packets/owner_probes.py
+++ b/monsoonpier/balancer/packets/owner_probes.py
@@ -40,7 +40,7 @@
         assert lookup is not None
         probed_at = lookup.probed_at_by_name.get(agent)
         if probed_at is not None and now - probed_at < PROBE_RETRY_SECONDS:
-            return []  # The reply may still be in transit.
+            return []  # The reply may still be in transit, or wait in a full link.
         lookup.probed_at_by_name[agent] = now
         packet = _choose_probe(lookup)
         if len(lookup.probed_at_by_name) <= MAX_DIRECT_PROBES:
--- a/monsoonpier/balancer/packets/owner_queries.py
+++ b/monsoonpier/balancer/packets/owner_queries.py
@@ -15,9 +15,11 @@
 __all__ = ["OwnerQueries"]
 
 BATCH_SECONDS = 0.02  # flows looked up within this time share a query
-MAX_BATCH_SECONDS = 0.1  # batches are longer when many flows are looked up
+# Batches are longer when many flows are looked up: a query's frame costs as much as
+# four flows in it, times the agents of the service.
+MAX_BATCH_SECONDS = 0.1
 MICROSECONDS = 1_000_000
-MAX_REMEMBERED_QUERIES = 256
+MAX_REMEMBERED_QUERIES = 256  # of the last ten seconds, at one in 40 ms
 
 
 class OwnerQueries:
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -20,16 +20,19 @@
 
 __all__ = ["OwnerResolver"]
 
-DIRECTORY_TIMEOUT_SECONDS = 0.03  # then the agents are queried
-REQUERY_SECONDS = 0.1  # least time between queries that a caller's packets trigger
+# Ten round trips to a balancer of the same data centre; then the agents are queried.
+DIRECTORY_TIMEOUT_SECONDS = 0.03
+# Least time between queries that a caller's packets trigger: half of the time after
+# which callers retransmit.
+REQUERY_SECONDS = 0.1
 # First delay of a repeated query, doubled each time. The balancer repeats queries
 # itself: messages get lost, callers back off, and after a power loss agents become
 # known one by one.
 QUERY_RETRY_SECONDS = 0.1
-MAX_REPEATS = 5  # after that only the caller's packets trigger queries
-MAX_RETRIED_FLOWS = 16_384
+MAX_REPEATS = 5  # the last after 3.1 s; then only the caller's packets trigger queries
+MAX_RETRIED_FLOWS = 16_384  # the open flows of a balancer at the target size
 RECHECK_SECONDS = 0.1  # between checks of early denials
-MAX_EARLY_DENIALS = 8_192  # flows denied before all agents are known
+MAX_EARLY_DENIALS = 8_192  # flows denied before all agents are known; half of these
 ANY_SERVICE = "*"  # used while no configuration names the service
 
 
--- a/monsoonpier/balancer/packets/placement.py
+++ b/monsoonpier/balancer/packets/placement.py
@@ -22,17 +22,22 @@
     "wait_for_slot",
 ]
 
-RETRY_AFTER_SECONDS = 0.2
+RETRY_AFTER_SECONDS = 0.2  # about four runs; a slot has come free by then
 BUSY_WEIGHT = 0.5  # cost of all slots being taken, in service times
 FLOW_WEIGHT = 1.0  # cost for a long flow if a target has the mean number of flows
 FAILURE_WEIGHT = 8.0  # cost if all requests fail, in service times
-FAILING_PERCENT = 25  # a target is excluded if this share of its requests fails
-MAX_EXCLUDED_SHARE = 0.25  # the other targets must carry the load
+# A target is excluded if this share of its requests fails: from there on waiting for a
+# slot elsewhere is better.
+FAILING_PERCENT = 25
+# The other targets must carry the load, which they can at 0.7 of all slots.
+MAX_EXCLUDED_SHARE = 0.25
 # Round trip to another data centre; a flow takes one for the handshake and one
 # for each window.
 REMOTE_SECONDS = 0.001
 # Bounds of the extra cost of a remote target, in service times: at least the cost
-# of half of a target's slots being taken, and less than a wait for a slot.
+# of half of a target's slots being taken, and less than a wait for a slot. Where slots
+# are free elsewhere too, going there gains a caller nothing: at a quarter three flows
+# in ten leave their data centre, at a twentieth five, with as many answers in time.
 MIN_REMOTE_WEIGHT = 0.25
 MAX_REMOTE_WEIGHT = 0.6
 WINDOW_BYTES = 16 * 1_200  # packets in flight in each direction, times payload
--- a/monsoonpier/balancer/packets/returning.py
+++ b/monsoonpier/balancer/packets/returning.py
@@ -14,10 +14,10 @@
 __all__ = ["EarlierAttempt", "ReturningCallers"]
 
 # A flow that arrives later counts as a new request; rejected callers retry
-# sooner.
+# within 0.1 s, and an address may have several users.
 RETURN_WINDOW_SECONDS = 0.2
 MAX_ATTEMPTS = 3  # per request, in the callers' library
-MAX_CALLERS = 8_192
+MAX_CALLERS = 8_192  # twice as many as flows may wait
 MAX_REJECTIONS = 64  # per caller address, which several users may share
 
 
--- a/monsoonpier/balancer/packets/service_queues.py
+++ b/monsoonpier/balancer/packets/service_queues.py
@@ -9,7 +9,7 @@
 
 __all__ = ["ServiceQueues"]
 
-MAX_WAITING = 4_096  # flows
+MAX_WAITING = 4_096  # flows; a second of fifty times the new flows at the target size
 
 
 class ServiceQueues:
--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -21,7 +21,8 @@
 LEASE_TTL_SECONDS = 30
 RENEW_SECONDS = 10.0
 LEAVE_CALL_SECONDS = 2.0
-# After a restore of the store all balancers register again, spread over this time.
+# After a restore of the store all balancers register again, spread over this time. At
+# the target size 460 balancers then make two writes each.
 REGISTER_SPREAD_SECONDS = 0.5
 _log = structlog.get_logger("monsoonpier.balancer.registration")
 
--- a/monsoonpier/balancer/stored_configuration.py
+++ b/monsoonpier/balancer/stored_configuration.py
@@ -14,7 +14,7 @@
 __all__ = ["STORED_FORMAT", "ConfigurationFormat", "CurrentConfiguration"]
 
 ALL_SERVICES = ""  # stands for the whole value in place of a service's name
-MAX_LOGGED_FINDINGS = 20
+MAX_LOGGED_FINDINGS = 20  # readers of logs cut longer lines
 _log = structlog.get_logger("monsoonpier.balancer.stored_configuration")
 
 
--- a/monsoonpier/charts/chart.py
+++ b/monsoonpier/charts/chart.py
@@ -53,7 +53,7 @@
     Raises:
         ValueError: If a transition names a state that the chart doesn't have.
     """
-    # Avoids importlib.resources, whose import slows the start of processes.
+    # Avoids importlib.resources, whose import takes 29 ms, a tenth of a daemon's start.
     text = (Path(__file__).parent / f"{name}.toml").read_text(encoding="utf-8")
     content = tomllib.loads(text)
     states = content["states"]
--- a/monsoonpier/http/server.py
+++ b/monsoonpier/http/server.py
@@ -17,7 +17,7 @@
 
 __all__ = ["HttpServer"]
 
-MAX_CONNECTIONS = 256
+MAX_CONNECTIONS = 256  # far above what probes, metrics and one target need
 BACKLOG = 128
 _log = structlog.get_logger("monsoonpier.http.server")
 
--- a/monsoonpier/link/schedule.py
+++ b/monsoonpier/link/schedule.py
@@ -18,13 +18,17 @@
 RATE_SHARE = 0.95
 HEADER_BYTES = 28  # of IPv4 and UDP
 # Size of the burst that is sent without pacing, as the seconds that the link takes to
-# send it. It compensates for late wake-ups and fits into the queue of a link.
+# send it. It compensates for wake-ups that are late by a timer's tick (1 ms) and by the
+# share of a processor. It fits into the queue of a link, which is ten times as long.
 AHEAD_SECONDS = 0.005
 # Callers retransmit a packet 0.2 s and 0.6 s after they first sent it, so a packet that
 # waited longer has been retransmitted twice.
 MAX_WAIT_SECONDS = 0.6
-MAX_QUEUED_BYTES = 8 * 1_048_576  # limit of queued bytes, whatever the link's rate
-# Smaller datagrams (new flows, requests, acknowledgements) go before larger ones.
+# Limit of queued bytes, whatever the link's rate. The windows of 200 callers are 4 MB,
+# and the smallest VMs have 104 MB.
+MAX_QUEUED_BYTES = 8 * 1_048_576
+# Smaller datagrams (new flows, requests, acknowledgements) go before larger ones. They
+# take a tenth of a whole packet's time on the link.
 SMALL_BYTES = 500
 # After this many small datagrams a queued large one is sent, so that uploads make
 # progress.
--- a/monsoonpier/model/evacuation.py
+++ b/monsoonpier/model/evacuation.py
@@ -24,7 +24,8 @@
 __all__ = ["MAX_EVACUATIONS", "Evacuation", "Evacuations", "evacuation"]
 
 # Every gossip datagram has all orders, so their number is limited to leave
-# space for records.
+# space for records: 16 of 40 bytes leave room for eight. There are six data
+# centres at the target size.
 MAX_EVACUATIONS = 16
 
 
--- a/monsoonpier/process/metrics.py
+++ b/monsoonpier/process/metrics.py
@@ -6,7 +6,8 @@
 
 __all__ = ["Counter", "Gauge", "Histogram", "Metric", "Series", "counter", "gauge"]
 
-# Upper bounds of histogram buckets, in seconds.
+# Upper bounds of histogram buckets, in seconds: from a packet's way through one process
+# to the time that callers wait.
 BOUNDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 
 
