Believe peers for ten seconds after a start

Likely cause: a balancer believed its peers only until its table agreed with that of a converged peer, a second after its start. After a loss of power most targets become known after that, by gossip, and each was offered up to 0.1 s and a round trip later than before, at every balancer that its agent had not announced itself to.

A balancer now believes its peers for 10 s after its start, and queries what it has learned with the next round as before; a target that ended and that a paused peer reports then is suspected three queries later.

--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -36,6 +36,9 @@
 MAX_ROUND_SECONDS = 2.5
 CONTACT_SECONDS = 2.0
 SETTLE_SECONDS = 2.0  # after a pause; late agents are queried first
+# A balancer that has just started believes records from peers while it queries the
+# agents. After a loss of power most targets become known within this time.
+TRUST_SECONDS = 10.0
 
 
 class Membership:
@@ -147,7 +150,7 @@
                 self.has_updates = True  # Queries are sent with the next round.
 
     def _learn_from_peer(self, record: TargetRecord, *, now: float) -> bool:
-        is_starting = not self.is_converged(now=now)
+        is_starting = now - self.started_at < TRUST_SECONDS
         return self.table.learn_from_peer(record, is_starting=is_starting, now=now)
 
     def _ack(
--- a/tests/balancer/test_evidence.py
+++ b/tests/balancer/test_evidence.py
@@ -11,7 +11,11 @@
     UNANSWERED_QUERIES_LIMIT,
     VERIFY_SECONDS,
 )
-from monsoonpier.balancer.membership import MAX_ROUND_SECONDS, SETTLE_SECONDS
+from monsoonpier.balancer.membership import (
+    MAX_ROUND_SECONDS,
+    SETTLE_SECONDS,
+    TRUST_SECONDS,
+)
 from monsoonpier.balancer.table import MAX_QUERIES, MAX_ROUTINE_QUERIES
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.wire.frames import (
@@ -111,9 +115,12 @@
 
     def test_starting_balancer_trusts_a_peer(self):
         """A balancer that has just started offers what its peers know."""
-        self.gossip(records=(self.target,), now=0.5)
-        self.assertTrue(self.is_offered(now=0.5))
-        self.assertEqual(self.queried(now=0.5), ["maps-1"])
+        for seconds in (0.5, TRUST_SECONDS - 0.1):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.gossip(records=(self.target,), now=seconds)
+                self.assertTrue(self.is_offered(now=seconds))
+                self.assertEqual(self.queried(now=seconds), ["maps-1"])
 
     def test_tombstone_of_an_unknown_target(self):
         """It isn't kept, so that it can't circulate."""
