--- a/monsoonpier/platform/__main__.py
+++ b/monsoonpier/platform/__main__.py
@@ -10,9 +10,8 @@
     # SIGHUP reports changed settings. Until the daemon installs its own handler, the
     # default action of the signal would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Imports create many objects but little garbage, so garbage collection only
-    # slows the start: by 22 of the 250 ms of processor time that an agent's imports
-    # need. The daemon enables it again.
+    # Imports create many objects but little garbage, so garbage collection only slows
+    # the start, by 22 of 250 ms of processor time. The daemon enables it again.
     gc.disable()
     from monsoonpier.platform.daemons import main
 
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -36,8 +36,7 @@
 # Longest wait of one watch call. If its response is lost, the watch misses changes
 # for this long; a new configuration must take effect within 3 s.
 WATCH_SECONDS = 2.0
-# For the response after WATCH_SECONDS: three times that of a store 60 times slower.
-WATCH_SLACK_SECONDS = 0.75
+WATCH_SLACK_SECONDS = 0.75  # three times the response of a store 60 times slower
 _PATH = "/monsoonpier/"
 # Sent in all responses; increases at each restore from a backup.
 _GENERATION_HEADER = "store-era"
