Gossip the updates first that were sent least often

What callers saw: after the loss of a data centre, new flows went to targets that had ended, for a minute and longer, each lost until a balancer had missed two of its own answers.

The same 16 reports of silence were in 8 to 12 messages before the next 16 were sent, what was sent often enough was removed at the head only and repeated behind it, the records of the start kept the head for minutes, and a round that is sent at once was followed by another only if new reports had arrived.

An update waits in the order in which others were sent, a newer one replaces it, and rounds are sent at once while reports of silence wait. Records needn't be: a missing one shows in the digest.

--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -278,6 +278,8 @@
             self._gossip_to(peer.endpoint, is_answer=False, now=now, draw=draw)
             for peer in self.peers.pick_for_round(now=now, draw=draw, eager=eager)
         ]
+        if gossip and self.peers.has_silences:
+            self.has_updates = True
         return gossip + self._queries(only_new=eager, now=now)
 
     def _review_targets(self, *, now: float) -> None:
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -2,11 +2,11 @@
 
 import math
 import random
-from collections import deque
 from dataclasses import dataclass
 
 import msgspec
 
+from monsoonpier.balancer.update_queue import UpdateQueue
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.model.rendezvous import top
 from monsoonpier.model.target import TargetRecord
@@ -25,7 +25,6 @@
 UNANSWERED_LIMIT = 4  # unanswered rounds after which a peer is excluded
 EXCLUDED_SECONDS = 30.0
 EXTRA_ROUNDS = 3  # rounds that carry an update, beyond log2 of the number of peers
-MAX_UPDATES = 4_096
 INTRODUCED_PEERS = 1  # other balancers named in each gossip datagram
 # Balancers that watch the platform, over all data centres. Of three, one may be down
 # and another may wait for a lost answer. Each data centre has at least one, so that
@@ -41,19 +40,14 @@
     excluded_until: float = 0.0
 
 
-@dataclass(slots=True, kw_only=True)
-class _Update:
-    item: TargetRecord | SilenceReport
-    rounds: int  # messages that still have to carry it
-
-
 class Peers:
     """Known balancers by name, and the updates to gossip. Does no I/O."""
 
     def __init__(self, *, own: BalancerRecord) -> None:
         self._own = own
         self._peers_by_name: dict[str, _Peer] = {}
-        self._updates: deque[_Update] = deque(maxlen=MAX_UPDATES)
+        self._records: UpdateQueue[TargetRecord] = UpdateQueue()
+        self._silences: UpdateQueue[SilenceReport] = UpdateQueue()
         self._newer_record_of_peer: BalancerRecord | None = None
 
     @property
@@ -122,8 +116,20 @@
 
     def queue_update(self, item: TargetRecord | SilenceReport) -> None:
         """Queue an update for the next rounds of gossip."""
-        rounds = len(self._peers_by_name).bit_length() + EXTRA_ROUNDS
-        self._updates.append(_Update(item=item, rounds=rounds))
+        match item:
+            case TargetRecord():
+                self._records.add(item.name, item)
+            case SilenceReport():
+                self._silences.add((item.name, item.observer), item)
+
+    @property
+    def has_silences(self) -> bool:
+        """Whether reports of silence still have to be gossiped.
+
+        Nothing but gossip brings them to a peer that missed them, whereas a missing
+        record shows in the digest.
+        """
+        return len(self._silences) > 0
 
     def pick_for_round(
         self, *, now: float, draw: random.Random, eager: bool = False
@@ -210,20 +216,10 @@
         self,
     ) -> tuple[tuple[TargetRecord, ...], tuple[SilenceReport, ...]]:
         """Return the updates for one message; remove those sent often enough."""
-        records: list[TargetRecord] = []
-        silences: list[SilenceReport] = []
-        for update in self._updates:
-            match update.item:
-                case TargetRecord() as item if len(records) < MAX_RECORDS:
-                    records.append(item)
-                case SilenceReport() as item if len(silences) < MAX_SILENCES:
-                    silences.append(item)
-                case _:
-                    continue
-            update.rounds -= 1
-        while self._updates and self._updates[0].rounds <= 0:
-            self._updates.popleft()
-        return tuple(records), tuple(silences)
+        max_sent = len(self._peers_by_name).bit_length() + EXTRA_ROUNDS
+        records = self._records.take(room=MAX_RECORDS, max_sent=max_sent)
+        silences = self._silences.take(room=MAX_SILENCES, max_sent=max_sent)
+        return records, silences
 
     def _build_message(self, *, draw: random.Random, **content) -> Gossip:
         """Return a message with ``content`` and the records of some peers."""
