Report silence in batches

Cause: a report takes some 40 bytes, and a message carried 16. The loss of a sixth of 4,800 targets makes 2,400 reports: 1 MB a balancer if each is in 12 messages.

An observer's reports of one moment are one update now: its name, epoch and first number, and eight bytes for each agent process. Order and meaning are those of numbered reports. Observers also send their own reports one by one, for peers of older builds; these are marked, so that builds that read batches don't count or relay them.

--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
@@ -18,6 +20,7 @@
     HeartbeatAck,
     RecordQuery,
     RecordReply,
+    SilenceBatch,
     SilenceReport,
 )
 
@@ -224,8 +227,11 @@
             if self._learn_from_peer(record, now=now):
                 self._queue_update(record)
         for silence in frame.silences:
-            if self.table.record_silence(silence, now=now):
+            if not silence.is_batched and self.table.record_silence(silence, now=now):
                 self._queue_update(silence)
+        for batch in frame.batches:
+            if self.table.record_batch(batch, now=now):
+                self._queue_update(batch)
         actions: list = []
         if not frame.is_answer:
             actions.append(
@@ -290,10 +296,16 @@
         self._round_at = now
         if now >= self._settled_at and now - self._contact_at <= CONTACT_SECONDS:
             own = self.peers.own
-            for silence in self.table.changed_silences(
+            silences = self.table.changed_silences(
                 observer=own.name, observer_epoch=own.epoch, now=now
-            ):
-                self.peers.queue_update(silence)
+            )
+            for batch in self.table.batched(silences):
+                self.peers.queue_update(batch)
+            for silence in silences:
+                # For peers of older builds, which don't read batches.
+                self.peers.queue_update(
+                    msgspec.structs.replace(silence, is_batched=True)
+                )
         self.belief_changes += self.table.remove_expired(now=now)
 
     def _queries(self, *, only_new: bool, now: float) -> list[ToAgent]:
@@ -313,7 +325,7 @@
             for record in queried
         ]
 
-    def _queue_update(self, item: TargetRecord | SilenceReport) -> None:
+    def _queue_update(self, item: TargetRecord | SilenceReport | SilenceBatch) -> None:
         self.peers.queue_update(item)
         self.has_updates = True
 
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from monsoonpier.balancer.silence_batches import batch_bytes
 from monsoonpier.balancer.update_queue import UpdateQueue
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.model.rendezvous import top
@@ -15,6 +16,7 @@
     MAX_SILENCES,
     BalancerRecord,
     Gossip,
+    SilenceBatch,
     SilenceReport,
 )
 
@@ -25,6 +27,8 @@
 UNANSWERED_LIMIT = 4  # unanswered rounds after which a peer is excluded
 EXCLUDED_SECONDS = 30.0
 EXTRA_ROUNDS = 3  # rounds that carry an update, beyond log2 of the number of peers
+# The batches of reports in a message, beside 16 reports or 8 records of 100 bytes each.
+MAX_BATCH_BYTES = 600
 INTRODUCED_PEERS = 1  # other balancers named in each gossip datagram
 # Balancers that watch the platform, over all data centres. Of three, one may be down
 # and another may wait for a lost answer. Each data centre has at least one, so that
@@ -48,6 +52,7 @@
         self._peers_by_name: dict[str, _Peer] = {}
         self._records: UpdateQueue[TargetRecord] = UpdateQueue()
         self._silences: UpdateQueue[SilenceReport] = UpdateQueue()
+        self._batches: UpdateQueue[SilenceBatch] = UpdateQueue()
         self._newer_record_of_peer: BalancerRecord | None = None
 
     @property
@@ -114,13 +119,16 @@
             peer.unanswered = 0
             peer.excluded_until = 0.0
 
-    def queue_update(self, item: TargetRecord | SilenceReport) -> None:
+    def queue_update(self, item: TargetRecord | SilenceReport | SilenceBatch) -> None:
         """Queue an update for the next rounds of gossip."""
         match item:
             case TargetRecord():
                 self._records.add(item.name, item)
             case SilenceReport():
                 self._silences.add((item.name, item.observer), item)
+            case SilenceBatch():
+                key = (item.observer, item.observer_epoch, item.number)
+                self._batches.add(key, item, size=batch_bytes(item))
 
     @property
     def has_silences(self) -> bool:
@@ -129,7 +137,7 @@
         Nothing but gossip brings them to a peer that missed them, whereas a missing
         record shows in the digest.
         """
-        return len(self._silences) > 0
+        return len(self._silences) > 0 or len(self._batches) > 0
 
     def pick_for_round(
         self, *, now: float, draw: random.Random, eager: bool = False
@@ -176,12 +184,13 @@
         draw: random.Random,
     ) -> Gossip:
         """Return a message with the queued updates."""
-        records, silences = self._dequeue_updates()
+        max_sent = len(self._peers_by_name).bit_length() + EXTRA_ROUNDS
         return self._build_message(
             version=version,
             digest=digest,
-            records=records,
-            silences=silences,
+            records=self._records.take(room=MAX_RECORDS, max_sent=max_sent),
+            silences=self._silences.take(room=MAX_SILENCES, max_sent=max_sent),
+            batches=self._batches.take(room=MAX_BATCH_BYTES, max_sent=max_sent),
             is_answer=is_answer,
             is_converged=is_converged,
             evacuations=evacuations,
@@ -203,8 +212,6 @@
         return self._build_message(
             version=version,
             digest=digest,
-            records=(),
-            silences=(),
             is_answer=True,
             is_converged=is_converged,
             evacuations=evacuations,
@@ -212,15 +219,6 @@
             draw=draw,
         )
 
-    def _dequeue_updates(
-        self,
-    ) -> tuple[tuple[TargetRecord, ...], tuple[SilenceReport, ...]]:
-        """Return the updates for one message; remove those sent often enough."""
-        max_sent = len(self._peers_by_name).bit_length() + EXTRA_ROUNDS
-        records = self._records.take(room=MAX_RECORDS, max_sent=max_sent)
-        silences = self._silences.take(room=MAX_SILENCES, max_sent=max_sent)
-        return records, silences
-
     def _build_message(self, *, draw: random.Random, **content) -> Gossip:
         """Return a message with ``content`` and the records of some peers."""
         known = list(self._peers_by_name.values())
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -1,6 +1,6 @@
 """A balancer's table of targets: their records, loads and suspected failures."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from hashlib import blake2b
 from heapq import nsmallest
@@ -8,10 +8,11 @@
 import msgspec
 
 from monsoonpier.balancer.evidence import FORGET_SECONDS, Evidence
+from monsoonpier.balancer.silence_batches import batched, unbatched
 from monsoonpier.balancer.target_choice import Candidate
 from monsoonpier.model.service import Service
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
-from monsoonpier.wire.frames import SilenceReport
+from monsoonpier.wire.frames import SilenceBatch, SilenceReport
 
 __all__ = ["BeliefChange", "TargetTable"]
 
@@ -79,6 +80,7 @@
         self._entries_by_name: dict[str, _Entry] = {}
         self._names_by_service: dict[str, set[str]] = {}
         self._names_by_endpoint: dict[tuple[str, int], str] = {}
+        self._names_by_process_key: dict[bytes, str] = {}
         self._bucket_sums = [0] * BUCKETS
         self._silences_reported = 0
         self._new_names: list[str] = []  # with records to be confirmed
@@ -139,6 +141,7 @@
             self._remove_from_index(entry.record)
             self._replace_record(entry, record, is_confirmed=is_confirmed, now=now)
         self._names_by_service.setdefault(record.service, set()).add(record.name)
+        self._names_by_process_key[record.process_key] = record.name
         self._toggle_digest(record)
         if not entry.evidence.is_confirmed:
             self._new_names.append(record.name)
@@ -253,32 +256,50 @@
             return False
         return entry.evidence.record_silence(silence, now=now)
 
+    def record_batch(self, batch: SilenceBatch, *, now: float) -> bool:
+        """Record an observer's reports; return whether to pass them on."""
+        silences = unbatched(batch, record_of=self._record_of_process)
+        news = [self.record_silence(silence, now=now) for silence in silences]
+        return any(news)
+
+    def _record_of_process(self, key: bytes) -> TargetRecord | None:
+        return self.record(self._names_by_process_key.get(key, ""))
+
+    def batched(self, silences: Iterable[SilenceReport]) -> Iterator[SilenceBatch]:
+        """Yield batches of this balancer's own reports, as `changed_silences` returns."""
+        return batched(silences, record_of=lambda n: self._entries_by_name[n].record)
+
     def changed_silences(
         self, *, observer: str, observer_epoch: int = 0, now: float
     ) -> list[SilenceReport]:
         """Detect targets whose heartbeats stop or resume here; return reports of them.
 
+        Their numbers are consecutive, those of silent targets first.
+
         Args:
             observer: The name of this balancer.
             observer_epoch: The epoch of this balancer's own record.
             now: The present time.
         """
-        changed = []
+        names_by_silence: dict[bool, list[str]] = {True: [], False: []}
         for name, entry in self._entries_by_name.items():
             silent = entry.evidence.is_silent(now=now)
-            if silent == entry.evidence.has_reported_silence(observer):
-                continue
-            self._silences_reported += 1
-            silence = SilenceReport(
-                name=name,
-                epoch=entry.record.epoch,
-                observer=observer,
-                silent=silent,
-                observer_epoch=observer_epoch,
-                number=self._silences_reported,
-            )
-            self.record_silence(silence, now=now)
-            changed.append(silence)
+            if silent != entry.evidence.has_reported_silence(observer):
+                names_by_silence[silent].append(name)
+        changed = []
+        for silent, names in names_by_silence.items():
+            for name in names:
+                self._silences_reported += 1
+                silence = SilenceReport(
+                    name=name,
+                    epoch=self._entries_by_name[name].record.epoch,
+                    observer=observer,
+                    silent=silent,
+                    observer_epoch=observer_epoch,
+                    number=self._silences_reported,
+                )
+                self.record_silence(silence, now=now)
+                changed.append(silence)
         return changed
 
     def first_queries(self, *, contact_at: float, now: float) -> list[TargetRecord]:
@@ -352,8 +373,9 @@
             del self._names_by_endpoint[(record.ip, record.port)]
 
     def _remove_from_index(self, record: TargetRecord) -> None:
-        """Remove a record from the index by service and from the digest."""
+        """Remove a record from the indices and from the digest."""
         self._names_by_service.get(record.service, set()).discard(record.name)
+        self._names_by_process_key.pop(record.process_key, None)
         self._toggle_digest(record)
 
     # Queries
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -1,12 +1,22 @@
 """Targets as their agents report them: identity, condition and load."""
 
 from enum import IntEnum
+from hashlib import blake2b
 
 import msgspec
 
 from monsoonpier.model.address import Address
 
-__all__ = ["ABSENT_SECONDS", "QUEUE_AHEAD", "Condition", "LoadReport", "TargetRecord"]
+__all__ = [
+    "ABSENT_SECONDS",
+    "PROCESS_KEY_BYTES",
+    "QUEUE_AHEAD",
+    "Condition",
+    "LoadReport",
+    "TargetRecord",
+]
+
+PROCESS_KEY_BYTES = 8  # two of 4,800 are equal with a probability of 6e-13
 
 # New flows that a target may have beyond its slots. The next run then starts
 # without a round trip to a balancer. Balancers and agents must use the same
@@ -102,6 +112,12 @@
         """The record's version; the larger one replaces the smaller."""
         return (self.epoch, self.change)
 
+    @property
+    def process_key(self) -> bytes:
+        """Identifies the target's agent process where name and epoch are too long."""
+        text = f"{self.name} {self.epoch}"
+        return blake2b(text.encode(), digest_size=PROCESS_KEY_BYTES).digest()
+
     @property
     def address(self) -> Address:
         """The agent's UDP address."""
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -13,7 +13,7 @@
 from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation
 from monsoonpier.model.keys import FRAME, KeyRing
 from monsoonpier.model.revision import MAX_GENERATION
-from monsoonpier.model.target import LoadReport, TargetRecord
+from monsoonpier.model.target import PROCESS_KEY_BYTES, LoadReport, TargetRecord
 from monsoonpier.wire.codec import Codec, Dropped, Name, Reason
 
 __all__ = [
@@ -46,6 +46,7 @@
     "RecordReply",
     "HeartbeatAck",
     "ReplyDatagram",
+    "SilenceBatch",
     "SilenceReport",
     "to_milliseconds",
 ]
@@ -54,6 +55,8 @@
 MAX_TRIED = 4
 MAX_RECORDS = 8  # per gossip datagram
 MAX_SILENCES = 16
+MAX_BATCHES = 32
+MAX_BATCH_KEYS = 32  # of 10 bytes each
 MAX_BALANCERS = 16
 MAX_QUERIED_FLOWS = 80  # flows, at 14 bytes each
 MAX_RELAY_AGENTS = 36  # agents, at 20 bytes each beside a packet of 1,231 bytes
@@ -65,6 +68,9 @@
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 Payload = Annotated[bytes, Meta(max_length=1_400)]
 Endpoint = tuple[Ip, Port]
+ProcessKey = Annotated[
+    bytes, Meta(min_length=PROCESS_KEY_BYTES, max_length=PROCESS_KEY_BYTES)
+]
 FlowAddress = Annotated[bytes, Meta(min_length=12, max_length=12)]
 Milliseconds = Annotated[int, Meta(ge=0, le=MAX_MILLISECONDS)]
 Tries = Annotated[int, Meta(ge=1, le=255)]
@@ -208,7 +214,9 @@
 
     If ``silent`` is false, the observer receives them again, or the agent has selected
     another observer. Of two reports of an observer the one with the larger ``rank`` is
-    valid. Older builds leave out the observer's epoch and the number.
+    valid. Older builds leave out the observer's epoch and the number. ``is_batched``
+    says that the observer sends the report in a `SilenceBatch` too, so that only
+    builds that don't read those need this one.
     """
 
     name: Name
@@ -217,6 +225,7 @@
     silent: bool
     observer_epoch: int = 0
     number: int = 0
+    is_batched: bool = False
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -229,6 +238,24 @@
         return self.number > 0
 
 
+class SilenceBatch(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
+):
+    """Carries reports that an observer made at the same time.
+
+    ``keys`` are those of the agent processes. The first report has the number
+    ``number``, and each has the next one, as if it were a `SilenceReport`.
+    """
+
+    observer: Name
+    observer_epoch: int
+    number: Annotated[int, Meta(ge=1)]
+    silent: bool
+    keys: Annotated[
+        tuple[ProcessKey, ...], Meta(min_length=1, max_length=MAX_BATCH_KEYS)
+    ]
+
+
 class Gossip(_Frame, tag=8, kw_only=True, gc=False):
     """Carries updates to a peer, and a digest that reveals missing ones.
 
@@ -252,6 +279,7 @@
         tuple[Evacuation, ...], Meta(max_length=MAX_EVACUATIONS)
     ] = ()
     store_generation: Annotated[int, Meta(ge=0, le=MAX_GENERATION)] = 0
+    batches: Annotated[tuple[SilenceBatch, ...], Meta(max_length=MAX_BATCHES)] = ()
 
 
 class ForwardPacket(_Frame, tag=9, kw_only=True, gc=False):
