Query targets in doubt first, and data centres that fail or are back

Cause: 32 queries a round were shared by targets that are offered although an observer reports them silent, and by those that are suspected already.

A query has a reason now, and those in doubt come before suspected and outdated ones. Half of the routine queries go to data centres of which several targets are suspected. When several are trusted again, or an observer hears an agent again, the others there are queried at once.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -1,10 +1,11 @@
 """Evidence of whether the agent of a target is alive."""
 
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from monsoonpier.wire.frames import SilenceReport
 
-__all__ = ["FORGET_SECONDS", "SUSPECT_SECONDS", "Evidence"]
+__all__ = ["FORGET_SECONDS", "SUSPECT_SECONDS", "Evidence", "QueryReason"]
 
 SUSPECT_SECONDS = 3.0  # without a frame; agents send a heartbeat a second
 FORGET_SECONDS = 120.0  # a suspected target is removed after this
@@ -18,6 +19,22 @@
 VERIFY_SECONDS = 30.0  # an agent that sent no frame for this long is queried
 
 
+class QueryReason(Enum):
+    """Why an agent is queried; what comes first matters most to callers.
+
+    Attributes:
+        DOUBTED: It may have ended, and its target is still offered.
+        SUSPECTED: Its target is offered again as soon as it answers.
+        OUTDATED: It was last heard before this balancer was paused or cut off.
+        ROUTINE: It has sent no frame for long.
+    """
+
+    DOUBTED = auto()
+    SUSPECTED = auto()
+    OUTDATED = auto()
+    ROUTINE = auto()
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Silence:
     """The latest report of one observer.
@@ -105,29 +122,42 @@
             self.unanswered_queries += 1
         self._queried_at = now
 
-    def is_query_urgent(self, *, resumed_at: float, now: float) -> bool:
-        """Return whether to query the agent now, since it may have ended.
+    def may_query(self, *, now: float) -> bool:
+        """Return whether the answer to the last query had the time to arrive."""
+        return self._queried_at is None or now - self._queried_at >= RETRY_SECONDS
+
+    def query_reason(
+        self, *, resumed_at: float, is_failing: bool, now: float
+    ) -> QueryReason | None:
+        """Return why to query the agent now, or ``None``.
 
         Args:
             resumed_at: When this balancer last started, resumed or regained contact.
                 What it knew before may be outdated.
+            is_failing: Whether several targets of its data centre are suspected.
             now: The present time.
         """
-        if self._queried_at is not None and now - self._queried_at < RETRY_SECONDS:
-            return False
-        if not self.is_confirmed or self._queried_at is not None:
-            return True
+        if not self.may_query(now=now):
+            return None
+        if self.is_suspected(now=now):
+            return QueryReason.SUSPECTED
+        if self._is_doubted(now=now):
+            return QueryReason.DOUBTED
         if self.received_at is not None and self.received_at <= resumed_at:
-            return True
-        if self._silences_by_observer and self._silence_times():
-            return True  # One observer isn't enough to suspect the target.
-        return self._is_heartbeat_late(now=now) or self.is_suspected(now=now)
+            return QueryReason.OUTDATED
+        max_age = SUSPECT_SECONDS if is_failing else VERIFY_SECONDS
+        if self.received_at is None or now - self.received_at > max_age:
+            return QueryReason.ROUTINE
+        return None
 
-    def is_query_due(self, *, now: float) -> bool:
-        """Return whether the agent has sent no frame here for long."""
-        if self._queried_at is not None:
-            return False
-        return self.received_at is None or now - self.received_at > VERIFY_SECONDS
+    def _is_doubted(self, *, now: float) -> bool:
+        """Return whether the agent may have ended, though it isn't suspected.
+
+        One observer isn't enough to suspect the target.
+        """
+        if self._queried_at is not None or self._is_heartbeat_late(now=now):
+            return True
+        return bool(self._silences_by_observer) and bool(self._silence_times())
 
     def _is_heartbeat_late(self, *, now: float) -> bool:
         if not self.is_observed or self.received_at is None:
@@ -163,8 +193,15 @@
         self._silences_by_observer[silence.observer] = _Silence(
             rank=silence.rank, is_silent=silence.silent, received_at=now
         )
+        if not silence.silent:
+            self._forget_unanswered_queries()
         return silence.is_ranked
 
+    def _forget_unanswered_queries(self) -> None:
+        """Trust an agent that an observer hears again, until it is queried anew."""
+        self.unanswered_queries = 0
+        self._queried_at = None
+
     def is_silent(self, *, now: float) -> bool:
         """Return whether this balancer, as an observer, misses the heartbeats."""
         if not self.is_observed or self.received_at is None:
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -284,9 +284,10 @@
             self._gossip_to(peer.endpoint, is_answer=False, now=now, draw=draw)
             for peer in self.peers.pick_for_round(now=now, draw=draw, eager=eager)
         ]
-        if gossip and self.peers.has_silences:
-            self.has_updates = True
-        return gossip + self._queries(only_new=eager, now=now)
+        queries = self._queries(only_new=eager, now=now)
+        has_silences = bool(gossip) and self.peers.has_silences
+        self.has_updates |= has_silences or self.table.has_first_queries
+        return gossip + queries
 
     def _review_targets(self, *, now: float) -> None:
         """Report observed silences, and remove targets that have ended."""
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -1,13 +1,15 @@
 """A balancer's table of targets: their records, loads and suspected failures."""
 
-from collections.abc import Iterable, Iterator
+import itertools
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 from heapq import nsmallest
 
 import msgspec
 
-from monsoonpier.balancer.evidence import FORGET_SECONDS, Evidence
+from monsoonpier.balancer.evidence import FORGET_SECONDS, Evidence, QueryReason
 from monsoonpier.balancer.silence_batches import batched, unbatched
 from monsoonpier.balancer.target_choice import Candidate
 from monsoonpier.model.service import Service
@@ -20,10 +22,15 @@
 ANSWER_SECONDS = 0.2  # a new flow without an answer by then counts as lost
 STALE_SECONDS = 0.5  # older reports of requests in flight are ignored
 FAILED_STALE_SECONDS = 10.0  # older reports of failed requests are ignored
-# Queries per round of gossip. Suspected targets are queried first, so that one that
-# lives is soon offered again; after the loss of a data centre they are many.
+# Queries per round of gossip. After the loss of a data centre many targets are
+# suspected, and after a pause all are outdated, so each reason has a share.
 MAX_QUERIES = 32
+MIN_QUERIES = 8  # for each reason
 MAX_ROUTINE_QUERIES = 8
+URGENT_REASONS = (QueryReason.DOUBTED, QueryReason.SUSPECTED, QueryReason.OUTDATED)
+# So many targets of a data centre that are suspected, or trusted again, in one round
+# may mean that all of them are. One alone may just be unstable.
+SEVERAL = 2
 BUCKETS = 16
 DIGEST_BYTES = 8
 
@@ -83,7 +90,7 @@
         self._names_by_process_key: dict[bytes, str] = {}
         self._bucket_sums = [0] * BUCKETS
         self._silences_reported = 0
-        self._new_names: list[str] = []  # with records to be confirmed
+        self._names_to_query: dict[str, None] = {}  # at once, in this order
 
     def __len__(self) -> int:
         return len(self._entries_by_name)
@@ -144,7 +151,7 @@
         self._names_by_process_key[record.process_key] = record.name
         self._toggle_digest(record)
         if not entry.evidence.is_confirmed:
-            self._new_names.append(record.name)
+            self._names_to_query[record.name] = None
         elif not entry.is_gone:
             self._assign_endpoint(record, now=now)
         return True
@@ -254,7 +261,11 @@
         entry = self._entries_by_name.get(silence.name)
         if entry is None or entry.record.epoch != silence.epoch:
             return False
-        return entry.evidence.record_silence(silence, now=now)
+        was_unanswered = entry.evidence.unanswered_queries > 0
+        is_news = entry.evidence.record_silence(silence, now=now)
+        if is_news and was_unanswered and not silence.silent:
+            self._names_to_query[silence.name] = None
+        return is_news
 
     def record_batch(self, batch: SilenceBatch, *, now: float) -> bool:
         """Record an observer's reports; return whether to pass them on."""
@@ -266,7 +277,7 @@
         return self.record(self._names_by_process_key.get(key, ""))
 
     def batched(self, silences: Iterable[SilenceReport]) -> Iterator[SilenceBatch]:
-        """Yield batches of this balancer's own reports, as `changed_silences` returns."""
+        """Yield batches of reports that `changed_silences` has returned."""
         return batched(silences, record_of=lambda n: self._entries_by_name[n].record)
 
     def changed_silences(
@@ -302,12 +313,28 @@
                 changed.append(silence)
         return changed
 
+    @property
+    def has_first_queries(self) -> bool:
+        """Whether there are targets to query at once."""
+        return bool(self._names_to_query)
+
     def first_queries(self, *, contact_at: float, now: float) -> list[TargetRecord]:
-        """Return new targets to query at once, and count the queries."""
-        names, self._new_names = self._new_names[:MAX_QUERIES], []
-        entries = [self._entries_by_name.get(name) for name in dict.fromkeys(names)]
+        """Return some targets to query at once, and count the queries.
+
+        These are new ones that a peer knows, and suspected ones that may be back.
+        """
+        names = list(itertools.islice(self._names_to_query, MAX_QUERIES))
+        for name in names:
+            del self._names_to_query[name]
+        entries = [self._entries_by_name.get(name) for name in names]
         return self._query(
-            [e for e in entries if e is not None and not e.evidence.is_confirmed],
+            [
+                entry
+                for entry in entries
+                if entry is not None
+                and not entry.is_gone
+                and entry.evidence.may_query(now=now)
+            ],
             contact_at=contact_at,
             now=now,
         )
@@ -324,20 +351,49 @@
             resumed_at: When this balancer last started, resumed or regained contact.
             now: The present time.
         """
-        self._new_names.clear()
-        urgent: list[_Entry] = []
-        routine: list[_Entry] = []
+        failing = self._failing_data_centres()
+        entries_by_reason = defaultdict(list)
         for entry in self._entries_by_name.values():
             if entry.is_gone:
                 continue
-            if entry.evidence.is_query_urgent(resumed_at=resumed_at, now=now):
-                urgent.append(entry)
-            elif entry.evidence.is_query_due(now=now):
-                routine.append(entry)
-        chosen = nsmallest(MAX_QUERIES, urgent, key=_last_word)
-        chosen += nsmallest(MAX_ROUTINE_QUERIES, routine, key=_last_word)
+            reason = entry.evidence.query_reason(
+                resumed_at=resumed_at,
+                is_failing=entry.record.data_centre in failing,
+                now=now,
+            )
+            entries_by_reason[reason].append(entry)
+        chosen = self._urgent_queries(entries_by_reason)
+        chosen += _routine_queries(
+            entries_by_reason[QueryReason.ROUTINE], failing=failing
+        )
         return self._query(chosen, contact_at=contact_at, now=now)
 
+    def _failing_data_centres(self) -> set[str]:
+        """Return the data centres of which several targets are suspected."""
+        suspected = Counter(
+            entry.record.data_centre
+            for entry in self._entries_by_name.values()
+            if entry.evidence.was_suspected
+        )
+        return {name for name, count in suspected.items() if count >= SEVERAL}
+
+    def _urgent_queries(
+        self, entries_by_reason: Mapping[QueryReason | None, list[_Entry]]
+    ) -> list[_Entry]:
+        """Return the targets to query first, some for each reason."""
+        chosen: list[_Entry] = []
+        counts = {
+            reason: min(len(entries_by_reason[reason]), MIN_QUERIES)
+            for reason in URGENT_REASONS
+        }
+        spare = MAX_QUERIES - sum(counts.values())
+        for reason in URGENT_REASONS:
+            entries = entries_by_reason[reason]
+            extra = min(len(entries) - counts[reason], spare)
+            spare -= extra
+            chosen += nsmallest(counts[reason] + extra, entries, key=_last_word)
+        return chosen
+
     def _query(
         self, entries: list[_Entry], *, contact_at: float, now: float
     ) -> list[TargetRecord]:
@@ -364,8 +420,23 @@
                 entry.evidence.was_suspected = suspected
                 belief = "suspected" if suspected else "trusted"
                 changes.append(_belief_change(entry, belief, now=now))
+        self._query_returning(changes)
         return changes
 
+    def _query_returning(self, changes: list[BeliefChange]) -> None:
+        """Query all that are suspected in a data centre that is back."""
+        trusted = Counter(
+            self._entries_by_name[change.name].record.data_centre
+            for change in changes
+            if change.belief == "trusted"
+        )
+        returned = {name for name, count in trusted.items() if count >= SEVERAL}
+        if not returned:
+            return
+        for name, entry in self._entries_by_name.items():
+            if entry.evidence.was_suspected and entry.record.data_centre in returned:
+                self._names_to_query[name] = None
+
     def _remove(self, name: str) -> None:
         record = self._entries_by_name.pop(name).record
         self._remove_from_index(record)
@@ -507,6 +578,22 @@
         )
 
 
+def _routine_queries(entries: list[_Entry], *, failing: set[str]) -> list[_Entry]:
+    """Return targets to query in turn, half of them from failing data centres.
+
+    A target that ended together with its observers is in a data centre where others
+    are suspected.
+    """
+    first = nsmallest(
+        MAX_ROUTINE_QUERIES // 2,
+        (entry for entry in entries if entry.record.data_centre in failing),
+        key=_last_word,
+    )
+    names = {entry.record.name for entry in first}
+    others = (entry for entry in entries if entry.record.name not in names)
+    return first + nsmallest(MAX_ROUTINE_QUERIES - len(first), others, key=_last_word)
+
+
 def _last_word(entry: _Entry) -> float:
     """Return when an agent last sent a frame or was last queried."""
     return entry.evidence.last_word_at
--- a/standins/membership.py
+++ b/standins/membership.py
@@ -13,7 +13,8 @@
 
 from monsoonpier.agent.heartbeat_peers import HeartbeatPeers
 from monsoonpier.balancer.actions import FetchTable, ToAgent
-from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.membership import NAMED_BALANCERS, Membership
+from monsoonpier.model.rendezvous import top
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.wire.frames import (
     Announce,
@@ -46,7 +47,7 @@
     def __init__(self, fleet: "SimulatedFleet", number: int, *, epoch: int) -> None:
         self.record = BalancerRecord(
             name=f"b{number}",
-            data_centre="dc-1",
+            data_centre=fleet.data_centre(number),
             ip=f"10.2.{number // 250}.{number % 250}",
             port=9000,
             control=f"b{number}",
@@ -160,7 +161,7 @@
         self.record = TargetRecord(
             name=f"maps-{number}",
             service=SERVICE,
-            data_centre="dc-1",
+            data_centre=fleet.data_centre(number),
             ip=f"10.1.{number // 250}.{number % 250}",
             port=9000,
             control="",
@@ -181,6 +182,14 @@
         """The address of the process."""
         return (self.record.ip, self.record.port)
 
+    def settle(self, balancers: Iterable[SimulatedBalancer]) -> None:
+        """Know the balancers that heartbeats are sent to, which know this agent."""
+        by_name = {balancer.record.name: balancer.record for balancer in balancers}
+        for name in top(self.record.name, by_name, count=NAMED_BALANCERS):
+            self._peers.update_record(by_name[name])
+            ack = HeartbeatAck(balancer=name, version=0, known=True, allowed=True)
+            self._peers.record_ack(ack, now=self._fleet.now)
+
     def leave(self) -> None:
         """Announce that the target is gone, several times, and end."""
         self.record = self.record.with_condition(Condition.GONE)
@@ -248,6 +257,8 @@
         targets: How many targets there are.
         start_gap: Seconds between the starts of two balancers.
         loss: The share of datagrams that are lost.
+        data_centres: How many data centres there are. Balancers and targets are in
+            them by turns.
     """
 
     def __init__(
@@ -258,13 +269,16 @@
         targets: int,
         start_gap: float = 0.0,
         loss: float = 0.0,
+        data_centres: int = 1,
     ) -> None:
         self.now = 1000.0
         self.draw = random.Random(seed)
+        self._data_centres = data_centres
         self.balancers_by_endpoint: dict[Endpoint, SimulatedBalancer] = {}
         self.agents_by_name: dict[str, SimulatedAgent] = {}
         self._agents_by_endpoint: dict[Endpoint, SimulatedAgent] = {}
         self._cut: frozenset[Endpoint] = frozenset()
+        self._isolated: frozenset[Endpoint] = frozenset()
         self._loss = loss
         self._epochs = itertools.count(1)
         self._events: list = []
@@ -274,6 +288,10 @@
         for number in range(targets):
             self.after(0.0, self.start_agent, number)
 
+    def data_centre(self, number: int) -> str:
+        """Return the data centre of a balancer or an agent."""
+        return f"dc-{1 + number % self._data_centres}"
+
     @property
     def balancers(self) -> list[SimulatedBalancer]:
         """The balancers that run."""
@@ -299,12 +317,48 @@
         self._agents_by_endpoint[made.endpoint] = made
         return made
 
+    def settle(self) -> None:
+        """Let all processes know each other, as after a long time without changes.
+
+        It saves the exchange of tables at the start of a large fleet.
+        """
+        self.run(0.0)
+        self._events = [event for event in self._events if event[2] != self._deliver]
+        heapq.heapify(self._events)
+        records = [agent.record for agent in self.agents_by_name.values()]
+        for balancer in self.balancers:
+            for record in records:
+                balancer.membership.table.learn(record, now=self.now)
+                balancer.membership.table.record_announcement(record, now=self.now)
+        for agent in self.agents_by_name.values():
+            agent.settle(self.balancers)
+
+    def lose(self, data_centre: str) -> None:
+        """End all processes of a data centre without a word."""
+        for agent in self.agents_by_name.values():
+            if agent.record.data_centre == data_centre:
+                agent.is_alive = False
+        for balancer in self.balancers:
+            if balancer.record.data_centre == data_centre:
+                del self.balancers_by_endpoint[balancer.endpoint]
+
     def cut_off(self, balancers: Iterable[SimulatedBalancer]) -> None:
         """Cut some balancers off from the other balancers; agents still reach all."""
         self._cut = frozenset(balancer.endpoint for balancer in balancers)
 
+    def isolate(self, data_centre: str) -> None:
+        """Cut a data centre off from the others; ``""`` ends it."""
+        processes = [*self.balancers, *self.agents_by_name.values()]
+        self._isolated = frozenset(
+            process.endpoint
+            for process in processes
+            if process.record.data_centre == data_centre
+        )
+
     def is_connected(self, one: Endpoint, other: Endpoint) -> bool:
         """Return whether datagrams pass between two processes."""
+        if (one in self._isolated) != (other in self._isolated):
+            return False
         is_between_balancers = {one, other} <= set(self.balancers_by_endpoint)
         return not is_between_balancers or (one in self._cut) == (other in self._cut)
 
