Bound gossip by bytes, and give targets in doubt most queries

Records, batches and reports were bounded by number, each for itself: together with 16 evacuation orders a message could exceed 2,048 bytes and be dropped.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -174,7 +174,9 @@
     @property
     def is_credible(self) -> bool:
         """Whether the record may be passed on as that of a living agent."""
-        return self.is_confirmed and self.unanswered_queries < UNANSWERED_QUERIES_LIMIT
+        if self.was_suspected or not self.is_confirmed:
+            return False
+        return self.unanswered_queries < UNANSWERED_QUERIES_LIMIT
 
     # Reports of observers
 
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -6,12 +6,13 @@
 
 import msgspec
 
-from monsoonpier.balancer.silence_batches import batch_bytes
+from monsoonpier.balancer.update_bytes import batch_bytes, record_bytes, report_bytes
 from monsoonpier.balancer.update_queue import UpdateQueue
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.model.rendezvous import top
 from monsoonpier.model.target import TargetRecord
 from monsoonpier.wire.frames import (
+    MAX_BATCHES,
     MAX_RECORDS,
     MAX_SILENCES,
     BalancerRecord,
@@ -27,8 +28,9 @@
 UNANSWERED_LIMIT = 4  # unanswered rounds after which a peer is excluded
 EXCLUDED_SECONDS = 30.0
 EXTRA_ROUNDS = 3  # rounds that carry an update, beyond log2 of the number of peers
-# The batches of reports in a message, beside 16 reports or 8 records of 100 bytes each.
-MAX_BATCH_BYTES = 600
+# The rest of a message has up to 900 bytes, most of them evacuation orders.
+MAX_UPDATE_BYTES = 1_100
+MAX_BATCH_BYTES = 700  # while records wait too
 INTRODUCED_PEERS = 1  # other balancers named in each gossip datagram
 # Balancers that watch the platform, over all data centres. Of three, one may be down
 # and another may wait for a lost answer. Each data centre has at least one, so that
@@ -123,9 +125,10 @@
         """Queue an update for the next rounds of gossip."""
         match item:
             case TargetRecord():
-                self._records.add(item.name, item)
+                self._records.add(item.name, item, size=record_bytes(item))
             case SilenceReport():
-                self._silences.add((item.name, item.observer), item)
+                key = (item.name, item.observer)
+                self._silences.add(key, item, size=report_bytes(item))
             case SilenceBatch():
                 key = (item.observer, item.observer_epoch, item.number)
                 self._batches.add(key, item, size=batch_bytes(item))
@@ -184,13 +187,13 @@
         draw: random.Random,
     ) -> Gossip:
         """Return a message with the queued updates."""
-        max_sent = len(self._peers_by_name).bit_length() + EXTRA_ROUNDS
+        batches, records, silences = self._take_updates()
         return self._build_message(
             version=version,
             digest=digest,
-            records=self._records.take(room=MAX_RECORDS, max_sent=max_sent),
-            silences=self._silences.take(room=MAX_SILENCES, max_sent=max_sent),
-            batches=self._batches.take(room=MAX_BATCH_BYTES, max_sent=max_sent),
+            records=records,
+            silences=silences,
+            batches=batches,
             is_answer=is_answer,
             is_converged=is_converged,
             evacuations=evacuations,
@@ -198,6 +201,20 @@
             draw=draw,
         )
 
+    def _take_updates(self) -> tuple[tuple, tuple, tuple]:
+        """Return batches, records and reports for one message."""
+        max_sent = len(self._peers_by_name).bit_length() + EXTRA_ROUNDS
+        batches = self._batches.take(
+            count=MAX_BATCHES,
+            room=MAX_BATCH_BYTES if self._records else MAX_UPDATE_BYTES,
+            max_sent=max_sent,
+        )
+        room = MAX_UPDATE_BYTES - batches.size
+        records = self._records.take(count=MAX_RECORDS, room=room, max_sent=max_sent)
+        room -= records.size
+        silences = self._silences.take(count=MAX_SILENCES, room=room, max_sent=max_sent)
+        return batches.items, records.items, silences.items
+
     def answer_without_updates(
         self,
         *,
--- a/monsoonpier/balancer/silence_batches.py
+++ b/monsoonpier/balancer/silence_batches.py
@@ -6,10 +6,7 @@
 from monsoonpier.model.target import TargetRecord
 from monsoonpier.wire.frames import MAX_BATCH_KEYS, SilenceBatch, SilenceReport
 
-__all__ = ["batch_bytes", "batched", "unbatched"]
-
-HEADER_BYTES = 24  # of an encoded batch, beside the observer's name and the keys
-KEY_BYTES = 10
+__all__ = ["batched", "unbatched"]
 
 
 def batched(
@@ -55,8 +52,3 @@
                 observer_epoch=batch.observer_epoch,
                 number=number,
             )
-
-
-def batch_bytes(batch: SilenceBatch) -> int:
-    """Return about how many bytes a batch takes in a message."""
-    return HEADER_BYTES + len(batch.observer) + KEY_BYTES * len(batch.keys)
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -22,12 +22,13 @@
 ANSWER_SECONDS = 0.2  # a new flow without an answer by then counts as lost
 STALE_SECONDS = 0.5  # older reports of requests in flight are ignored
 FAILED_STALE_SECONDS = 10.0  # older reports of failed requests are ignored
-# Queries per round of gossip. After the loss of a data centre many targets are
-# suspected, and after a pause all are outdated, so each reason has a share.
-MAX_QUERIES = 32
-MIN_QUERIES = 8  # for each reason
+# Queries per round of gossip. Targets that are in doubt are still offered. After the
+# loss of a sixth of 4,800 targets, some 60 of them have one observer left, and the
+# others are suspected.
+MAX_DOUBTED_QUERIES = 96
+MAX_QUERIES = 32  # of suspected and outdated ones
+MIN_OUTDATED_QUERIES = 8
 MAX_ROUTINE_QUERIES = 8
-URGENT_REASONS = (QueryReason.DOUBTED, QueryReason.SUSPECTED, QueryReason.OUTDATED)
 # So many targets of a data centre that are suspected, or trusted again, in one round
 # may mean that all of them are. One alone may just be unstable.
 SEVERAL = 2
@@ -362,7 +363,7 @@
                 now=now,
             )
             entries_by_reason[reason].append(entry)
-        chosen = self._urgent_queries(entries_by_reason)
+        chosen = _urgent_queries(entries_by_reason)
         chosen += _routine_queries(
             entries_by_reason[QueryReason.ROUTINE], failing=failing
         )
@@ -377,23 +378,6 @@
         )
         return {name for name, count in suspected.items() if count >= SEVERAL}
 
-    def _urgent_queries(
-        self, entries_by_reason: Mapping[QueryReason | None, list[_Entry]]
-    ) -> list[_Entry]:
-        """Return the targets to query first, some for each reason."""
-        chosen: list[_Entry] = []
-        counts = {
-            reason: min(len(entries_by_reason[reason]), MIN_QUERIES)
-            for reason in URGENT_REASONS
-        }
-        spare = MAX_QUERIES - sum(counts.values())
-        for reason in URGENT_REASONS:
-            entries = entries_by_reason[reason]
-            extra = min(len(entries) - counts[reason], spare)
-            spare -= extra
-            chosen += nsmallest(counts[reason] + extra, entries, key=_last_word)
-        return chosen
-
     def _query(
         self, entries: list[_Entry], *, contact_at: float, now: float
     ) -> list[TargetRecord]:
@@ -578,6 +562,19 @@
         )
 
 
+def _urgent_queries(
+    entries_by_reason: Mapping[QueryReason | None, list[_Entry]],
+) -> list[_Entry]:
+    """Return the targets to query first, some for each reason."""
+    doubted = entries_by_reason[QueryReason.DOUBTED]
+    suspected = entries_by_reason[QueryReason.SUSPECTED]
+    outdated = entries_by_reason[QueryReason.OUTDATED]
+    others = MAX_QUERIES - min(len(outdated), MIN_OUTDATED_QUERIES)
+    chosen = nsmallest(others, suspected, key=_last_word)
+    chosen += nsmallest(MAX_QUERIES - len(chosen), outdated, key=_last_word)
+    return nsmallest(MAX_DOUBTED_QUERIES, doubted, key=_last_word) + chosen
+
+
 def _routine_queries(entries: list[_Entry], *, failing: set[str]) -> list[_Entry]:
     """Return targets to query in turn, half of them from failing data centres.
 
--- /dev/null
+++ b/monsoonpier/balancer/update_bytes.py
@@ -0,0 +1,34 @@
+"""How much of a gossip message an update takes, at the most."""
+
+from monsoonpier.model.target import TargetRecord
+from monsoonpier.wire.frames import SilenceBatch, SilenceReport
+
+__all__ = ["batch_bytes", "record_bytes", "report_bytes"]
+
+# What is left of an encoded update without its texts and keys.
+RECORD_BYTES = 50
+REPORT_BYTES = 32
+BATCH_BYTES = 30
+KEY_BYTES = 10
+
+
+def record_bytes(record: TargetRecord) -> int:
+    """Return about how many bytes a record takes."""
+    texts = (
+        record.name,
+        record.service,
+        record.data_centre,
+        record.ip,
+        record.control,
+    )
+    return RECORD_BYTES + len(record.instance) + sum(len(text) for text in texts)
+
+
+def report_bytes(report: SilenceReport) -> int:
+    """Return about how many bytes a report takes."""
+    return REPORT_BYTES + len(report.name) + len(report.observer)
+
+
+def batch_bytes(batch: SilenceBatch) -> int:
+    """Return about how many bytes a batch takes."""
+    return BATCH_BYTES + len(batch.observer) + KEY_BYTES * len(batch.keys)
--- a/monsoonpier/balancer/update_queue.py
+++ b/monsoonpier/balancer/update_queue.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-__all__ = ["UpdateQueue"]
+__all__ = ["Portion", "UpdateQueue"]
 
 MAX_UPDATES = 4_096
 
@@ -18,7 +18,7 @@
 
     Attributes:
         item: The item.
-        size: How much of a message's room it takes.
+        size: Its size in a message, in bytes.
         sent: How many messages have carried it.
     """
 
@@ -27,6 +27,19 @@
     sent: int = 0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Portion(Generic[Item]):
+    """What one message carries of a queue.
+
+    Attributes:
+        items: The items.
+        size: Their size in bytes.
+    """
+
+    items: tuple[Item, ...]
+    size: int
+
+
 class UpdateQueue(Generic[Item]):
     """Updates of one kind, of which the least often sent go first. Does no I/O.
 
@@ -42,10 +55,15 @@
     def __len__(self) -> int:
         return len(self._sent_by_key)
 
-    def add(self, key: Hashable, item: Item, *, size: int = 1) -> None:
+    def add(self, key: Hashable, item: Item, *, size: int) -> None:
         """Queue an item in place of an earlier one with the same key.
 
         A full queue drops one of the updates that were sent most often.
+
+        Args:
+            key: Identifies what the item describes.
+            item: The item.
+            size: Its size in a message, in bytes.
         """
         if key in self._sent_by_key:
             self._remove(key)
@@ -53,14 +71,15 @@
             self._drop_one()
         self._insert(key, _Update(item=item, size=size))
 
-    def take(self, *, room: int, max_sent: int) -> tuple[Item, ...]:
+    def take(self, *, count: int, room: int, max_sent: int) -> "Portion[Item]":
         """Return the items for one message.
 
         Args:
-            room: The limit of the sum of the items' sizes.
+            count: How many items there may be.
+            room: The limit of the sum of their sizes, in bytes.
             max_sent: How many messages carry an item before it is removed.
         """
-        taken = self._first_that_fit(room)
+        taken = self._first_that_fit(count=count, room=room)
         for key, update in taken:
             self._remove(key)
             if update.sent + 1 < max_sent:
@@ -68,14 +87,19 @@
                     item=update.item, size=update.size, sent=update.sent + 1
                 )
                 self._insert(key, again)
-        return tuple(update.item for _, update in taken)
-
-    def _first_that_fit(self, room: int) -> list[tuple[Hashable, _Update[Item]]]:
+        return Portion(
+            items=tuple(update.item for _, update in taken),
+            size=sum(update.size for _, update in taken),
+        )
+
+    def _first_that_fit(
+        self, *, count: int, room: int
+    ) -> list[tuple[Hashable, _Update[Item]]]:
         found = []
         for level in self._levels:
             for key, update in level.items():
                 room -= update.size
-                if room < 0:
+                if room < 0 or len(found) == count:
                     return found
                 found.append((key, update))
         return found
