Count a query as unanswered when its answer is overdue

Cause: a missing answer was counted only when the next query was sent, so three needed four rounds. A balancer that is cut off still counts none.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -76,8 +76,8 @@
     unanswered_flows: int = 0
     unanswered_queries: int = 0
     _heartbeat_at: float = field(default=0.0, init=False)
-    # When the last query without an answer yet was sent.
-    _queried_at: float | None = field(default=None, init=False)
+    _queried_at: float = field(default=-1.0, init=False)
+    _is_awaited: bool = field(default=False, init=False)  # the answer to that query
     _unanswered_since: float = field(default=0.0, init=False)
     _silences_by_observer: dict[str, _Silence] = field(default_factory=dict, init=False)
 
@@ -89,7 +89,7 @@
         self.received_at = now
         self.unanswered_flows = 0
         self.unanswered_queries = 0
-        self._queried_at = None
+        self._is_awaited = False
 
     def record_heartbeat(self, *, now: float) -> None:
         """Record a heartbeat, which makes the balancer an observer of the target."""
@@ -108,23 +108,31 @@
 
     # Queries
 
-    def record_query(self, *, contact_at: float, now: float) -> None:
-        """Record that a query is sent to the agent.
+    def record_query(self, *, now: float) -> None:
+        """Record that a query is sent to the agent."""
+        self._queried_at = now
+        self._is_awaited = True
+
+    def expire_query(self, *, contact_at: float, now: float) -> None:
+        """Count the last query as unanswered if its answer is overdue.
 
         Args:
-            contact_at: When any frame of another process last arrived. A query counts
-                as unanswered only if this balancer has not been cut off since.
+            contact_at: When any frame of another process last arrived. If this
+                balancer has been cut off since the query, it doesn't count.
             now: The present time.
         """
-        if self._queried_at is not None and contact_at > self._queried_at:
-            if not self.unanswered_queries:
-                self._unanswered_since = self._queried_at
-            self.unanswered_queries += 1
-        self._queried_at = now
+        if not self._is_awaited or not self.may_query(now=now):
+            return
+        self._is_awaited = False
+        if contact_at <= self._queried_at:
+            return
+        if not self.unanswered_queries:
+            self._unanswered_since = self._queried_at
+        self.unanswered_queries += 1
 
     def may_query(self, *, now: float) -> bool:
         """Return whether the answer to the last query had the time to arrive."""
-        return self._queried_at is None or now - self._queried_at >= RETRY_SECONDS
+        return not self._is_awaited or now - self._queried_at >= RETRY_SECONDS
 
     def query_reason(
         self, *, resumed_at: float, is_failing: bool, now: float
@@ -155,7 +163,7 @@
 
         One observer isn't enough to suspect the target.
         """
-        if self._queried_at is not None or self._is_heartbeat_late(now=now):
+        if self.unanswered_queries or self._is_heartbeat_late(now=now):
             return True
         return bool(self._silences_by_observer) and bool(self._silence_times())
 
@@ -166,17 +174,16 @@
 
     @property
     def last_word_at(self) -> float:
-        """When the agent was last queried, or else last sent a frame here."""
-        if self._queried_at is not None:
-            return self._queried_at
-        return -1.0 if self.received_at is None else self.received_at
+        """When the agent was last queried or last sent a frame here; -1 for never."""
+        received_at = -1.0 if self.received_at is None else self.received_at
+        return max(received_at, self._queried_at)
 
     @property
     def is_credible(self) -> bool:
         """Whether the record may be passed on as that of a living agent."""
-        if self.was_suspected or not self.is_confirmed:
+        if self.unanswered_queries >= UNANSWERED_QUERIES_LIMIT:
             return False
-        return self.unanswered_queries < UNANSWERED_QUERIES_LIMIT
+        return self.is_confirmed and len(self._silence_times()) < OBSERVERS_NEEDED
 
     # Reports of observers
 
@@ -202,7 +209,7 @@
     def _forget_unanswered_queries(self) -> None:
         """Trust an agent that an observer hears again, until it is queried anew."""
         self.unanswered_queries = 0
-        self._queried_at = None
+        self._is_awaited = False
 
     def is_silent(self, *, now: float) -> bool:
         """Return whether this balancer, as an observer, misses the heartbeats."""
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -22,12 +22,12 @@
 ANSWER_SECONDS = 0.2  # a new flow without an answer by then counts as lost
 STALE_SECONDS = 0.5  # older reports of requests in flight are ignored
 FAILED_STALE_SECONDS = 10.0  # older reports of failed requests are ignored
-# Queries per round of gossip. Targets that are in doubt are still offered. After the
-# loss of a sixth of 4,800 targets, some 60 of them have one observer left, and the
-# others are suspected.
-MAX_DOUBTED_QUERIES = 96
-MAX_QUERIES = 32  # of suspected and outdated ones
+# Queries per round of gossip. Targets in doubt come first, since they are offered. If a
+# sixth of 4,800 targets ends, some 60 of them have one observer left to report it.
+MAX_QUERIES = 128
+MAX_SUSPECTED_QUERIES = 32  # and outdated ones
 MIN_OUTDATED_QUERIES = 8
+MAX_FIRST_QUERIES = 32  # at once, ten times a second at the most
 MAX_ROUTINE_QUERIES = 8
 # So many targets of a data centre that are suspected, or trusted again, in one round
 # may mean that all of them are. One alone may just be unstable.
@@ -324,7 +324,7 @@
 
         These are new ones that a peer knows, and suspected ones that may be back.
         """
-        names = list(itertools.islice(self._names_to_query, MAX_QUERIES))
+        names = list(itertools.islice(self._names_to_query, MAX_FIRST_QUERIES))
         for name in names:
             del self._names_to_query[name]
         entries = [self._entries_by_name.get(name) for name in names]
@@ -357,6 +357,7 @@
         for entry in self._entries_by_name.values():
             if entry.is_gone:
                 continue
+            entry.evidence.expire_query(contact_at=contact_at, now=now)
             reason = entry.evidence.query_reason(
                 resumed_at=resumed_at,
                 is_failing=entry.record.data_centre in failing,
@@ -382,7 +383,8 @@
         self, entries: list[_Entry], *, contact_at: float, now: float
     ) -> list[TargetRecord]:
         for entry in entries:
-            entry.evidence.record_query(contact_at=contact_at, now=now)
+            entry.evidence.expire_query(contact_at=contact_at, now=now)
+            entry.evidence.record_query(now=now)
         return [entry.record for entry in entries]
 
     def remove_expired(self, *, now: float) -> list[BeliefChange]:
@@ -569,10 +571,12 @@
     doubted = entries_by_reason[QueryReason.DOUBTED]
     suspected = entries_by_reason[QueryReason.SUSPECTED]
     outdated = entries_by_reason[QueryReason.OUTDATED]
-    others = MAX_QUERIES - min(len(outdated), MIN_OUTDATED_QUERIES)
-    chosen = nsmallest(others, suspected, key=_last_word)
-    chosen += nsmallest(MAX_QUERIES - len(chosen), outdated, key=_last_word)
-    return nsmallest(MAX_DOUBTED_QUERIES, doubted, key=_last_word) + chosen
+    count = MAX_SUSPECTED_QUERIES - min(len(outdated), MIN_OUTDATED_QUERIES)
+    chosen = nsmallest(count, suspected, key=_last_word)
+    count = MAX_SUSPECTED_QUERIES - len(chosen)
+    chosen += nsmallest(count, outdated, key=_last_word)
+    count = MAX_QUERIES - len(chosen)
+    return nsmallest(count, doubted, key=_last_word) + chosen
 
 
 def _routine_queries(entries: list[_Entry], *, failing: set[str]) -> list[_Entry]:
