Fetch reports of silence after a pause and at a start

Cause: reports of silence reached a balancer by gossip alone, while they circulated. One that was paused meanwhile, or started then, never received them and offered what had ended; a peer handed it the records of targets that it suspected itself.

The reply with a peer's table has its reports now, and a balancer fetches it when it was paused or cut off, even if the digests are equal. Batches that arrive in the first ten seconds, before the records that they are about, are kept.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -1,5 +1,6 @@
 """Evidence of whether the agent of a target is alive."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -211,6 +212,25 @@
         self.unanswered_queries = 0
         self._is_awaited = False
 
+    def silences(self, *, name: str, epoch: int) -> Iterator[SilenceReport]:
+        """Yield the reports of silence that no later frame refutes.
+
+        Args:
+            name: The target's name.
+            epoch: The epoch of its agent.
+        """
+        for observer, silence in self._silences_by_observer.items():
+            observer_epoch, number = silence.rank
+            if number and self._counts(silence):
+                yield SilenceReport(
+                    name=name,
+                    epoch=epoch,
+                    observer=observer,
+                    silent=True,
+                    observer_epoch=observer_epoch,
+                    number=number,
+                )
+
     def is_silent(self, *, now: float) -> bool:
         """Return whether this balancer, as an observer, misses the heartbeats."""
         if not self.is_observed or self.received_at is None:
@@ -262,6 +282,10 @@
         return [
             silence.received_at
             for silence in self._silences_by_observer.values()
-            if silence.is_silent
-            and (self.received_at is None or silence.received_at > self.received_at)
+            if self._counts(silence)
         ]
+
+    def _counts(self, silence: _Silence) -> bool:
+        if not silence.is_silent:
+            return False
+        return self.received_at is None or silence.received_at > self.received_at
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -1,6 +1,7 @@
 """Membership protocol of balancers: gossip, heartbeats and announcements."""
 
 import random
+from collections import deque
 from collections.abc import Iterable
 
 import msgspec
@@ -42,6 +43,7 @@
 # A balancer that has just started believes records from peers while it queries the
 # agents. After a loss of power most targets become known within this time.
 TRUST_SECONDS = 10.0
+MAX_EARLY_BATCHES = 1_024
 
 
 class Membership:
@@ -84,6 +86,9 @@
         self._round_at = started_at
         self._resumed_at = started_at
         self._settled_at = started_at
+        self._fetched_at = started_at  # when a peer last sent its table
+        # Reports received before the records that they are about.
+        self._early_batches: deque[SilenceBatch] = deque(maxlen=MAX_EARLY_BATCHES)
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
@@ -146,11 +151,22 @@
             self._queue_update(record)
         self.table.record_announcement(record, now=now)
 
-    def learn_records(self, records: Iterable[TargetRecord], *, now: float) -> None:
-        """Store newer records that a peer has sent on request."""
+    def learn_records(
+        self,
+        records: Iterable[TargetRecord],
+        *,
+        silences: Iterable[SilenceReport] = (),
+        now: float,
+    ) -> None:
+        """Store newer records, and reports of silence, that a peer sent on request."""
         for record in records:
             if self._learn_from_peer(record, now=now):
                 self.has_updates = True  # Queries are sent with the next round.
+        for silence in silences:
+            self.table.record_silence(silence, now=now)
+        for batch in self._early_batches:
+            self.table.record_batch(batch, now=now)
+        self._fetched_at = now
 
     def _learn_from_peer(self, record: TargetRecord, *, now: float) -> bool:
         is_starting = now - self.started_at < TRUST_SECONDS
@@ -230,6 +246,8 @@
             if not silence.is_batched and self.table.record_silence(silence, now=now):
                 self._queue_update(silence)
         for batch in frame.batches:
+            if now - self.started_at < TRUST_SECONDS:
+                self._early_batches.append(batch)
             if self.table.record_batch(batch, now=now):
                 self._queue_update(batch)
         actions: list = []
@@ -248,12 +266,16 @@
 
         An update that is still being gossiped makes tables differ for a moment, so
         only every second difference in a row causes a fetch. A balancer whose table
-        is empty, or that has not converged when its peer has, fetches at once.
+        is empty, or that has not converged when its peer has, fetches at once. So does
+        one that was paused or cut off, since it has missed reports of silence.
         """
+        is_outdated = self._resumed_at > self._fetched_at
         if frame.digest == self.table.digest:
             self._differing_peer = None
             self._record_agreement(frame)
-            return False
+            return is_outdated
+        if is_outdated:
+            return True
         if not len(self.table) or (
             frame.is_converged and not self.is_converged(now=now)
         ):
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -404,8 +404,8 @@
         match reply:
             case ConfigurationReply(packed=packed) if packed:
                 self._configuration.apply_packed(packed)
-            case TableReply(records=records, balancers=balancers):
-                membership.learn_records(records, now=_now())
+            case TableReply(records=records, balancers=balancers, silences=silences):
+                membership.learn_records(records, silences=silences, now=_now())
                 for balancer in balancers:
                     membership.peers.learn(balancer)
 
@@ -422,7 +422,10 @@
             case TableRequest(digests=digests):
                 records = membership.table.records_in_differing_buckets(digests)
                 balancers = tuple(membership.peers.records_by_name.values())
-                return TableReply(records=records, balancers=balancers)
+                silences = membership.table.silences
+                return TableReply(
+                    records=records, balancers=balancers, silences=silences
+                )
             case StatusRequest():
                 return self._status()
             case DrainRequest():
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -268,6 +268,17 @@
             self._names_to_query[silence.name] = None
         return is_news
 
+    @property
+    def silences(self) -> tuple[SilenceReport, ...]:
+        """The reports of silence that no frame has refuted here, of all observers."""
+        return tuple(
+            itertools.chain.from_iterable(
+                entry.evidence.silences(name=name, epoch=entry.record.epoch)
+                for name, entry in self._entries_by_name.items()
+                if not entry.is_gone
+            )
+        )
+
     def record_batch(self, batch: SilenceBatch, *, now: float) -> bool:
         """Record an observer's reports; return whether to pass them on."""
         silences = unbatched(batch, record_of=self._record_of_process)
--- a/monsoonpier/wire/control.py
+++ b/monsoonpier/wire/control.py
@@ -9,7 +9,7 @@
 from monsoonpier.model.target import LoadReport, TargetRecord
 from monsoonpier.model.waiting_summary import WaitingSummary
 from monsoonpier.wire.codec import Codec, Dropped, Name, Reason
-from monsoonpier.wire.frames import BalancerRecord
+from monsoonpier.wire.frames import BalancerRecord, SilenceReport
 
 __all__ = [
     "ConfigurationRequest",
@@ -56,10 +56,15 @@
 
 
 class TableReply(_Control, tag=4, kw_only=True):
-    """Carries the records of the differing buckets, and all known balancers."""
+    """Carries the records of the differing buckets, and all known balancers.
+
+    ``silences`` holds the reports of silence that count at the sender. Older builds
+    leave them out.
+    """
 
     records: tuple[TargetRecord, ...]
     balancers: tuple[BalancerRecord, ...]
+    silences: tuple[SilenceReport, ...] = ()
 
 
 class StatusRequest(_Control, tag=5, kw_only=True):
--- a/standins/membership.py
+++ b/standins/membership.py
@@ -120,7 +120,8 @@
             return
         digests = self.membership.table.bucket_digests
         records = peer.membership.table.records_in_differing_buckets(digests)
-        self.membership.learn_records(records, now=self._fleet.now)
+        silences = peer.membership.table.silences
+        self.membership.learn_records(records, silences=silences, now=self._fleet.now)
         for record in peer.membership.peers.records_by_name.values():
             self.membership.peers.learn(record)
 
--- a/tests/balancer/test_many_ended.py
+++ b/tests/balancer/test_many_ended.py
@@ -10,6 +10,7 @@
 from monsoonpier.balancer.actions import FetchTable, ToAgent
 from monsoonpier.balancer.evidence import SUSPECT_SECONDS, VERIFY_SECONDS
 from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.silence_batches import batched
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.wire.frames import (
     MAX_SILENCES,
@@ -42,7 +43,9 @@
 class Side:
     """One balancer and its rounds of gossip."""
 
-    def __init__(self, name: str, *, host: int, started_at: float) -> None:
+    def __init__(
+        self, name: str, *, host: int, started_at: float, first_round_at: float
+    ) -> None:
         own = BalancerRecord(
             name=name,
             data_centre="dc-1",
@@ -52,7 +55,7 @@
             epoch=1,
         )
         self.membership = Membership(own=own, started_at=started_at)
-        self.next_round_at = END
+        self.next_round_at = first_round_at
 
     @property
     def record(self) -> BalancerRecord:
@@ -70,8 +73,10 @@
     def __init__(self, *, started_at: float = 0.0, is_known: bool = True) -> None:
         self.now = END
         self.draw = random.Random(1)
-        self.relay = Side("b1", host=1, started_at=0.0)
-        self.side = Side("b2", host=2, started_at=started_at)
+        # Each hears from the other between two of its own rounds.
+        between = END + ROUND_SECONDS / 2
+        self.relay = Side("b1", host=1, started_at=0.0, first_round_at=between)
+        self.side = Side("b2", host=2, started_at=started_at, first_round_at=END)
         self.are_connected = True
         self.records = [target(number) for number in range(TARGETS)]
         self.lost = [r for r in self.records if r.data_centre == "dc-6"]
@@ -89,7 +94,14 @@
         side.membership.gossip_round(now=END - ROUND_SECONDS, draw=self.draw)
         for number, each in enumerate(self.records):
             now = END - ROUND_SECONDS * (TARGETS - number) / (TARGETS + 1)
-            self.give(side, Announce(record=each), sender=each.address.endpoint, at=now)
+            if not number:
+                # Any frame ends the time without contact.
+                announce = Announce(record=each)
+                self.give(side, announce, sender=each.address.endpoint, at=now)
+                continue
+            # No update is queued, as long after the agents have started.
+            side.membership.table.learn(each, now=now)
+            side.membership.table.record_announcement(each, now=now)
 
     def give(self, side: Side, frame, *, sender, at: float | None = None) -> None:
         """Let a frame arrive at a balancer."""
@@ -126,14 +138,9 @@
         self, side: Side, targets: list, *, observer: str, silent: bool = True
     ) -> None:
         """Let an observer's reports arrive at a balancer, in full messages."""
-        sender = BalancerRecord(
-            name=observer,
-            data_centre="dc-1",
-            ip="10.2.0.9",
-            port=9000,
-            control=observer,
-            epoch=1,
-        )
+        # The other balancer is named as the one that relays them, so that neither
+        # learns of a peer that never answers.
+        sender = (self.side if side is self.relay else self.relay).record
         silences = [
             SilenceReport(
                 name=each.name,
@@ -141,17 +148,18 @@
                 observer=observer,
                 silent=silent,
                 observer_epoch=1,
-                number=2 * int(each.name.split("-")[1]) + (1 if silent else 2),
+                number=number + (0 if silent else 2 * TARGETS),
             )
-            for each in targets
+            for number, each in enumerate(targets, start=1)
         ]
-        for first in range(0, len(silences), MAX_SILENCES):
+        records_by_name = {each.name: each for each in targets}
+        for batch in batched(silences, record_of=records_by_name.__getitem__):
             # As an answer it needs none, and an equal digest causes no fetch.
             gossip = Gossip(
                 sender=sender,
                 version=0,
                 digest=side.membership.table.digest,
-                silences=tuple(silences[first : first + MAX_SILENCES]),
+                batches=(batch,),
                 is_answer=True,
             )
             self.give(side, gossip, sender=sender.endpoint)
@@ -198,6 +206,43 @@
     )
 
 
+class QueueTests(unittest.TestCase):
+    """What a balancer's messages carry while much is queued."""
+
+    def test_reports_behind_records(self):
+        """Reports that were sent often enough make room, whatever else is queued."""
+        peers = Side("b1", host=1, started_at=0.0, first_round_at=END).membership.peers
+        other = Side("b2", host=2, started_at=0.0, first_round_at=END)
+        peers.learn(other.record)
+        for number in range(LOST):
+            peers.queue_update(target(number))
+        expected = set()
+        for number in range(2 * MAX_SILENCES):
+            silence = SilenceReport(
+                name=f"maps-{number}",
+                epoch=1,
+                observer="b9",
+                silent=True,
+                observer_epoch=1,
+                number=number + 1,
+            )
+            peers.queue_update(silence)
+            expected.add(silence)
+        sent = set()
+        for _ in range(int(OFFERED_SECONDS - SUSPECT_SECONDS)):
+            message = peers.gossip(
+                version=0,
+                digest=b"",
+                is_answer=False,
+                is_converged=True,
+                evacuations=(),
+                store_generation=0,
+                draw=random.Random(1),
+            )
+            sent.update(message.silences)
+        self.assertEqual(len(expected - sent), 0)
+
+
 class EndTests(unittest.TestCase):
     """A sixth of all targets ends; no living target is suspected for it."""
 
@@ -256,7 +301,6 @@
         """A balancer that starts then doesn't offer what was reported to it."""
         fleet = Fleet(started_at=END + SUSPECT_SECONDS, is_known=False)
         fleet.now = END + SUSPECT_SECONDS
-        fleet.side.next_round_at = fleet.relay.next_round_at = fleet.now
         fleet.report_all(fleet.side, fleet.lost)
         fleet.side.membership.learn_records(fleet.records, now=fleet.now)
         self.check_end(fleet)
