Gossip to more peers while reports of silence wait

While reports fill more than a message, a round that is sent at once goes to four peers. Such rounds count as unanswered once in 0.3 s at the most, so that a peer that is slow for half a second isn't excluded for 30 s.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -140,6 +140,8 @@
     ) -> QueryReason | None:
         """Return why to query the agent now, or ``None``.
 
+        Whether the target is suspected has just been reviewed.
+
         Args:
             resumed_at: When this balancer last started, resumed or regained contact.
                 What it knew before may be outdated.
@@ -148,7 +150,7 @@
         """
         if not self.may_query(now=now):
             return None
-        if self.is_suspected(now=now):
+        if self.was_suspected:
             return QueryReason.SUSPECTED
         if self._is_doubted(now=now):
             return QueryReason.DOUBTED
@@ -166,7 +168,7 @@
         """
         if self.unanswered_queries or self._is_heartbeat_late(now=now):
             return True
-        return bool(self._silences_by_observer) and bool(self._silence_times())
+        return any(map(self._counts, self._silences_by_observer.values()))
 
     def _is_heartbeat_late(self, *, now: float) -> bool:
         if not self.is_observed or self.received_at is None:
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -25,6 +25,9 @@
 
 FANOUT = 1  # peers per periodic round; their answers carry updates too
 EAGER_FANOUT = 2  # peers per round that is sent at once for an update
+BACKLOG_FANOUT = 4  # the same, while reports of silence fill more than a message
+# Rounds that are sent at once are too close to each other to count each as unanswered.
+MIN_UNANSWERED_SECONDS = 0.3
 UNANSWERED_LIMIT = 4  # unanswered rounds after which a peer is excluded
 EXCLUDED_SECONDS = 30.0
 EXTRA_ROUNDS = 3  # rounds that carry an update, beyond log2 of the number of peers
@@ -43,6 +46,7 @@
 class _Peer:
     record: BalancerRecord
     unanswered: int = 0  # gossip rounds since its last message
+    counted_at: float = -MIN_UNANSWERED_SECONDS  # when the last of them was counted
     excluded_until: float = 0.0
 
 
@@ -146,7 +150,7 @@
         self, *, now: float, draw: random.Random, eager: bool = False
     ) -> list[BalancerRecord]:
         """Return random peers to gossip to, and count the round as unanswered."""
-        fanout = EAGER_FANOUT if eager else FANOUT
+        fanout = self._eager_fanout if eager else FANOUT
         ready = [
             peer
             for peer in self._peers_by_name.values()
@@ -154,12 +158,20 @@
         ]
         picked = draw.sample(ready, min(fanout, len(ready)))
         for peer in picked:
+            if eager and now - peer.counted_at < MIN_UNANSWERED_SECONDS:
+                continue
+            peer.counted_at = now
             peer.unanswered += 1
             if peer.unanswered > UNANSWERED_LIMIT:
                 peer.excluded_until = now + EXCLUDED_SECONDS
                 peer.unanswered = UNANSWERED_LIMIT
         return [peer.record for peer in picked]
 
+    @property
+    def _eager_fanout(self) -> int:
+        has_backlog = self._batches.size > MAX_UPDATE_BYTES
+        return BACKLOG_FANOUT if has_backlog else EAGER_FANOUT
+
     @property
     def has_peers(self) -> bool:
         """Whether any other balancer is known."""
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -374,7 +374,8 @@
                 is_failing=entry.record.data_centre in failing,
                 now=now,
             )
-            entries_by_reason[reason].append(entry)
+            if reason is not None:
+                entries_by_reason[reason].append(entry)
         chosen = _urgent_queries(entries_by_reason)
         chosen += _routine_queries(
             entries_by_reason[QueryReason.ROUTINE], failing=failing
@@ -576,7 +577,7 @@
 
 
 def _urgent_queries(
-    entries_by_reason: Mapping[QueryReason | None, list[_Entry]],
+    entries_by_reason: Mapping[QueryReason, list[_Entry]],
 ) -> list[_Entry]:
     """Return the targets to query first, some for each reason."""
     doubted = entries_by_reason[QueryReason.DOUBTED]
--- a/monsoonpier/balancer/update_queue.py
+++ b/monsoonpier/balancer/update_queue.py
@@ -51,10 +51,16 @@
         self._sent_by_key: dict[Hashable, int] = {}
         # Each level holds the updates that as many messages have carried.
         self._levels: list[OrderedDict[Hashable, _Update[Item]]] = []
+        self._size = 0
 
     def __len__(self) -> int:
         return len(self._sent_by_key)
 
+    @property
+    def size(self) -> int:
+        """The size of all items, in bytes."""
+        return self._size
+
     def add(self, key: Hashable, item: Item, *, size: int) -> None:
         """Queue an item in place of an earlier one with the same key.
 
@@ -109,9 +115,11 @@
             self._levels.append(OrderedDict())
         self._levels[update.sent][key] = update
         self._sent_by_key[key] = update.sent
+        self._size += update.size
 
     def _remove(self, key: Hashable) -> None:
-        del self._levels[self._sent_by_key.pop(key)][key]
+        update = self._levels[self._sent_by_key.pop(key)].pop(key)
+        self._size -= update.size
 
     def _drop_one(self) -> None:
         level = next(each for each in reversed(self._levels) if each)
