--- a/tests/balancer/test_fleet_histories.py
+++ b/tests/balancer/test_fleet_histories.py
@@ -12,6 +12,7 @@
 # An exchange is a message and its answer, once a second for each balancer.
 MAX_GOSSIP_PER_SECOND = 2.5
 ENDED = "maps-0"
+LATE_REPORTS_SECONDS = 130.0  # reports of silence are kept for 120 s
 
 
 class FleetHistoryTests(unittest.TestCase):
@@ -151,3 +152,51 @@
         """Let paused balancers continue."""
         for balancer in balancers:
             balancer.resume()
+
+
+class DataCentreTests(unittest.TestCase):
+    """A third of all processes is lost, or cut off and back."""
+
+    def fleet(self, seed: int) -> SimulatedFleet:
+        """Return a fleet in three data centres that has just learned its targets."""
+        fleet = SimulatedFleet(seed=seed, balancers=12, targets=60, data_centres=3)
+        fleet.run(20)
+        return fleet
+
+    def offering(self, fleet: SimulatedFleet, *, is_alive: bool) -> set[int]:
+        """Return how many of the living, or of the ended, targets balancers offer."""
+        names = {
+            name
+            for name, agent in fleet.agents_by_name.items()
+            if agent.is_alive == is_alive
+        }
+        return {
+            sum(
+                c.record.name in names and c.serves and not c.suspected
+                for c in balancer.membership.table.all_candidates(now=fleet.now)
+            )
+            for balancer in fleet.balancers
+        }
+
+    def test_lost(self):
+        """All that ended are suspected by all in time, and no other."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = self.fleet(seed)
+                fleet.lose("dc-1")
+                fleet.run(SUSPECTED_SECONDS)
+                self.assertEqual(self.offering(fleet, is_alive=False), {0})
+                self.assertEqual(self.offering(fleet, is_alive=True), {40})
+
+    def test_cut_off_and_back(self):
+        """Reports of the silence meanwhile don't arrive when it is over."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = self.fleet(seed)
+                fleet.isolate("dc-1")
+                fleet.run(20 * (1 + seed))
+                fleet.isolate("")
+                fleet.run(SUSPECTED_SECONDS)
+                for _ in range(int(LATE_REPORTS_SECONDS)):
+                    self.assertEqual(self.offering(fleet, is_alive=True), {60})
+                    fleet.run(1)
