Count what an agent can't do as no evidence that it has ended

Cause: a balancer took each unanswered query as evidence that the agent had ended, and demanded an answer before it offered a peer's record. Reports of observers can't replace the queries: observers of older builds report agents silent that have selected others.

A record says in a last field that its agent answers queries; older builds ignore it and leave it out of what they relay. An agent that isn't known to answer is believed, and asked for its status at its control address when in doubt. Missing answers count if agents in its data centre answer, or with reports of two observers or unanswered flows. Logged once for each such agent process.

Ruled out: reports alone (living targets suspected in drawn orders); flows alone (ended targets stay in all tables).

The simulated fleet can have older processes.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -58,6 +58,7 @@
         epoch=int(time.time() * 1000),
         slots=settings.target.slots,
         connections=settings.target.connections,
+        answers_queries=True,
     )
 
 
--- a/monsoonpier/balancer/actions.py
+++ b/monsoonpier/balancer/actions.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["FetchConfiguration", "FetchTable", "ToAgent", "ToCaller"]
+__all__ = ["FetchConfiguration", "FetchTable", "RequestStatus", "ToAgent", "ToCaller"]
 
 
 class ToAgent(msgspec.Struct, frozen=True, kw_only=True, gc=False):
@@ -41,3 +41,15 @@
     """
 
     control: str
+
+
+class RequestStatus(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Request the status of an agent that doesn't answer queries.
+
+    ``name`` and ``epoch`` are those of its target's record, ``control`` is the address
+    of its control server.
+    """
+
+    name: str
+    epoch: int
+    control: str
--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -11,6 +11,7 @@
 OBSERVERS_NEEDED = 2  # one may just be cut off from the agent
 UNANSWERED_FLOWS_LIMIT = 2  # one SYN or its answer may just be lost
 UNANSWERED_QUERIES_LIMIT = 3
+UNANSWERED_REQUESTS_LIMIT = 2  # status requests, which are sent over TCP
 # An observer queries an agent whose heartbeat is late before it reports silence,
 # since the agent may have selected another balancer for its heartbeats.
 LATE_HEARTBEAT_SECONDS = 1.6
@@ -48,7 +49,13 @@
         is_observed: Whether the agent sends heartbeats here.
         was_suspected: Whether the target was suspected when last reviewed.
         unanswered_flows: New flows in a row that got no answer.
+        answers_queries: Whether the agent is known to answer queries. If it isn't,
+            its silence is no evidence that it has ended.
+        ignores_queries: Whether the agent has left queries unanswered while it lived.
+            It is of an older build, and asked for its status instead.
+        was_noticed: Whether the caller was told of ``ignores_queries``.
         unanswered_queries: Queries in a row that got no answer.
+        unanswered_requests: Status requests in a row that got no answer.
     """
 
     since: float
@@ -57,21 +64,31 @@
     is_observed: bool = False
     was_suspected: bool = False
     unanswered_flows: int = 0
+    answers_queries: bool = False
+    ignores_queries: bool = False
+    was_noticed: bool = False
     unanswered_queries: int = 0
+    unanswered_requests: int = 0
     _heartbeat_at: float = field(default=0.0, init=False)
     # When the last query without an answer yet was sent.
     _queried_at: float | None = field(default=None, init=False)
     _unanswered_since: float = field(default=0.0, init=False)
+    _requested_at: float = field(default=-1.0, init=False)
+    _is_request_open: bool = field(default=False, init=False)
+    _can_answer_requests: bool = field(default=False, init=False)
     _silences_by_observer: dict[str, _Silence] = field(default_factory=dict, init=False)
 
     # Frames of the agent
 
     def record_frame(self, *, now: float) -> None:
         """Record a frame of the agent, which confirms its record."""
+        if self._left_queries_unanswered and not self.answers_queries:
+            self.ignores_queries = True
         self.is_confirmed = True
         self.received_at = now
         self.unanswered_flows = 0
         self.unanswered_queries = 0
+        self.unanswered_requests = 0
         self._queried_at = None
 
     def record_heartbeat(self, *, now: float) -> None:
@@ -81,7 +98,17 @@
         self._heartbeat_at = now
 
     def record_reply(self, *, now: float) -> None:
-        """Record the answer to a query.
+        """Record the answer to a query."""
+        self.record_capability()
+        self._record_answer(now=now)
+
+    def record_capability(self) -> None:
+        """Record that the agent answers queries."""
+        self.answers_queries = True
+        self.ignores_queries = False
+
+    def _record_answer(self, *, now: float) -> None:
+        """Record an answer.
 
         An agent that answers while its heartbeats are late sends them elsewhere.
         """
@@ -115,7 +142,14 @@
         """
         if self._queried_at is not None and now - self._queried_at < RETRY_SECONDS:
             return False
-        if not self.is_confirmed or self._queried_at is not None:
+        if self._must_request:
+            return False
+        if self._queried_at is not None:
+            return True
+        return self._is_in_doubt(resumed_at=resumed_at, now=now)
+
+    def _is_in_doubt(self, *, resumed_at: float, now: float) -> bool:
+        if not self.is_confirmed:
             return True
         if self.received_at is not None and self.received_at <= resumed_at:
             return True
@@ -125,15 +159,98 @@
 
     def is_query_due(self, *, now: float) -> bool:
         """Return whether the agent has sent no frame here for long."""
-        if self._queried_at is not None:
+        if self._queried_at is not None or self._must_request:
             return False
         return self.received_at is None or now - self.received_at > VERIFY_SECONDS
 
+    def is_heard(self, *, now: float) -> bool:
+        """Return whether the agent has sent a frame here lately."""
+        return (
+            self.received_at is not None and now - self.received_at <= SUSPECT_SECONDS
+        )
+
     def _is_heartbeat_late(self, *, now: float) -> bool:
         if not self.is_observed or self.received_at is None:
             return False
         return now - self.received_at > LATE_HEARTBEAT_SECONDS
 
+    @property
+    def _left_queries_unanswered(self) -> bool:
+        return self.unanswered_queries >= UNANSWERED_QUERIES_LIMIT
+
+    # Status requests, which agents of all builds answer
+
+    @property
+    def _must_request(self) -> bool:
+        """Whether the agent may be of a build that ignores queries."""
+        if self.answers_queries:
+            return False
+        return self.ignores_queries or self._left_queries_unanswered
+
+    def is_request_due(self, *, resumed_at: float, now: float) -> bool:
+        """Return whether to request the status of the agent now.
+
+        Args:
+            resumed_at: As for `is_query_urgent`.
+            now: The present time.
+        """
+        if self.answers_queries or self._is_request_open or not self._must_request:
+            return False
+        if self.received_at is None:
+            return True
+        return self._is_in_doubt(resumed_at=resumed_at, now=now)
+
+    @property
+    def requested_at(self) -> float:
+        """When the status of the agent was last requested."""
+        return self._requested_at
+
+    def record_request(self, *, now: float) -> None:
+        """Record that the status of the agent is requested."""
+        self._is_request_open = True
+        self._requested_at = now
+
+    def record_status(
+        self, *, is_answered: bool, is_path_known: bool, contact_at: float, now: float
+    ) -> None:
+        """Record the end of a status request.
+
+        Args:
+            is_answered: Whether the agent has answered it.
+            is_path_known: Whether some agent in its data centre has ever answered one
+                to this balancer.
+            contact_at: As for `record_query`.
+            now: The present time.
+        """
+        self._is_request_open = False
+        if is_answered:
+            self._can_answer_requests = True
+            self._record_answer(now=now)
+        elif contact_at > self._requested_at:
+            self._can_answer_requests |= is_path_known
+            if not self.unanswered_requests and not self.unanswered_queries:
+                self._unanswered_since = self._requested_at
+            self.unanswered_requests += 1
+
+    @property
+    def _left_requests_unanswered(self) -> bool:
+        return self.unanswered_requests >= UNANSWERED_REQUESTS_LIMIT
+
+    @property
+    def _is_unresponsive(self) -> bool:
+        """Whether the agent no longer answers what it is known to answer."""
+        if self.answers_queries:
+            return self._left_queries_unanswered
+        return self._can_answer_requests and self._left_requests_unanswered
+
+    @property
+    def _may_be_older(self) -> bool:
+        """Whether neither reports nor missing answers to queries count yet.
+
+        Observers of older builds report an agent silent that has selected others.
+        """
+        return not self.answers_queries and not self._left_requests_unanswered
+
     @property
     def last_word_at(self) -> float:
         """When the agent was last queried, or else last sent a frame here."""
@@ -144,7 +261,9 @@
     @property
     def is_credible(self) -> bool:
         """Whether the record may be passed on as that of a living agent."""
-        return self.is_confirmed and self.unanswered_queries < UNANSWERED_QUERIES_LIMIT
+        if not self.answers_queries and self._left_requests_unanswered:
+            return False
+        return self.is_confirmed and not self._is_unresponsive
 
     # Reports of observers
 
@@ -167,7 +286,7 @@
 
     def is_silent(self, *, now: float) -> bool:
         """Return whether this balancer, as an observer, misses the heartbeats."""
-        if not self.is_observed or self.received_at is None:
+        if not self.is_observed or self.received_at is None or self._may_be_older:
             return False
         return now - self.received_at > SUSPECT_SECONDS
 
@@ -198,14 +317,20 @@
         """Return when a target that should be removed in the end became suspected.
 
         This is so if its agent has not confirmed its record, has left queries
-        unanswered, or is silent to several observers and to this balancer too.
+        unanswered, or is silent to several observers and to this balancer too. An
+        agent that isn't known to answer queries must have left status requests
+        unanswered, and be silent to several observers or have left flows unanswered.
         """
         if not self.is_confirmed:
             return self.since
-        if self.unanswered_queries >= UNANSWERED_QUERIES_LIMIT:
+        if self._is_unresponsive:
             return self._unanswered_since
-        if self.received_at is not None and now - self.received_at <= SUSPECT_SECONDS:
+        if self.is_heard(now=now):
             return None
+        if self._may_be_older:
+            return None
+        if not self.answers_queries and self.unanswered_flows >= UNANSWERED_FLOWS_LIMIT:
+            return self._unanswered_since
         if len(self._silences_by_observer) < OBSERVERS_NEEDED:
             return None
         times = sorted(self._silence_times())
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -3,7 +3,12 @@
 import random
 from collections.abc import Iterable
 
-from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
+from monsoonpier.balancer.actions import (
+    FetchConfiguration,
+    FetchTable,
+    RequestStatus,
+    ToAgent,
+)
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.table import BeliefChange, TargetTable
@@ -311,6 +316,28 @@
             for record in queried
         ]
 
+    def status_requests(self, *, now: float) -> list[RequestStatus]:
+        """Return status requests to agents that ignore queries and may have ended.
+
+        To be called after each round of gossip that isn't eager.
+        """
+        return [
+            RequestStatus(name=record.name, epoch=record.epoch, control=record.control)
+            for record in self.table.status_requests(now=now)
+        ]
+
+    def take_status(
+        self, request: RequestStatus, *, is_answered: bool, now: float
+    ) -> None:
+        """Process the end of a status request."""
+        self.table.record_status(
+            request.name,
+            epoch=request.epoch,
+            is_answered=is_answered,
+            contact_at=self._contact_at if self.peers.has_peers else now,
+            now=now,
+        )
+
     def _queue_update(self, item: TargetRecord | SilenceReport) -> None:
         self.peers.queue_update(item)
         self.has_updates = True
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -8,7 +8,12 @@
 
 import structlog
 
-from monsoonpier.balancer.actions import FetchConfiguration, FetchTable, ToAgent
+from monsoonpier.balancer.actions import (
+    FetchConfiguration,
+    FetchTable,
+    RequestStatus,
+    ToAgent,
+)
 from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.contact import ContactMonitor
 from monsoonpier.balancer.membership import Membership
@@ -138,6 +143,7 @@
         )
         self._socket: UdpSocket | None = None
         self._fetches_by_action: dict[type, asyncio.Task] = {}
+        self._status_tasks: set[asyncio.Task] = set()
         self._bytes_by_direction = {"in": 0, "out": 0}
         self._started = time.monotonic()
         self._contact = ContactMonitor(now=self._started)
@@ -227,6 +233,10 @@
                 self.send(frame, endpoint, is_control=True)
             case FetchConfiguration() | FetchTable():
                 self._start_fetch(action)
+            case RequestStatus():
+                task = asyncio.create_task(self._request_status(action))
+                self._status_tasks.add(task)
+                task.add_done_callback(self._status_tasks.discard)
 
     def _receive(self, data: bytes, sender: tuple[str, int]) -> None:
         frame = self._codec.decode(data)
@@ -335,6 +345,9 @@
         membership = self._membership
         for action in membership.gossip_round(now=_now(), draw=self._draw, eager=eager):
             self.execute(action)
+        if not eager:
+            for request in membership.status_requests(now=_now()):
+                self.execute(request)
         self._log_beliefs()
         if not len(membership.table):
             self._send_join()
@@ -409,6 +422,16 @@
                 for balancer in balancers:
                     membership.peers.learn(balancer)
 
+    async def _request_status(self, action: RequestStatus) -> None:
+        try:
+            reply = await send_request(
+                action.control, StatusRequest(), keys=self._settings.keys
+            )
+        except NoResponseError:
+            reply = None
+        is_answered = isinstance(reply, StatusReply) and reply.name == action.name
+        self._membership.take_status(action, is_answered=is_answered, now=_now())
+
     # Control requests
 
     async def _handle_request(self, message):
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -23,6 +23,7 @@
 # lives is soon offered again; after the loss of a data centre they are many.
 MAX_QUERIES = 32
 MAX_ROUTINE_QUERIES = 8
+MAX_REQUESTS = 8  # of an agent's status, over TCP, per round
 BUCKETS = 16
 DIGEST_BYTES = 8
 
@@ -50,7 +51,8 @@
     Attributes:
         name: The target's name.
         epoch: The start of its agent.
-        belief: ``suspected``, ``trusted`` again, or ``removed``.
+        belief: ``suspected``, ``trusted`` again, ``removed``, or ``ignores queries``
+            if its agent lives and is of an older build.
         seconds: The time since its agent last sent a frame here, or since its record
             was learned.
         is_confirmed: Whether the agent has confirmed the record.
@@ -82,6 +84,9 @@
         self._bucket_sums = [0] * BUCKETS
         self._silences_reported = 0
         self._new_names: list[str] = []  # with records to be confirmed
+        self._requests_due: list[_Entry] = []
+        # Where agents have answered status requests of this balancer.
+        self._reached_data_centres: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._entries_by_name)
@@ -113,17 +118,20 @@
 
         The peer may have missed that the target has ended. The record of an agent
         process that is new here must be confirmed by the agent itself, unless this
-        balancer starts and would have no target to offer otherwise. A tombstone of an
-        unknown target is ignored, since it would be passed on after others have
-        removed theirs.
+        balancer starts and would have no target to offer otherwise, or the agent may
+        be of a build that ignores queries. A tombstone of an unknown target is
+        ignored, since it would be passed on after others have removed theirs.
         """
         known = self.record(record.name)
         if known is None and record.condition is Condition.GONE:
             return False
-        return self._learn(record, is_confirmed=is_starting, now=now)
+        is_confirmed = is_starting or not record.answers_queries
+        return self._learn(record, is_confirmed=is_confirmed, now=now)
 
     def _learn(self, record: TargetRecord, *, is_confirmed: bool, now: float) -> bool:
         entry = self._entries_by_name.get(record.name)
+        if entry is not None and record.answers_queries:
+            self._record_capability(entry, epoch=record.epoch)
         if entry is not None and record.rank <= entry.record.rank:
             return False
         if entry is None:
@@ -132,7 +140,7 @@
                 load=LoadReport(number=0, condition=record.condition),
                 load_received_at=now,
                 learned_at=now,
-                evidence=Evidence(since=now, is_confirmed=is_confirmed),
+                evidence=_evidence(record, is_confirmed=is_confirmed, now=now),
             )
             self._entries_by_name[record.name] = entry
         else:
@@ -155,12 +163,24 @@
         # The announced condition is newer than the one in the last report.
         entry.load = msgspec.structs.replace(entry.load, condition=record.condition)
         if record.epoch != earlier.epoch:
-            entry.evidence = Evidence(since=now, is_confirmed=is_confirmed)
+            entry.evidence = _evidence(record, is_confirmed=is_confirmed, now=now)
             self._reset_load(entry, number=0, now=now)
-        elif record.instance != earlier.instance and earlier.instance:
+            return
+        if entry.evidence.answers_queries:
+            entry.record = _with_capability(record)
+        if record.instance != earlier.instance and earlier.instance:
             # The agent is the same process and continues its numbering.
             self._reset_load(entry, number=entry.load.number, now=now)
 
+    def _record_capability(self, entry: _Entry, *, epoch: int) -> None:
+        """Record that the agent answers queries, if it is the process with ``epoch``.
+
+        The stored record says so from then on, since a relay may have left it out.
+        """
+        if entry.record.epoch == epoch:
+            entry.evidence.record_capability()
+            entry.record = _with_capability(entry.record)
+
     def _reset_load(self, entry: _Entry, *, number: int, now: float) -> None:
         """Discard the load reported by an earlier agent process or target instance."""
         entry.load = LoadReport(number=number, condition=entry.record.condition)
@@ -199,6 +219,7 @@
         if entry is None or entry.record.rank != record.rank:
             return
         entry.evidence.record_reply(now=now)
+        entry.record = _with_capability(entry.record)
         self.record_load(record.name, load, now=now)
 
     def record_load(self, name: str, load: LoadReport, *, now: float) -> None:
@@ -306,6 +327,7 @@
         self._new_names.clear()
         urgent: list[_Entry] = []
         routine: list[_Entry] = []
+        requests: list[_Entry] = []
         for entry in self._entries_by_name.values():
             if entry.is_gone:
                 continue
@@ -313,10 +335,61 @@
                 urgent.append(entry)
             elif entry.evidence.is_query_due(now=now):
                 routine.append(entry)
+            elif entry.evidence.is_request_due(resumed_at=resumed_at, now=now):
+                requests.append(entry)
+        self._requests_due = requests
         chosen = nsmallest(MAX_QUERIES, urgent, key=_last_word)
         chosen += nsmallest(MAX_ROUTINE_QUERIES, routine, key=_last_word)
         return self._query(chosen, contact_at=contact_at, now=now)
 
+    def status_requests(self, *, now: float) -> list[TargetRecord]:
+        """Return the targets of whose agents to request the status; count them.
+
+        They were found by the latest call of `queries`.
+        """
+        due, self._requests_due = self._requests_due, []
+        chosen = nsmallest(MAX_REQUESTS, due, key=_requested_at)
+        chosen += self._calibrating(chosen, now=now)
+        for entry in chosen:
+            entry.evidence.record_request(now=now)
+        return [entry.record for entry in chosen]
+
+    def record_status(
+        self, name: str, *, epoch: int, is_answered: bool, contact_at: float, now: float
+    ) -> None:
+        """Record whether an agent has answered a status request."""
+        entry = self._entries_by_name.get(name)
+        if entry is None or entry.record.epoch != epoch:
+            return
+        data_centre = entry.record.data_centre
+        if is_answered:
+            self._reached_data_centres.add(data_centre)
+        entry.evidence.record_status(
+            is_answered=is_answered,
+            is_path_known=data_centre in self._reached_data_centres,
+            contact_at=contact_at,
+            now=now,
+        )
+
+    def _calibrating(self, requested: list[_Entry], *, now: float) -> list[_Entry]:
+        """Return a living target for each data centre where none has answered yet.
+
+        A missing answer only counts where others answer: the path may be closed.
+        """
+        missing = {
+            entry.record.data_centre
+            for entry in requested
+            if entry.evidence.unanswered_requests
+        } - self._reached_data_centres
+        if not missing:
+            return []
+        living = {
+            entry.record.data_centre: entry
+            for entry in self._entries_by_name.values()
+            if entry.record.data_centre in missing and entry.evidence.is_heard(now=now)
+        }
+        return list(living.values())
+
     def _query(
         self, entries: list[_Entry], *, contact_at: float, now: float
     ) -> list[TargetRecord]:
@@ -338,6 +411,9 @@
                 self._remove(name)
                 changes.append(_belief_change(entry, "removed", now=now))
                 continue
+            if entry.evidence.ignores_queries and not entry.evidence.was_noticed:
+                entry.evidence.was_noticed = True
+                changes.append(_belief_change(entry, "ignores queries", now=now))
             suspected = entry.evidence.is_suspected(now=now)
             if suspected != entry.evidence.was_suspected:
                 entry.evidence.was_suspected = suspected
@@ -490,6 +566,23 @@
     return entry.evidence.last_word_at
 
 
+def _requested_at(entry: _Entry) -> float:
+    return entry.evidence.requested_at
+
+
+def _evidence(record: TargetRecord, *, is_confirmed: bool, now: float) -> Evidence:
+    """Return what is known of an agent process whose record is new."""
+    return Evidence(
+        since=now, is_confirmed=is_confirmed, answers_queries=record.answers_queries
+    )
+
+
+def _with_capability(record: TargetRecord) -> TargetRecord:
+    if record.answers_queries:
+        return record
+    return msgspec.structs.replace(record, answers_queries=True)
+
+
 def _belief_change(entry: _Entry, belief: str, *, now: float) -> BeliefChange:
     evidence = entry.evidence
     received_at = evidence.received_at
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -81,6 +81,9 @@
         condition: What the target accepts.
         is_absent: Whether nothing has listened at the target's address since
             the agent's start.
+        answers_queries: Whether the agent is known to answer a `RecordQuery`. Older
+            builds leave this out, also when they relay the record of an agent that
+            answers.
     """
 
     name: str
@@ -96,6 +99,7 @@
     connections: int = 1
     condition: Condition = Condition.STARTING
     is_absent: bool = False
+    answers_queries: bool = False
 
     @property
     def rank(self) -> tuple[int, int]:
--- a/standins/membership.py
+++ b/standins/membership.py
@@ -10,9 +10,12 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
+from enum import IntEnum
+
+import msgspec
 
 from monsoonpier.agent.heartbeat_peers import HeartbeatPeers
-from monsoonpier.balancer.actions import FetchTable, ToAgent
+from monsoonpier.balancer.actions import FetchTable, RequestStatus, ToAgent
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.wire.frames import (
@@ -23,9 +26,10 @@
     HeartbeatAck,
     RecordQuery,
     RecordReply,
+    SilenceReport,
 )
 
-__all__ = ["SimulatedAgent", "SimulatedBalancer", "SimulatedFleet"]
+__all__ = ["Build", "SimulatedAgent", "SimulatedBalancer", "SimulatedFleet"]
 
 SERVICE = "maps"
 DELAY_SECONDS = (0.0005, 0.004)
@@ -37,13 +41,34 @@
 FIND_SECONDS = 0.2  # between announcements while no balancer responds
 ANNOUNCE_EVERY = 30  # heartbeats
 MAX_QUEUED_FRAMES = 500  # in the socket of a paused process
+STATUS_SECONDS = 2.0  # after which a status request counts as unanswered
+OLD_SILENT_SECONDS = 3.0  # older balancers report an agent without asking it
 Endpoint = tuple[str, int]
 
 
+class Build(IntEnum):
+    """What a simulated process of some build can do.
+
+    Agents ignore queries before ``ANSWERING`` and say that they answer them from
+    ``SAYING`` on. Balancers before ``SAYING`` drop that from records, and report all
+    agents as silent that send them no more heartbeats. Before ``ANSWERING`` their
+    reports have no number. Apart from that they decide as this build does.
+    """
+
+    IGNORING = 0
+    ANSWERING = 1
+    SAYING = 2
+
+
 class SimulatedBalancer:
     """A balancer process: its membership, and whether it runs."""
 
-    def __init__(self, fleet: "SimulatedFleet", number: int, *, epoch: int) -> None:
+    def __init__(
+        self, fleet: "SimulatedFleet", number: int, *, epoch: int, build: Build
+    ) -> None:
+        self.build = build
+        self._silences = 0
+        self._reported: set[tuple[str, int]] = set()
         self.record = BalancerRecord(
             name=f"b{number}",
             data_centre="dc-1",
@@ -91,7 +116,7 @@
             return
         fleet = self._fleet
         actions = self.membership.from_process(
-            frame, sender=sender, now=fleet.now, draw=fleet.draw
+            self._as_of_build(frame), sender=sender, now=fleet.now, draw=fleet.draw
         )
         self._execute(actions or [])
 
@@ -99,6 +124,7 @@
         for action in actions:
             match action:
                 case ToAgent(endpoint=endpoint, frame=frame):
+                    frame = self._as_of_build(frame)
                     self.sent_by_type[type(frame)] += 1
                     self._fleet.send(frame, source=self.endpoint, to=endpoint)
                 case FetchTable(control=control):
@@ -119,6 +145,8 @@
             return
         digests = self.membership.table.bucket_digests
         records = peer.membership.table.records_in_differing_buckets(digests)
+        if Build.SAYING is not self.build or Build.SAYING is not peer.build:
+            records = [_without_capability(record) for record in records]
         self.membership.learn_records(records, now=self._fleet.now)
         for record in peer.membership.peers.records_by_name.values():
             self.membership.peers.learn(record)
@@ -140,6 +168,11 @@
         )
         if not is_due:
             return
+        if self.build is Build.SAYING:
+            for request in self.membership.status_requests(now=now):
+                self._request_status(request)
+        else:
+            self._report_without_asking()
         is_starting = now - self._started_at < STARTUP_SECONDS
         seconds = (
             STARTUP_GOSSIP_SECONDS if is_starting else draw.uniform(*GOSSIP_SECONDS)
@@ -152,11 +185,68 @@
                         [self.membership.extra_gossip(endpoint, now=now, draw=draw)]
                     )
 
+    def _request_status(self, request: RequestStatus) -> None:
+        """Request the status of an agent; TCP repeats what is lost."""
+        self.sent_by_type[RequestStatus] += 1
+        agent = self._fleet.agents_by_name.get(request.name)
+        is_answered = agent is not None and agent.is_alive
+        seconds = 0.01 if is_answered else STATUS_SECONDS
+        self._fleet.after(seconds, self._finish_status, request, is_answered)
+
+    def _finish_status(self, request: RequestStatus, is_answered: bool) -> None:
+        if not self.is_paused:
+            self.membership.take_status(
+                request, is_answered=is_answered, now=self._fleet.now
+            )
+
+    def _report_without_asking(self) -> None:
+        """Report each agent that sends no more heartbeats here, as older builds do."""
+        table = self.membership.table
+        for record in table.observed_in(self.record.data_centre):
+            process = (record.name, record.epoch)
+            is_silent = (
+                table.load_age(record.name, now=self._fleet.now) > OLD_SILENT_SECONDS
+            )
+            if is_silent == (process in self._reported):
+                continue
+            self._reported ^= {process}
+            self._silences += 1
+            is_numbered = self.build is Build.ANSWERING
+            silence = SilenceReport(
+                name=record.name,
+                epoch=record.epoch,
+                observer=self.record.name,
+                silent=is_silent,
+                observer_epoch=self.record.epoch if is_numbered else 0,
+                number=self._silences if is_numbered else 0,
+            )
+            self.membership.peers.queue_update(silence)
+
+    def _as_of_build(self, frame: object) -> object:
+        """Return a frame as an older build understands it, or relays it."""
+        if self.build is Build.SAYING:
+            return frame
+        match frame:
+            case Gossip(records=records) if records:
+                stripped = tuple(_without_capability(record) for record in records)
+                return msgspec.structs.replace(frame, records=stripped)
+            case Announce(record=record) | RecordReply(record=record):
+                stripped = _without_capability(record)
+                return msgspec.structs.replace(frame, record=stripped)
+        return frame
+
+
+def _without_capability(record: TargetRecord) -> TargetRecord:
+    return msgspec.structs.replace(record, answers_queries=False)
+
 
 class SimulatedAgent:
     """An agent process and its heartbeats."""
 
-    def __init__(self, fleet: "SimulatedFleet", number: int, *, epoch: int) -> None:
+    def __init__(
+        self, fleet: "SimulatedFleet", number: int, *, epoch: int, build: Build
+    ) -> None:
+        self.build = build
         self.record = TargetRecord(
             name=f"maps-{number}",
             service=SERVICE,
@@ -167,6 +257,7 @@
             instance=b"i",
             epoch=epoch,
             condition=Condition.SERVING,
+            answers_queries=build is Build.SAYING,
         )
         self.is_alive = True
         self._fleet = fleet
@@ -196,7 +287,7 @@
         match frame:
             case HeartbeatAck():
                 self._peers.record_ack(frame, now=self._fleet.now)
-            case RecordQuery():
+            case RecordQuery() if self.build is not Build.IGNORING:
                 self._send(RecordReply(record=self.record, load=self._load()), sender)
 
     def _load(self) -> LoadReport:
@@ -248,6 +339,8 @@
         targets: How many targets there are.
         start_gap: Seconds between the starts of two balancers.
         loss: The share of datagrams that are lost.
+        agent_build: The build of the first agents.
+        balancer_build: The build of the first balancers.
     """
 
     def __init__(
@@ -258,6 +351,8 @@
         targets: int,
         start_gap: float = 0.0,
         loss: float = 0.0,
+        agent_build: Build = Build.SAYING,
+        balancer_build: Build = Build.SAYING,
     ) -> None:
         self.now = 1000.0
         self.draw = random.Random(seed)
@@ -270,9 +365,9 @@
         self._events: list = []
         self._order = itertools.count()
         for number in range(balancers):
-            self.after(number * start_gap, self.start_balancer, number)
+            self.after(number * start_gap, self.start_balancer, number, balancer_build)
         for number in range(targets):
-            self.after(0.0, self.start_agent, number)
+            self.after(0.0, self.start_agent, number, agent_build)
 
     @property
     def balancers(self) -> list[SimulatedBalancer]:
@@ -284,17 +379,20 @@
         found = (b for b in self.balancers if b.record.control == control)
         return next(found, None)
 
-    def start_balancer(self, number: int) -> None:
+    def start_balancer(self, number: int, build: Build = Build.SAYING) -> None:
         """Start a balancer, in place of an earlier process of its name."""
-        made = SimulatedBalancer(self, number, epoch=next(self._epochs))
+        made = SimulatedBalancer(self, number, epoch=next(self._epochs), build=build)
         self.balancers_by_endpoint[made.endpoint] = made
         for other in self.balancers:
             if other is not made:
                 made.membership.peers.learn(other.record)
 
-    def start_agent(self, number: int) -> SimulatedAgent:
+    def start_agent(self, number: int, build: Build = Build.SAYING) -> SimulatedAgent:
         """Start an agent, in place of an earlier process of its name."""
-        made = SimulatedAgent(self, number, epoch=next(self._epochs))
+        earlier = self.agents_by_name.get(f"maps-{number}")
+        if earlier is not None:
+            earlier.is_alive = False
+        made = SimulatedAgent(self, number, epoch=next(self._epochs), build=build)
         self.agents_by_name[made.record.name] = made
         self._agents_by_endpoint[made.endpoint] = made
         return made
--- a/tests/packets/rig.py
+++ b/tests/packets/rig.py
@@ -82,6 +82,7 @@
         "slots": 2,
         "connections": 2000,
         "condition": Condition.SERVING,
+        "answers_queries": True,
     }
     return TargetRecord(**fields | more)
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -66,6 +66,7 @@
         "epoch": epoch,
         "slots": 3,
         "connections": 2000,
+        "answers_queries": True,
     }
     return TargetRecord(**fields | more)
 
