--- a/tests/balancer/test_many_ended.py
+++ b/tests/balancer/test_many_ended.py
@@ -19,6 +19,7 @@
     Gossip,
     RecordQuery,
     RecordReply,
+    SilenceBatch,
     SilenceReport,
 )
 from tests.rig import record
@@ -377,3 +378,104 @@
         fleet.side.membership.learn_records(returned, now=fleet.now)
         fleet.run(RETURNED_SECONDS)
         self.assertEqual(fleet.offered(returned), LOST)
+
+
+class OneBalancerTests(unittest.TestCase):
+    """What one balancer does when it hears from others about its targets."""
+
+    def setUp(self) -> None:
+        self.side = Side("b1", host=1, started_at=0.0, first_round_at=END)
+        self.peer = Side("b2", host=2, started_at=0.0, first_round_at=END).record
+        self.side.membership.peers.learn(self.peer)
+        self.draw = random.Random(1)
+        # Two in each of two data centres.
+        self.targets = [target(number) for number in (0, 1, 6, 7)]
+        for each in self.targets:
+            self.hear(each, now=END)
+        # Any frame ends the time without contact, and the peer's table is known.
+        self.queried(now=END)
+        self.side.membership.learn_records((), now=END)
+
+    def hear(self, agent: TargetRecord, *, now: float) -> None:
+        """Receive an agent's announcement."""
+        self.side.membership.from_process(
+            Announce(record=agent),
+            sender=agent.address.endpoint,
+            now=now,
+            draw=self.draw,
+        )
+
+    def gossip(self, *batches: SilenceBatch, now: float) -> list:
+        """Receive a message of the peer, whose table is equal; return the actions."""
+        membership = self.side.membership
+        gossip = Gossip(
+            sender=self.peer,
+            version=0,
+            digest=membership.table.digest,
+            batches=batches,
+            is_answer=True,
+        )
+        return membership.from_process(
+            gossip, sender=self.peer.endpoint, now=now, draw=self.draw
+        )
+
+    def queried(self, *, now: float, eager: bool = False) -> set[str]:
+        """Return the targets whose agents a round queries."""
+        sent = self.side.membership.gossip_round(now=now, draw=self.draw, eager=eager)
+        return {a.frame.name for a in sent if isinstance(a.frame, RecordQuery)}
+
+    def report(self, *, observer: str, silent: bool, number: int) -> SilenceBatch:
+        """Return an observer's reports on the first and third target."""
+        return SilenceBatch(
+            observer=observer,
+            observer_epoch=1,
+            number=number,
+            silent=silent,
+            keys=tuple(each.process_key for each in self.targets[::2]),
+        )
+
+    def offered(self, *, now: float) -> set[str]:
+        """Return the targets that get new flows."""
+        found = self.side.membership.table.all_candidates(now=now)
+        return {c.record.name for c in found if not c.suspected}
+
+    def test_failing_data_centre_is_queried(self):
+        """The rest of it is queried sooner than the targets of others."""
+        late, *_ = self.targets
+        more = [target(12), target(13)]
+        for each in more:
+            self.hear(each, now=END + 1)
+        for number in range(1, 6):
+            now = END + number
+            reports = [
+                self.report(observer=each, silent=True, number=1) for each in OBSERVERS
+            ]
+            self.gossip(*reports, now=now)
+            for each in self.targets[1::2]:
+                self.hear(each, now=now)
+            queried = self.queried(now=now)
+        self.assertIn(late.name, queried)
+        self.assertIn(more[0].name, queried)
+        self.assertNotIn(more[1].name, queried)
+
+    def test_heard_by_an_observer_again(self):
+        """Unanswered queries of a cut that is over don't keep a target suspected."""
+        now = END
+        self.gossip(self.report(observer="b8", silent=True, number=1), now=now)
+        for _ in range(6):
+            now += ROUND_SECONDS
+            self.gossip(now=now)
+            self.queried(now=now)
+        names = {each.name for each in self.targets[::2]}
+        self.assertFalse(names & self.offered(now=now))
+        self.gossip(self.report(observer="b8", silent=False, number=9), now=now + 0.1)
+        self.assertEqual(names & self.offered(now=now + 0.1), names)
+        self.assertLessEqual(names, self.queried(now=now + 1.0, eager=True))
+
+    def test_fetches_reports_after_a_pause(self):
+        """Equal tables don't say that no report was missed."""
+        self.assertEqual(self.gossip(now=END), [])
+        later = END + PAUSED_SECONDS
+        self.assertEqual(self.gossip(now=later), [FetchTable(control="b2")])
+        self.side.membership.learn_records((), now=later)
+        self.assertEqual(self.gossip(now=later), [])
