Read the configuration anew when a watch can't keep up with its changes

Traced in: a watch's answer holds every change in full (307 kB each, 410 kB as sent; the links carry 4.8 Mbit/s), and one limit of 2.75 s applied to waiting and transfer together. An answer that was cut was discarded, and the retry asked for the same changes and all newer ones, so it was cut again. Balancers kept the old version until a peer's reply got through.

A body that has begun now gets 2 s of its own, and a watch of which only a part arrived is given up: the balancer reads the state, which holds one version.

Ruled out: an order that goes back (all orders of seven answers, test_configuration_orders), the copy, open flows, exclusion of peers, the platform's translation. The processor alone doesn't explain it.

Balancers log from where, and in how many bytes, a configuration came.

--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -403,7 +403,7 @@
             return
         match reply:
             case ConfigurationReply(packed=packed) if packed:
-                self._configuration.apply_packed(packed)
+                self._configuration.apply_packed(packed, learned_from=action.control)
             case TableReply(records=records, balancers=balancers):
                 membership.learn_records(records, now=_now())
                 for balancer in balancers:
--- a/monsoonpier/balancer/stored_configuration.py
+++ b/monsoonpier/balancer/stored_configuration.py
@@ -70,8 +70,16 @@
         """The configuration in force as a copy for the store."""
         return ConfigurationCopy(version=self.version, packed=self.packed(ALL_SERVICES))
 
-    def apply(self, value: bytes) -> None:
-        """Apply a stored value if it is newer than the current one."""
+    def apply(
+        self, value: bytes, *, learned_from: str = "store", received_bytes: int = 0
+    ) -> None:
+        """Apply a stored value if it is newer than the current one.
+
+        Args:
+            value: The value.
+            learned_from: Where the value was received from, for the log.
+            received_bytes: The size received, if it isn't that of the value.
+        """
         try:
             configuration = self._format.decode(value)
         except ValueError as error:
@@ -81,7 +89,13 @@
         if self._membership.configure(configuration):
             self._value = value
             self._packed_by_service.clear()
-            _log.info("configuration in force", version=configuration.version)
+            _log.info(
+                "configuration in force",
+                version=configuration.version,
+                before=current,
+                received_bytes=received_bytes or len(value),
+                learned_from=learned_from,
+            )
             self._log_findings(configuration)
             self._on_configured()
         elif configuration.version < current:
@@ -89,6 +103,7 @@
                 "older configuration rejected",
                 offered=configuration.version,
                 held=current,
+                learned_from=learned_from,
             )
 
     def _log_findings(self, configuration: Configuration) -> None:
@@ -101,14 +116,14 @@
             first=report(configuration.findings[:MAX_LOGGED_FINDINGS]),
         )
 
-    def apply_packed(self, packed: bytes) -> None:
+    def apply_packed(self, packed: bytes, *, learned_from: str = "copy") -> None:
         """Apply a compressed value, of a peer or a copy, if it is newer."""
         try:
             value = unpack(packed)
         except ValueError as error:
             _log.error("packed configuration not usable", reason=str(error))
             return
-        self.apply(value)
+        self.apply(value, learned_from=learned_from, received_bytes=len(packed))
 
     def packed(self, service: str) -> bytes:
         """Return the compressed value for a service's agents, or `ALL_SERVICES`."""
--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -12,17 +12,22 @@
 MAX_IDLE_CONNECTIONS = 2  # one for a long poll, one for other calls
 IDLE_SECONDS = 8.0  # shorter than the idle timeout of common servers
 CONNECT_SECONDS = 1.0
+TRANSFER_SECONDS = 2.0  # from the first part of a body to the last
 
 
 class HttpError(Exception):
     """No complete response was received.
 
-    ``was_sent`` is true if the server may have processed the request.
+    ``was_sent`` is true if the server may have processed the request, and
+    ``was_partial`` if a part of the response's body was received.
     """
 
-    def __init__(self, reason: str, *, was_sent: bool) -> None:
+    def __init__(
+        self, reason: str, *, was_sent: bool, was_partial: bool = False
+    ) -> None:
         super().__init__(reason)
         self.was_sent = was_sent
+        self.was_partial = was_partial
 
 
 class HttpClient:
@@ -41,19 +46,24 @@
             method: The HTTP method.
             target: The path and query.
             body: The JSON body, if any.
-            timeout: Seconds to wait for the complete response once connected.
+            timeout: Seconds to wait, once connected, for the first part of the
+                response's body, or for the complete response if it has none. A body
+                that has begun gets ``TRANSFER_SECONDS``.
 
         Raises:
             HttpError: If no complete response is received in time.
         """
         connection = await self._acquire(min(timeout, CONNECT_SECONDS))
         try:
-            response = await asyncio.wait_for(
-                connection.exchange(self._encode_request(method, target, body)), timeout
-            )
+            request = self._encode_request(method, target, body)
+            response = await connection.exchange(request, timeout=timeout)
         except (TimeoutError, OSError, httptools.HttpParserError) as error:
             connection.close()
-            raise HttpError(f"{method} {target}: {error!r}", was_sent=True) from error
+            raise HttpError(
+                f"{method} {target}: {error!r}",
+                was_sent=True,
+                was_partial=connection.has_part_of_body,
+            ) from error
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -108,6 +118,7 @@
         self._headers_by_name: dict[str, str] = {}
         self._response: asyncio.Future | None = None
         self._keeps_alive = True
+        self._limit: asyncio.Timeout | None = None
         self.used_at = 0.0
 
     @property
@@ -116,12 +127,19 @@
         assert self._transport is not None
         return self._keeps_alive and not self._transport.is_closing()
 
-    async def exchange(self, request: bytes) -> Response:
-        """Send a request and wait for its response."""
+    @property
+    def has_part_of_body(self) -> bool:
+        """Whether a part of the last response's body was received."""
+        return bool(self._body)
+
+    async def exchange(self, request: bytes, *, timeout: float) -> Response:
+        """Send a request and wait for its response, as `HttpClient.call` does."""
         assert self._transport is not None
+        self._body.clear()
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
-        return await self._response
+        async with asyncio.timeout(timeout) as self._limit:
+            return await self._response
 
     def close(self) -> None:
         """Close immediately and discard unsent data."""
@@ -149,6 +167,8 @@
         self._headers_by_name[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
+        if not self._body:
+            self._extend_limit()
         self._body += body
         if len(self._body) > MAX_BODY_BYTES:
             self._fail(OSError("response body too large"))
@@ -166,6 +186,15 @@
         )
         self._response.set_result(response)
 
+    def _extend_limit(self) -> None:
+        """Allow the body that begins its own time."""
+        if self._limit is None or self._response is None or self._response.done():
+            return  # No response is awaited.
+        now = asyncio.get_running_loop().time()
+        until = self._limit.when()
+        if until is not None and now < until:
+            self._limit.reschedule(now + TRANSFER_SECONDS)
+
     def _fail(self, error: Exception) -> None:
         if self._response is not None and not self._response.done():
             self._response.set_exception(error)
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -240,7 +240,7 @@
         try:
             response = await self._client.call(method, path, body=body, timeout=timeout)
         except HttpError as error:
-            raise StoreError(str(error)) from error
+            raise StoreError(str(error), was_partial=error.was_partial) from error
         finally:
             self.call_seconds.observe(time.monotonic() - began)
         self._generations.update(response.headers_by_name)
--- a/monsoonpier/store/interface.py
+++ b/monsoonpier/store/interface.py
@@ -16,6 +16,7 @@
     "Put",
     "RestoredError",
     "TransactionResult",
+    "WatchBehindError",
     "WatchEvent",
     "Snapshot",
     "prefix_end",
@@ -25,9 +26,14 @@
 class StoreError(Exception):
     """The store is unreachable, or its response was lost or unusable.
 
-    A write that raises this may have taken effect.
+    A write that raises this may have taken effect. ``was_partial`` is true if a part
+    of the response was received.
     """
 
+    def __init__(self, reason: str, *, was_partial: bool = False) -> None:
+        super().__init__(reason)
+        self.was_partial = was_partial
+
 
 class LeaseNotFoundError(StoreError):
     """The lease has expired or was revoked."""
@@ -45,6 +51,13 @@
     """
 
 
+class WatchBehindError(CompactedError):
+    """The changes that a watch missed are too many to be received in one answer.
+
+    The answer to a retry would be larger still. The present state must be read.
+    """
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyValue:
     """A key, its value, its lease, and the revision of its last change."""
@@ -159,6 +172,7 @@
         Raises:
             CompactedError: If the store has discarded changes since that revision.
             RestoredError: If the store now has another generation.
+            WatchBehindError: If the changes can't be received in time.
         """
 
     async def close(self) -> None:
--- a/monsoonpier/store/long_poll.py
+++ b/monsoonpier/store/long_poll.py
@@ -8,7 +8,12 @@
 import structlog
 
 from monsoonpier.store.backoff import Backoff
-from monsoonpier.store.interface import CompactedError, StoreError, WatchEvent
+from monsoonpier.store.interface import (
+    CompactedError,
+    StoreError,
+    WatchBehindError,
+    WatchEvent,
+)
 
 __all__ = ["PollResult", "long_poll"]
 
@@ -41,6 +46,8 @@
 
     Raises:
         CompactedError: If ``poll`` raises it; other store errors are retried.
+        WatchBehindError: If only a part of an answer arrived in time. The answer to a
+            retry would hold the same changes and all newer ones.
     """
     backoff = Backoff(max_seconds=MAX_RETRY_SECONDS)
     while True:
@@ -49,6 +56,8 @@
         except CompactedError:
             raise
         except StoreError as error:
+            if error.was_partial:
+                raise WatchBehindError(str(error)) from error
             _log.warning("watch failed; retrying", key=key, reason=str(error))
             await asyncio.sleep(backoff.wait_seconds(draw=draw))
             backoff = backoff.after_failure()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -9,6 +9,7 @@
 __all__ = ["LinkFaults", "TcpProxy", "UdpProxy"]
 
 CHUNK_BYTES = 65_536
+SLOW_CHUNK_BYTES = 8_192  # at a limited rate
 BLOCKED_POLL_SECONDS = 0.02
 STOP_SECONDS = 2.0
 
@@ -22,12 +23,15 @@
         blocks_to_server: Whether data to the server is held back or dropped.
         blocks_from_server: The same for data from the server.
         loss_share: Share of datagrams lost at random.
+        bytes_per_second: Rate of a TCP server's data over all connections; 0 is no
+            limit.
     """
 
     delay_seconds: float = 0.0
     blocks_to_server: bool = False
     blocks_from_server: bool = False
     loss_share: float = 0.0
+    bytes_per_second: float = 0.0
 
     def clear(self) -> None:
         """Remove all faults."""
@@ -35,6 +39,7 @@
         self.blocks_to_server = False
         self.blocks_from_server = False
         self.loss_share = 0.0
+        self.bytes_per_second = 0.0
 
 
 @dataclass(kw_only=True)
@@ -52,6 +57,7 @@
     faults: LinkFaults = field(default_factory=LinkFaults)
     _tasks: set[asyncio.Task] = field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    _link: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     async def start(self) -> None:
         """Start to listen.
@@ -121,11 +127,23 @@
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await asyncio.sleep(self.faults.delay_seconds)
+            if not is_to_server and self.faults.bytes_per_second:
+                await self._write_slowly(data, writer)
+                continue
             while self._is_blocked(is_to_server=is_to_server):
                 await asyncio.sleep(BLOCKED_POLL_SECONDS)
             writer.write(data)
             await writer.drain()
 
+    async def _write_slowly(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Write at the link's rate, which all connections share."""
+        for start in range(0, len(data), SLOW_CHUNK_BYTES):
+            part = data[start : start + SLOW_CHUNK_BYTES]
+            async with self._link:
+                await asyncio.sleep(len(part) / self.faults.bytes_per_second)
+            writer.write(part)
+            await writer.drain()
+
     def _is_blocked(self, *, is_to_server: bool) -> bool:
         faults = self.faults
         return faults.blocks_to_server if is_to_server else faults.blocks_from_server
--- /dev/null
+++ b/tests/balancer/test_large_configurations.py
@@ -0,0 +1,190 @@
+"""Configurations that take long to receive, changed faster than they arrive."""
+
+import asyncio
+import contextlib
+import random
+import time
+import unittest
+from unittest import mock
+
+from aiohttp import web
+
+from monsoonpier.balancer.configuration_copy import ConfigurationCopies
+from monsoonpier.balancer.peers import Peers
+from monsoonpier.balancer.store_link import StoreLink
+from monsoonpier.balancer.stored_configuration import CurrentConfiguration
+from monsoonpier.http import client
+from monsoonpier.model.address import Address
+from monsoonpier.platform import store as platform_store
+from monsoonpier.platform.store import PlatformStore
+from monsoonpier.wire.frames import FrameCodec
+from standins.packets.store import StoreStandIn
+from standins.proxy import LinkFaults, TcpProxy
+from tests.rig import KEYS, balancer
+
+KEY = "op/config"
+VALUE_BYTES = 90_000  # 120,000 as base64
+TRANSFER_SECONDS = 0.15  # of one value on the link
+WAIT_SECONDS = 0.5  # longest wait of a watch call
+SLACK_SECONDS = 0.2
+LIMIT_SECONDS = 0.5  # of one transfer
+CHANGES = 25
+CHANGE_SECONDS = 0.06  # between two changes
+# Six times what is needed, for a busy machine. All changes in one answer would take
+# 3.75 s on the link, and LIMIT_SECONDS ends each try.
+NEWEST_SECONDS = 6.0
+
+
+class _Held:
+    """Stands for the configuration in force; holds the newest version applied."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.versions: list[int] = []
+
+    def apply(self, value: bytes) -> None:
+        version = int(value[:8])
+        self.versions.append(version)
+        self.version = max(self.version, version)
+
+
+class NarrowLinkTests(unittest.IsolatedAsyncioTestCase):
+    """A watching balancer whose link carries one configuration in 0.15 s."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand_in = StoreStandIn()
+        self.runner = web.AppRunner(self.stand_in.application(), shutdown_timeout=0.01)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.faults = LinkFaults()
+        self.proxy = TcpProxy(
+            address=Address(ip="127.0.0.1", port=0),
+            server=Address(ip="127.0.0.1", port=port),
+            faults=self.faults,
+        )
+        await self.proxy.start()
+        self.faults.bytes_per_second = VALUE_BYTES * 4 / 3 / TRANSFER_SECONDS
+        port = self.proxy._listener.sockets[0].getsockname()[1]
+        self.store = PlatformStore(
+            address=Address(ip="127.0.0.1", port=port), draw=random.Random(1)
+        )
+        self.held = _Held()
+        configuration = mock.create_autospec(CurrentConfiguration, instance=True)
+        configuration.apply.side_effect = self._apply
+        configuration.version = 0
+        self.configuration = configuration
+        self.evacuate = mock.Mock()
+        self.link = StoreLink(
+            store=self.store,
+            peers=Peers(own=balancer("b1").peers.own),
+            codec=FrameCodec(keys=KEYS),
+            copies=ConfigurationCopies(store=self.store, keys=KEYS),
+            configuration=configuration,
+            evacuate=self.evacuate,
+            draw=random.Random(1),
+        )
+        for module, name, seconds in (
+            (platform_store, "WATCH_SECONDS", WAIT_SECONDS),
+            (platform_store, "WATCH_SLACK_SECONDS", SLACK_SECONDS),
+            (client, "TRANSFER_SECONDS", LIMIT_SECONDS),
+        ):
+            patch = mock.patch.object(module, name, seconds)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def asyncTearDown(self) -> None:
+        await self.store.close()
+        await self.proxy.stop()
+        await self.runner.cleanup()
+
+    def _apply(self, value: bytes) -> None:
+        self.held.apply(value)
+        self.configuration.version = self.held.version
+
+    def _put(self, version: int) -> None:
+        filling = random.Random(version).randbytes(VALUE_BYTES - 8)
+        self.stand_in.put(KEY, b"%08d" % version + filling)
+
+    async def _seconds_until(self, version: int, *, at_most: float) -> float:
+        """Return after how many seconds the version is in force."""
+        began = time.monotonic()
+        while self.held.version < version:
+            waited = time.monotonic() - began
+            if waited > at_most:
+                self.fail(
+                    f"version {self.held.version} instead of {version} in force "
+                    f"after {waited:.1f} s; applied: {self.held.versions}"
+                )
+            await asyncio.sleep(0.01)
+        return time.monotonic() - began
+
+    @property
+    def _reads(self) -> int:
+        return self.stand_in.calls_by_name["kv-range"]
+
+    @contextlib.asynccontextmanager
+    async def _watching(self):
+        """Watch, from the first version on."""
+        self._put(1)
+        watching = asyncio.create_task(self.link._watch())
+        try:
+            await self._seconds_until(1, at_most=NEWEST_SECONDS)
+            yield
+        finally:
+            watching.cancel()
+            await asyncio.gather(watching, return_exceptions=True)
+
+    async def test_changes_faster_than_the_link(self):
+        """After a storm of changes the newest configuration comes into force.
+
+        Guards against watches that request all changes since the last answer, which
+        become more while an answer is on the way, until none arrives in time.
+        """
+        async with self._watching():
+            for version in range(2, CHANGES + 2):
+                self._put(version)
+                await asyncio.sleep(CHANGE_SECONDS)
+            await self._seconds_until(CHANGES + 1, at_most=NEWEST_SECONDS)
+        self.assertEqual(self.held.versions, sorted(self.held.versions))
+
+    async def test_changes_during_an_outage(self):
+        """After an outage the newest configuration arrives, however many it missed."""
+        async with self._watching():
+            self.stand_in.faults.is_down = True
+            for version in range(2, CHANGES + 2):
+                self._put(version)
+            await asyncio.sleep(WAIT_SECONDS)
+            self.stand_in.faults.is_down = False
+            await self._seconds_until(CHANGES + 1, at_most=NEWEST_SECONDS)
+
+    async def test_change_at_the_end_of_a_wait(self):
+        """A change shortly before the end of a wait has the time to arrive.
+
+        Guards against time limits that include the transfer, after which the same
+        configuration is received from its beginning.
+        """
+        async with self._watching():
+            self.faults.bytes_per_second /= 2  # 0.3 s, more than SLACK_SECONDS
+            reads_by_version = {}
+            for version in range(2, 6):
+                # The wait began when the last change arrived.
+                await asyncio.sleep(WAIT_SECONDS * 0.9)
+                reads = self._reads
+                self._put(version)
+                await self._seconds_until(version, at_most=NEWEST_SECONDS)
+                reads_by_version[version] = self._reads - reads
+            # Not all of them, for a busy machine.
+            self.assertEqual(min(reads_by_version.values()), 0, reads_by_version)
+
+    async def test_single_changes_are_not_read_again(self):
+        """Separate changes cost no read beside the watch."""
+        async with self._watching():
+            reads_by_version = {}
+            for version in range(2, 6):
+                reads = self._reads
+                self._put(version)
+                await self._seconds_until(version, at_most=NEWEST_SECONDS)
+                reads_by_version[version] = self._reads - reads
+            self.assertEqual(min(reads_by_version.values()), 0, reads_by_version)
