--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -48,7 +48,7 @@
             body: The JSON body, if any.
             timeout: Seconds to wait, once connected, for the first part of the
                 response's body, or for the complete response if it has none. A body
-                that has begun gets ``TRANSFER_SECONDS``.
+                that has begun gets ``TRANSFER_SECONDS`` at least.
 
         Raises:
             HttpError: If no complete response is received in time.
@@ -193,7 +193,7 @@
         now = asyncio.get_running_loop().time()
         until = self._limit.when()
         if until is not None and now < until:
-            self._limit.reschedule(now + TRANSFER_SECONDS)
+            self._limit.reschedule(max(until, now + TRANSFER_SECONDS))
 
     def _fail(self, error: Exception) -> None:
         if self._response is not None and not self._response.done():
