Check a registration whose write may take effect late

Cause: a balancer that gets no answer to the write of its registration takes a new lease and writes again. If the store executes the first write after the second, the registration belongs to the first lease, which nobody renews. Renewals of the second one succeed, so the balancer was missing from the store for good from 30 s on.

It needs no restore.

Now the balancer reads its registration at the next renewal after a write without an answer, and registers again if it is bound to another lease: one read per lost answer. Ruled out: a condition on the key's revision in every write would need another read at each start whose earlier registration is still there.

--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -63,6 +63,7 @@
         self._draw = draw
         self._restored = asyncio.Event()
         self._registered_generation = 0
+        self._has_lost_answer = False
         self.lease = Lease()
 
     def store_restored(self) -> None:
@@ -121,18 +122,39 @@
                     ttl_seconds=ttl, asked_at=asked_at, now=self._now()
                 )
             self._learn_generation(Revision(generation=self._store.generation))
+            if self._has_lost_answer and self.lease.may_act(now=self._now()):
+                await self._check_registration()
         if not self._is_registration_current and self.lease.may_act(now=self._now()):
             self.lease = self.lease.lost()
         if not self.lease.may_act(now=self._now()):
             await self._register()
 
+    async def _check_registration(self) -> None:
+        """Give the lease up if the registration is not bound to it.
+
+        A write whose answer was lost may take effect after its repetition, and bind
+        the registration to a lease that isn't renewed.
+        """
+        key = BALANCERS + self._peers.own.name
+        found = (await self._store.read(key)).values_by_key.get(key)
+        if found is None or found.lease != self.lease.id:
+            _log.warning("registration replaced by an earlier write", key=key)
+            self.lease = self.lease.lost()
+        self._has_lost_answer = False
+
     async def _register(self) -> None:
         asked_at = self._now()
         lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
         generation = self._store.generation
         own = self._peers.own
         put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        written = await self._store.transact(compares=(), puts=(put,))
+        try:
+            written = await self._store.transact(compares=(), puts=(put,))
+        except LeaseNotFoundError:
+            raise
+        except StoreError:
+            self._has_lost_answer = True
+            raise
         self._learn_generation(written.revision)
         self._registered_generation = min(generation, written.revision.generation)
         if not self._is_registration_current:
