Use no lease that may be of an earlier generation of the store

Cause: the generation of a new lease was taken from the newest answer seen. If another answer told of a restore while that of the grant was on its way, a lease of the lost generation counted as one of the new generation, in which its id may belong to another balancer. The registration then ended with the other one's, until the next renewal (8 to 10 s), or kept the other one's lease alive after its end.

Now the grant is repeated if the generation changed meanwhile. Ruled out: a second attempt after the write, since the write itself may already use another's lease.

--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -144,8 +144,7 @@
 
     async def _register(self) -> None:
         asked_at = self._now()
-        lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
-        generation = self._store.generation
+        lease, generation = await self._grant()
         own = self._peers.own
         put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
         try:
@@ -163,3 +162,12 @@
             lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
         )
         _log.info("registered", lease=lease, generation=self._registered_generation)
+
+    async def _grant(self) -> tuple[int, int]:
+        """Return a new lease and the generation that granted it."""
+        while True:
+            generation = self._store.generation
+            lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
+            if generation == self._store.generation:
+                return lease, generation
+            # Another answer may have told the new one; the lease may be of the old one.
--- a/tests/balancer/test_store_orders.py
+++ b/tests/balancer/test_store_orders.py
@@ -338,3 +338,23 @@
             running.cancel()
 
         run_in_virtual_time(run())
+
+    def test_grant_of_an_earlier_generation(self) -> None:
+        """A lease granted before a restore isn't used after it, if it can be known."""
+
+        async def run() -> None:
+            one = _OneBalancer()
+            await one.client.read(BALANCERS, prefix=True)
+            backup = one.shared.store.backup()
+            one.next_courses["grant"] = Course(answer_seconds=1.0)
+            running = asyncio.create_task(one.registration.renew_or_register())
+            await asyncio.sleep(0.5)
+            one.shared.store.restore(backup)
+            lease = await one.register_other()
+            await one.link._read()
+            await running
+            self.assertEqual(one.keys(), {"b1", "other"})
+            await one.other.revoke(lease)
+            self.assertEqual(one.keys(), {"b1"})
+
+        run_in_virtual_time(run())
