Remove the own registration on leaving, rather than revoke its lease

Cause: a balancer that leaves revoked its lease by id. If the store was restored and the balancer didn't know yet, the id could belong to another balancer, whose registration was then removed until its next renewal (8 to 10 s).

Now it removes its own key if that is the one it wrote; the lease expires unused. Ruled out: a renewal before the revocation to learn the generation, which leaves a gap between the two calls.

test_leaving_after_an_unknown_restore failed before and passes now.

--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -9,9 +9,15 @@
 
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
-from monsoonpier.model.revision import Revision
+from monsoonpier.model.revision import NO_REVISION, Revision
 from monsoonpier.store.backoff import Backoff
-from monsoonpier.store.interface import LeaseNotFoundError, Put, Store, StoreError
+from monsoonpier.store.interface import (
+    Compare,
+    LeaseNotFoundError,
+    Put,
+    Store,
+    StoreError,
+)
 from monsoonpier.store.keys import BALANCERS
 from monsoonpier.store.lease import Lease
 from monsoonpier.wire.frames import FrameCodec
@@ -30,8 +36,8 @@
 class Registration:
     """Keeps a balancer's record in the store and renews its lease.
 
-    A lease of an earlier generation of the store is neither renewed nor revoked: the
-    restored store may have given its id to another process.
+    A lease of an earlier generation of the store isn't renewed: the restored store may
+    have given its id to another process.
 
     Args:
         store: The platform's key-value service.
@@ -63,6 +69,7 @@
         self._draw = draw
         self._restored = asyncio.Event()
         self._registered_generation = 0
+        self._registered_at = NO_REVISION
         self._has_lost_answer = False
         self.lease = Lease()
 
@@ -71,15 +78,21 @@
         self._restored.set()
 
     async def leave(self) -> None:
-        """Revoke the lease, which removes the registration."""
+        """Remove the registration.
+
+        The lease isn't revoked but expires: if the store was restored, it may belong
+        to another process, whose registration would be removed too.
+        """
         lease, self.lease = self.lease, self.lease.released()
-        if not lease.id or not self._is_registration_current:
-            return  # The lease's id may belong to another process by now.
+        if not lease.id:
+            return
+        key = BALANCERS + self._peers.own.name
+        compares = (Compare(key=key, mod_revision=self._registered_at),)
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                await self._store.revoke(lease.id)
+                await self._store.transact(compares=compares, puts=(), removes=(key,))
         except (StoreError, TimeoutError) as error:
-            _log.info("lease not revoked", reason=str(error))
+            _log.info("registration not removed", reason=str(error))
 
     async def run(self) -> None:
         """Register, and renew the lease until the balancer leaves."""
@@ -154,6 +167,7 @@
         except StoreError:
             self._has_lost_answer = True
             raise
+        self._registered_at = written.revision
         self._learn_generation(written.revision)
         self._registered_generation = min(generation, written.revision.generation)
         if not self._is_registration_current:
--- a/tests/balancer/test_store_orders.py
+++ b/tests/balancer/test_store_orders.py
@@ -358,3 +358,18 @@
             self.assertEqual(one.keys(), {"b1"})
 
         run_in_virtual_time(run())
+
+    def test_leaving_after_an_unknown_restore(self) -> None:
+        """A balancer that leaves doesn't end the other process's registration."""
+
+        async def run() -> None:
+            one = _OneBalancer()
+            backup = one.shared.store.backup()
+            await one.registration.renew_or_register()
+            one.shared.store.restore(backup)
+            lease = await one.register_other()
+            self.assertEqual(lease, one.registration.lease.id)
+            await one.link.leave()
+            self.assertEqual(one.keys(), {"other"})
+
+        run_in_virtual_time(run())
