--- a/bench/soak.py
+++ b/bench/soak.py
@@ -33,6 +33,8 @@
 MAX_CLOCK_STEP_SECONDS = 60.0
 EDITION = 2  # 1: faults of processes and the store; 2: also of links and clocks
 CONFIG_SECONDS = 3.0  # time for all balancers to apply a configuration
+STALL_SECONDS = 0.3  # delays of this process's loop from which they are reported
+STALL_CHECK_SECONDS = 0.1
 NETS = 200  # loopback networks, chosen by seed
 app = App(name="soak", help=__doc__)
 
@@ -155,6 +157,16 @@
             for step in plan.steps:
                 group.create_task(self._inject_step(step))
 
+    async def record_stalls(self) -> None:
+        """Record when this process, which runs the store and callers, was held up."""
+        while True:
+            at, cpu = time.monotonic(), time.process_time()
+            await asyncio.sleep(STALL_CHECK_SECONDS)
+            late = time.monotonic() - at - STALL_CHECK_SECONDS
+            if late >= STALL_SECONDS:
+                used = time.process_time() - cpu
+                self._log(f"soak held up for {late:.1f} s, {used:.1f} s of them busy")
+
     async def _inject_step(self, step: Step) -> None:
         await asyncio.sleep(step.at)
         handlers: dict[str, Callable[[Step], Awaitable[None]]] = {
@@ -326,6 +338,7 @@
         load.start(readers=8, writers=4, uploaders=2)
         await asyncio.sleep(1.0)
         soak = _Soak(deployment=deployment)
+        stalls = asyncio.create_task(soak.record_stalls())
         await soak.inject(plan)
         _clear_store_faults(deployment.store.faults)
         deployment.caller.faults.clear()
@@ -333,6 +346,7 @@
             links.clear()
         broken = await _check_recovery(deployment, load, scale=scale)
         result = await load.stop()
+        stalls.cancel()
         broken += [name for name, count in _violation_counts(result).items() if count]
         if broken:
             soak.timeline += _relevant_log_lines(deployment)
--- a/tests/packets/test_soak.py
+++ b/tests/packets/test_soak.py
@@ -1,8 +1,11 @@
 """Plans of the soak test, and short runs of it."""
 
+import asyncio
+import time
 import unittest
+from unittest import mock
 
-from bench.soak import make_plan, run_seed
+from bench.soak import _Soak, make_plan, run_seed
 
 SEED = 454067
 LINKS_SEED = 58080
@@ -21,6 +24,17 @@
         self.assertEqual(make_plan(7, seconds=20), make_plan(7, seconds=20))
         self.assertNotEqual(make_plan(7, seconds=20), make_plan(8, seconds=20))
 
+    async def test_stalls_are_recorded(self) -> None:
+        """The timeline tells when the soak's own process was held up."""
+        soak = _Soak(deployment=mock.Mock())
+        recording = asyncio.create_task(soak.record_stalls())
+        await asyncio.sleep(0.05)
+        time.sleep(0.6)
+        await asyncio.sleep(0.05)
+        recording.cancel()
+        self.assertEqual(len(soak.timeline), 1)
+        self.assertIn("soak held up", soak.timeline[0])
+
     async def test_first_edition(self) -> None:
         """Only the second edition has faults of links and clocks."""
         kinds = {s.kind for n in range(20) for s in _steps(n, edition=1)}
