--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -9,9 +9,15 @@
 
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
-from monsoonpier.model.revision import Revision
+from monsoonpier.model.revision import NO_REVISION, Revision
 from monsoonpier.store.backoff import Backoff
-from monsoonpier.store.interface import LeaseNotFoundError, Put, Store, StoreError
+from monsoonpier.store.interface import (
+    Compare,
+    LeaseNotFoundError,
+    Put,
+    Store,
+    StoreError,
+)
 from monsoonpier.store.keys import BALANCERS
 from monsoonpier.store.lease import Lease
 from monsoonpier.wire.frames import FrameCodec
@@ -30,8 +36,8 @@
 class Registration:
     """Keeps a balancer's record in the store and renews its lease.
 
-    A lease of an earlier generation of the store is neither renewed nor revoked: the
-    restored store may have given its id to another process.
+    A lease of an earlier generation of the store isn't renewed: the restored store may
+    have given its id to another process.
 
     Args:
         store: The platform's key-value service.
@@ -63,6 +69,8 @@
         self._draw = draw
         self._restored = asyncio.Event()
         self._registered_generation = 0
+        self._registered_at = NO_REVISION
+        self._has_lost_answer = False
         self.lease = Lease()
 
     def store_restored(self) -> None:
@@ -70,15 +78,21 @@
         self._restored.set()
 
     async def leave(self) -> None:
-        """Revoke the lease, which removes the registration."""
+        """Remove the registration.
+
+        The lease isn't revoked but expires: if the store was restored, it may belong
+        to another process, whose registration would be removed too.
+        """
         lease, self.lease = self.lease, self.lease.released()
-        if not lease.id or not self._is_registration_current:
-            return  # The lease's id may belong to another process by now.
+        if not lease.id:
+            return
+        key = BALANCERS + self._peers.own.name
+        compares = (Compare(key=key, mod_revision=self._registered_at),)
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                await self._store.revoke(lease.id)
+                await self._store.transact(compares=compares, puts=(), removes=(key,))
         except (StoreError, TimeoutError) as error:
-            _log.info("lease not revoked", reason=str(error))
+            _log.info("registration not removed", reason=str(error))
 
     async def run(self) -> None:
         """Register, and renew the lease until the balancer leaves."""
@@ -121,18 +135,39 @@
                     ttl_seconds=ttl, asked_at=asked_at, now=self._now()
                 )
             self._learn_generation(Revision(generation=self._store.generation))
+            if self._has_lost_answer and self.lease.may_act(now=self._now()):
+                await self._check_registration()
         if not self._is_registration_current and self.lease.may_act(now=self._now()):
             self.lease = self.lease.lost()
         if not self.lease.may_act(now=self._now()):
             await self._register()
 
+    async def _check_registration(self) -> None:
+        """Give the lease up if the registration is not bound to it.
+
+        A write whose answer was lost may take effect after its repetition, and bind
+        the registration to a lease that isn't renewed.
+        """
+        key = BALANCERS + self._peers.own.name
+        found = (await self._store.read(key)).values_by_key.get(key)
+        if found is None or found.lease != self.lease.id:
+            _log.warning("registration replaced by an earlier write", key=key)
+            self.lease = self.lease.lost()
+        self._has_lost_answer = False
+
     async def _register(self) -> None:
         asked_at = self._now()
-        lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
-        generation = self._store.generation
+        lease, generation = await self._grant()
         own = self._peers.own
         put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        written = await self._store.transact(compares=(), puts=(put,))
+        try:
+            written = await self._store.transact(compares=(), puts=(put,))
+        except LeaseNotFoundError:
+            raise
+        except StoreError:
+            self._has_lost_answer = True
+            raise
+        self._registered_at = written.revision
         self._learn_generation(written.revision)
         self._registered_generation = min(generation, written.revision.generation)
         if not self._is_registration_current:
@@ -141,3 +176,12 @@
             lease, ttl_seconds=LEASE_TTL_SECONDS, asked_at=asked_at
         )
         _log.info("registered", lease=lease, generation=self._registered_generation)
+
+    async def _grant(self) -> tuple[int, int]:
+        """Return a new lease and the generation that granted it."""
+        while True:
+            generation = self._store.generation
+            lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
+            if generation == self._store.generation:
+                return lease, generation
+            # Another answer may have told the new one; the lease may be of the old one.
