Check each registration once, since an earlier process's write may be late

The check after a lost answer of one's own is made after each registration now: one read for each start. A removal at leaving that is refused is logged. test_late_write_of_the_previous_process failed before.

--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -28,7 +28,7 @@
 RENEW_SECONDS = 10.0
 LEAVE_CALL_SECONDS = 2.0
 # After a restore of the store all balancers register again, spread over this time. At
-# the target size 460 balancers then make two writes each.
+# the target size 460 balancers then make two or three writes each.
 REGISTER_SPREAD_SECONDS = 0.5
 _log = structlog.get_logger("monsoonpier.balancer.registration")
 
@@ -70,7 +70,7 @@
         self._restored = asyncio.Event()
         self._registered_generation = 0
         self._registered_at = NO_REVISION
-        self._has_lost_answer = False
+        self._is_check_due = False
         self.lease = Lease()
 
     def store_restored(self) -> None:
@@ -90,9 +90,14 @@
         compares = (Compare(key=key, mod_revision=self._registered_at),)
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                await self._store.transact(compares=compares, puts=(), removes=(key,))
+                removed = await self._store.transact(
+                    compares=compares, puts=(), removes=(key,)
+                )
         except (StoreError, TimeoutError) as error:
             _log.info("registration not removed", reason=str(error))
+            return
+        if not removed.succeeded:
+            _log.info("registration not removed", reason="written again meanwhile")
 
     async def run(self) -> None:
         """Register, and renew the lease until the balancer leaves."""
@@ -135,7 +140,7 @@
                     ttl_seconds=ttl, asked_at=asked_at, now=self._now()
                 )
             self._learn_generation(Revision(generation=self._store.generation))
-            if self._has_lost_answer and self.lease.may_act(now=self._now()):
+            if self._is_check_due and self.lease.may_act(now=self._now()):
                 await self._check_registration()
         if not self._is_registration_current and self.lease.may_act(now=self._now()):
             self.lease = self.lease.lost()
@@ -145,28 +150,24 @@
     async def _check_registration(self) -> None:
         """Give the lease up if the registration is not bound to it.
 
-        A write whose answer was lost may take effect after its repetition, and bind
-        the registration to a lease that isn't renewed.
+        A write whose answer was lost, of this process or an earlier one of its name,
+        may take effect after a later write, and bind the registration to a lease that
+        isn't renewed.
         """
         key = BALANCERS + self._peers.own.name
         found = (await self._store.read(key)).values_by_key.get(key)
         if found is None or found.lease != self.lease.id:
             _log.warning("registration replaced by an earlier write", key=key)
             self.lease = self.lease.lost()
-        self._has_lost_answer = False
+        self._is_check_due = False
 
     async def _register(self) -> None:
         asked_at = self._now()
         lease, generation = await self._grant()
         own = self._peers.own
         put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
-        try:
-            written = await self._store.transact(compares=(), puts=(put,))
-        except LeaseNotFoundError:
-            raise
-        except StoreError:
-            self._has_lost_answer = True
-            raise
+        self._is_check_due = True
+        written = await self._store.transact(compares=(), puts=(put,))
         self._registered_at = written.revision
         self._learn_generation(written.revision)
         self._registered_generation = min(generation, written.revision.generation)
--- a/tests/balancer/test_store_orders.py
+++ b/tests/balancer/test_store_orders.py
@@ -344,6 +344,24 @@
 
         run_in_virtual_time(run())
 
+    def test_late_write_of_the_previous_process(self) -> None:
+        """A write of a process that was killed doesn't end its successor's."""
+
+        async def run() -> None:
+            old, new = _OneBalancer(), _OneBalancer()
+            new.shared.store = old.shared.store
+            old.next_courses["transact"] = Course(is_answered=False, late_seconds=3.0)
+            killed = asyncio.create_task(old.registration.run())
+            await asyncio.sleep(1.0)
+            killed.cancel()
+            running = asyncio.create_task(new.registration.run())
+            for at in range(5, 105, 5):
+                await asyncio.sleep(5.0)
+                self.assertEqual(new.keys(), {"b1"}, at)
+            running.cancel()
+
+        run_in_virtual_time(run())
+
     def test_grant_of_an_earlier_generation(self) -> None:
         """A lease granted before a restore isn't used after it, if it can be known."""
 
