Drop reports of silence that are out of date

An observer that had restarted withdrew a report of its earlier process without having heard the agent.

Early batches count as received when they were, and only for ten seconds; a balancer that resumes drops what it had queued and hands out what it received since; the time until a removal begins at the resumption; a report is withdrawn after a frame alone.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -329,16 +329,20 @@
         self.unanswered_requests = 0
         self._is_awaited = False
 
-    def silences(self, *, name: str, epoch: int) -> Iterator[SilenceReport]:
+    def silences(
+        self, *, name: str, epoch: int, since: float
+    ) -> Iterator[SilenceReport]:
         """Yield the reports of silence that no later frame refutes.
 
         Args:
             name: The target's name.
             epoch: The epoch of its agent.
+            since: When the first of them was received.
         """
         for observer, silence in self._silences_by_observer.items():
             observer_epoch, number = silence.rank
-            if number and self._counts(silence):
+            is_recent = silence.received_at >= since
+            if number and is_recent and self._counts(silence):
                 yield SilenceReport(
                     name=name,
                     epoch=epoch,
@@ -359,6 +363,18 @@
         silence = self._silences_by_observer.get(observer)
         return silence is not None and silence.is_silent
 
+    def changed_silence(self, observer: str, *, now: float) -> bool | None:
+        """Return what this balancer, as an observer, has to report, or ``None``.
+
+        A report of its earlier process is withdrawn only after a frame of the agent.
+        """
+        silence = self._silences_by_observer.get(observer)
+        is_reported = silence is not None and silence.is_silent
+        is_silent = self.is_silent(now=now)
+        if is_silent == is_reported or (is_reported and self._counts(silence)):
+            return None
+        return is_silent
+
     def remove_old_silences(self, *, now: float) -> None:
         """Remove reports that no longer count and are too old to circulate."""
         if not self._silences_by_observer:
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -93,7 +93,9 @@
         self._settled_at = started_at
         self._fetched_at = started_at  # when a peer last sent its table
         # Reports received before the records that they are about.
-        self._early_batches: deque[SilenceBatch] = deque(maxlen=MAX_EARLY_BATCHES)
+        self._early_batches: deque[tuple[float, SilenceBatch]] = deque(
+            maxlen=MAX_EARLY_BATCHES
+        )
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
@@ -169,10 +171,24 @@
                 self.has_updates = True  # Queries are sent with the next round.
         for silence in silences:
             self.table.record_silence(silence, now=now)
-        for batch in self._early_batches:
-            self.table.record_batch(batch, now=now)
+        self._apply_early_batches(now=now)
         self._fetched_at = now
 
+    def _apply_early_batches(self, *, now: float) -> None:
+        """Apply reports that came before the records that they are about."""
+        if now - self.started_at >= TRUST_SECONDS:
+            self._early_batches.clear()
+        for received_at, batch in self._early_batches:
+            self.table.record_batch(batch, now=received_at)
+
+    @property
+    def silences(self) -> tuple[SilenceReport, ...]:
+        """The reports of silence for a peer that has missed some.
+
+        Those from before a pause of this balancer may have been withdrawn meanwhile.
+        """
+        return self.table.silences(since=self._resumed_at)
+
     def _learn_from_peer(self, record: TargetRecord, *, now: float) -> bool:
         is_starting = now - self.started_at < TRUST_SECONDS
         return self.table.learn_from_peer(record, is_starting=is_starting, now=now)
@@ -252,7 +268,7 @@
                 self._queue_update(silence)
         for batch in frame.batches:
             if now - self.started_at < TRUST_SECONDS:
-                self._early_batches.append(batch)
+                self._early_batches.append((now, batch))
             if self.table.record_batch(batch, now=now):
                 self._queue_update(batch)
         actions: list = []
@@ -321,6 +337,7 @@
         if now - self._round_at > MAX_ROUND_SECONDS:
             self._resumed_at = now
             self._settled_at = now + SETTLE_SECONDS
+            self.peers.drop_silences()
         self._round_at = now
         if now >= self._settled_at and now - self._contact_at <= CONTACT_SECONDS:
             own = self.peers.own
@@ -334,7 +351,9 @@
                 self.peers.queue_update(
                     msgspec.structs.replace(silence, is_batched=True)
                 )
-        self.belief_changes += self.table.remove_expired(now=now)
+        self.belief_changes += self.table.remove_expired(
+            resumed_at=self._resumed_at, now=now
+        )
 
     def _queries(self, *, only_new: bool, now: float) -> list[ToAgent]:
         """Return queries of agents that may have ended, and of some others."""
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -445,7 +445,7 @@
             case TableRequest(digests=digests):
                 records = membership.table.records_in_differing_buckets(digests)
                 balancers = tuple(membership.peers.records_by_name.values())
-                silences = membership.table.silences
+                silences = membership.silences
                 return TableReply(
                     records=records, balancers=balancers, silences=silences
                 )
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -137,6 +137,11 @@
                 key = (item.observer, item.observer_epoch, item.number)
                 self._batches.add(key, item, size=batch_bytes(item))
 
+    def drop_silences(self) -> None:
+        """Forget the queued reports of silence, which may have been withdrawn."""
+        self._silences = UpdateQueue()
+        self._batches = UpdateQueue()
+
     @property
     def has_silences(self) -> bool:
         """Whether reports of silence still have to be gossiped.
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -289,12 +289,13 @@
             self._names_to_query[silence.name] = None
         return is_news
 
-    @property
-    def silences(self) -> tuple[SilenceReport, ...]:
-        """The reports of silence that no frame has refuted here, of all observers."""
+    def silences(self, *, since: float) -> tuple[SilenceReport, ...]:
+        """Return the reports received since then that no frame has refuted here."""
         return tuple(
             itertools.chain.from_iterable(
-                entry.evidence.silences(name=name, epoch=entry.record.epoch)
+                entry.evidence.silences(
+                    name=name, epoch=entry.record.epoch, since=since
+                )
                 for name, entry in self._entries_by_name.items()
                 if not entry.is_gone
             )
@@ -327,8 +328,8 @@
         """
         names_by_silence: dict[bool, list[str]] = {True: [], False: []}
         for name, entry in self._entries_by_name.items():
-            silent = entry.evidence.is_silent(now=now)
-            if silent != entry.evidence.has_reported_silence(observer):
+            silent = entry.evidence.changed_silence(observer, now=now)
+            if silent is not None:
                 names_by_silence[silent].append(name)
         changed = []
         for silent, names in names_by_silence.items():
@@ -472,8 +473,16 @@
             entry.evidence.record_query(now=now)
         return [entry.record for entry in entries]
 
-    def remove_expired(self, *, now: float) -> list[BeliefChange]:
-        """Remove targets that have been gone or suspected for long; return changes."""
+    def remove_expired(
+        self, *, resumed_at: float = 0.0, now: float
+    ) -> list[BeliefChange]:
+        """Remove targets that have been gone or suspected for long; return changes.
+
+        Args:
+            resumed_at: As for `queries`. Since then a suspected target has had the
+                time to answer.
+            now: The present time.
+        """
         changes = []
         for name, entry in list(self._entries_by_name.items()):
             if entry.is_gone:
@@ -482,7 +491,7 @@
                 continue
             entry.evidence.remove_old_silences(now=now)
             since = entry.evidence.suspected_since(now=now)
-            if since is not None and now - since > FORGET_SECONDS:
+            if since is not None and now - max(since, resumed_at) > FORGET_SECONDS:
                 self._remove(name)
                 changes.append(_belief_change(entry, "removed", now=now))
                 continue
--- a/standins/membership.py
+++ b/standins/membership.py
@@ -148,7 +148,7 @@
         records = peer.membership.table.records_in_differing_buckets(digests)
         if Build.SAYING is not self.build or Build.SAYING is not peer.build:
             records = [_without_capability(record) for record in records]
-        silences = peer.membership.table.silences
+        silences = peer.membership.silences
         self.membership.learn_records(records, silences=silences, now=self._fleet.now)
         for record in peer.membership.peers.records_by_name.values():
             self.membership.peers.learn(record)
--- a/tests/balancer/test_many_ended.py
+++ b/tests/balancer/test_many_ended.py
@@ -132,7 +132,7 @@
                     table = other.membership.table
                     records = table.records_in_differing_buckets(digests)
                     side.membership.learn_records(
-                        records, silences=table.silences, now=self.now
+                        records, silences=other.membership.silences, now=self.now
                     )
 
     def answer(self, side: Side, agent: TargetRecord) -> None:
