Hand out nothing that was learned before a pause to balancers that start

Cause: a balancer believes its peers in its first 10 s. A peer that had been paused or cut off noticed that at its next round of gossip only; a request for its table or a message that came first got all it knew before. What was trusted was then queried 8 a round.

A balancer looks for a pause before it processes a frame or a table request. Until its table is known to be up to date it isn't called converged and hands out only what agents have confirmed since; frames of the first 0.5 s may have waited in the socket and don't count. A balancer that starts queries first what it trusts, 64 a round.

Ruled out: no trust at the start; 240 queries a round (by estimate two thirds of a 5 Mbit/s link).

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -45,6 +45,8 @@
         since: When the record of this agent process was learned.
         is_confirmed: Whether the agent has confirmed its record, or the balancer
             had just started when it learned it.
+        is_trusted: Whether the balancer had just started when it learned the record
+            of a peer.
         received_at: When the agent last sent a frame here.
         is_observed: Whether the agent sends heartbeats here.
         was_suspected: Whether the target was suspected when last reviewed.
@@ -60,6 +62,7 @@
 
     since: float
     is_confirmed: bool
+    is_trusted: bool = False
     received_at: float | None = None
     is_observed: bool = False
     was_suspected: bool = False
@@ -142,7 +145,7 @@
         """
         if self._queried_at is not None and now - self._queried_at < RETRY_SECONDS:
             return False
-        if self._must_request:
+        if not self.answers_queries and self._must_request:
             return False
         if self._queried_at is not None:
             return True
@@ -151,7 +154,10 @@
     def _is_in_doubt(self, *, resumed_at: float, now: float) -> bool:
         if not self.is_confirmed:
             return True
-        if self.received_at is not None and self.received_at <= resumed_at:
+        if self.received_at is None:
+            if self.is_trusted:
+                return True
+        elif self.received_at <= resumed_at:
             return True
         if self._silences_by_observer and self._silence_times():
             return True  # One observer isn't enough to suspect the target.
@@ -159,10 +165,16 @@
 
     def is_query_due(self, *, now: float) -> bool:
         """Return whether the agent has sent no frame here for long."""
-        if self._queried_at is not None or self._must_request:
+        if self._queried_at is not None:
+            return False
+        if not self.answers_queries and self._must_request:
             return False
         return self.received_at is None or now - self.received_at > VERIFY_SECONDS
 
+    def is_heard_since(self, moment: float) -> bool:
+        """Return whether the agent has sent a frame here after a moment."""
+        return self.received_at is not None and self.received_at > moment
+
     def is_heard(self, *, now: float) -> bool:
         """Return whether the agent has sent a frame here lately."""
         return (
@@ -194,7 +206,7 @@
             resumed_at: As for `is_query_urgent`.
             now: The present time.
         """
-        if self.answers_queries or self._is_request_open or not self._must_request:
+        if self._is_request_open or not self._must_request:
             return False
         if self.received_at is None:
             return True
@@ -323,14 +335,17 @@
         """
         if not self.is_confirmed:
             return self.since
-        if self._is_unresponsive:
+        # All targets are reviewed each second, nearly all without a missing answer.
+        is_unanswered = self.unanswered_queries or self.unanswered_requests
+        if is_unanswered and self._is_unresponsive:
             return self._unanswered_since
-        if self.is_heard(now=now):
-            return None
-        if self._may_be_older:
+        if self.received_at is not None and now - self.received_at <= SUSPECT_SECONDS:
             return None
-        if not self.answers_queries and self.unanswered_flows >= UNANSWERED_FLOWS_LIMIT:
-            return self._unanswered_since
+        if not self.answers_queries:
+            if self._may_be_older:
+                return None
+            if self.unanswered_flows >= UNANSWERED_FLOWS_LIMIT:
+                return self._unanswered_since
         if len(self._silences_by_observer) < OBSERVERS_NEEDED:
             return None
         times = sorted(self._silence_times())
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -40,6 +40,8 @@
 # agent has ended.
 MAX_ROUND_SECONDS = 2.5
 CONTACT_SECONDS = 2.0
+# Frames that are read so soon after a pause may have been sent before it.
+DRAIN_SECONDS = 0.5
 SETTLE_SECONDS = 2.0  # after a pause; late agents are queried first
 # A balancer that has just started believes records from peers while it queries the
 # agents. After a loss of power most targets become known within this time.
@@ -86,6 +88,8 @@
         self._round_at = started_at
         self._resumed_at = started_at
         self._settled_at = started_at
+        # After a pause, until the table is known to be up to date again.
+        self._is_outdated = False
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
@@ -99,8 +103,7 @@
 
         Returns ``None`` for a frame that doesn't belong to the membership protocol.
         """
-        if now - self._contact_at > CONTACT_SECONDS:
-            self._resumed_at = now
+        self._detect_pause(now=now)
         self._contact_at = now
         match frame:
             case Heartbeat():
@@ -114,6 +117,32 @@
                 return self._take_gossip(frame, sender=sender, now=now, draw=draw)
         return None
 
+    def _detect_pause(self, *, now: float) -> None:
+        """Detect that this balancer was paused or cut off until now.
+
+        Frames and requests may come before the timers notice. What was learned before
+        may be outdated, so it isn't passed on to balancers that would trust it.
+        """
+        if now - self._round_at > MAX_ROUND_SECONDS:
+            self._round_at = now
+            self._settled_at = now + SETTLE_SECONDS
+        elif now - self._contact_at <= CONTACT_SECONDS:
+            return
+        self._resumed_at = now
+        self._is_outdated = len(self.table) > 0
+
+    @property
+    def _drained_at(self) -> float:
+        return self._resumed_at + DRAIN_SECONDS
+
+    def records_for_peer(
+        self, digests: Iterable[bytes], *, now: float
+    ) -> tuple[TargetRecord, ...]:
+        """Return the records that a peer with other bucket digests needs."""
+        self._detect_pause(now=now)
+        heard_since = self._drained_at if self._is_outdated else None
+        return self.table.records_in_differing_buckets(digests, heard_since=heard_since)
+
     def _take_heartbeat(
         self, frame: Heartbeat, *, sender: tuple[str, int], now: float
     ) -> ToAgent:
@@ -155,8 +184,12 @@
                 self.has_updates = True  # Queries are sent with the next round.
 
     def _learn_from_peer(self, record: TargetRecord, *, now: float) -> bool:
-        is_starting = now - self.started_at < TRUST_SECONDS
-        return self.table.learn_from_peer(record, is_starting=is_starting, now=now)
+        return self.table.learn_from_peer(
+            record, is_starting=self._is_starting(now=now), now=now
+        )
+
+    def _is_starting(self, *, now: float) -> bool:
+        return now - self.started_at < TRUST_SECONDS
 
     def _ack(
         self,
@@ -251,7 +284,7 @@
         """
         if frame.digest == self.table.digest:
             self._differing_peer = None
-            self._record_agreement(frame)
+            self._record_agreement(frame, now=now)
             return False
         if not len(self.table) or (
             frame.is_converged and not self.is_converged(now=now)
@@ -261,7 +294,7 @@
         self._differing_peer = None if differed_before else frame.sender.name
         return differed_before
 
-    def _record_agreement(self, frame: Gossip) -> None:
+    def _record_agreement(self, frame: Gossip, *, now: float) -> None:
         """Record that a peer's table equals this one.
 
         Agreement with a peer that has not converged is recorded separately: two new
@@ -271,6 +304,8 @@
         self.has_agreed_with_any = has_targets
         if frame.is_converged:
             self.has_agreed = has_targets
+            if now > self._drained_at:
+                self._is_outdated = False
 
     def gossip_round(
         self, *, now: float, draw: random.Random, eager: bool = False
@@ -288,9 +323,10 @@
     def _review_targets(self, *, now: float) -> None:
         """Report observed silences, and remove targets that have ended."""
         if now - self._round_at > MAX_ROUND_SECONDS:
-            self._resumed_at = now
-            self._settled_at = now + SETTLE_SECONDS
+            self._detect_pause(now=now)
         self._round_at = now
+        if self._is_outdated and self.table.is_heard_since(self._drained_at):
+            self._is_outdated = False
         if now >= self._settled_at and now - self._contact_at <= CONTACT_SECONDS:
             own = self.peers.own
             for silence in self.table.changed_silences(
@@ -307,7 +343,10 @@
             queried = self.table.first_queries(contact_at=contact_at, now=now)
         else:
             queried = self.table.queries(
-                contact_at=contact_at, resumed_at=self._resumed_at, now=now
+                contact_at=contact_at,
+                resumed_at=self._resumed_at,
+                is_starting=self._is_starting(now=now),
+                now=now,
             )
         return [
             ToAgent(
@@ -338,6 +377,10 @@
             now=now,
         )
 
+    def _is_authority(self, *, now: float) -> bool:
+        """Return whether new balancers may rely on this table."""
+        return self.is_converged(now=now) and not self._is_outdated
+
     def _queue_update(self, item: TargetRecord | SilenceReport) -> None:
         self.peers.queue_update(item)
         self.has_updates = True
@@ -356,7 +399,7 @@
         answer = self.peers.answer_without_updates(
             version=self.configuration.version,
             digest=self.table.digest,
-            is_converged=self.is_converged(now=now),
+            is_converged=self._is_authority(now=now),
             evacuations=self.evacuations.known,
             store_generation=self.store_generation.number,
             draw=draw,
@@ -381,7 +424,7 @@
             version=self.configuration.version,
             digest=self.table.digest,
             is_answer=is_answer,
-            is_converged=self.is_converged(now=now),
+            is_converged=self._is_authority(now=now),
             evacuations=self.evacuations.known,
             store_generation=self.store_generation.number,
             draw=draw,
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -443,7 +443,7 @@
                 packed = self._configuration.packed(service) if is_newer else b""
                 return ConfigurationReply(version=current, packed=packed)
             case TableRequest(digests=digests):
-                records = membership.table.records_in_differing_buckets(digests)
+                records = membership.records_for_peer(digests, now=_now())
                 balancers = tuple(membership.peers.records_by_name.values())
                 return TableReply(records=records, balancers=balancers)
             case StatusRequest():
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -23,6 +23,7 @@
 # lives is soon offered again; after the loss of a data centre they are many.
 MAX_QUERIES = 32
 MAX_ROUTINE_QUERIES = 8
+MAX_START_QUERIES = 64  # of a balancer that has just started
 MAX_REQUESTS = 8  # of an agent's status, over TCP, per round
 BUCKETS = 16
 DIGEST_BYTES = 8
@@ -126,7 +127,11 @@
         if known is None and record.condition is Condition.GONE:
             return False
         is_confirmed = is_starting or not record.answers_queries
-        return self._learn(record, is_confirmed=is_confirmed, now=now)
+        is_learned = self._learn(record, is_confirmed=is_confirmed, now=now)
+        evidence = self._entries_by_name[record.name].evidence
+        if is_learned and evidence.since == now:
+            evidence.is_trusted = is_starting
+        return is_learned
 
     def _learn(self, record: TargetRecord, *, is_confirmed: bool, now: float) -> bool:
         entry = self._entries_by_name.get(record.name)
@@ -313,7 +318,12 @@
         )
 
     def queries(
-        self, *, contact_at: float, resumed_at: float, now: float
+        self,
+        *,
+        contact_at: float,
+        resumed_at: float,
+        is_starting: bool = False,
+        now: float,
     ) -> list[TargetRecord]:
         """Return the targets whose agents to query now, and count the queries.
 
@@ -322,6 +332,7 @@
         Args:
             contact_at: When any frame of another process last arrived.
             resumed_at: When this balancer last started, resumed or regained contact.
+            is_starting: Whether it has just started and has trusted its peers.
             now: The present time.
         """
         self._new_names.clear()
@@ -335,10 +346,13 @@
                 urgent.append(entry)
             elif entry.evidence.is_query_due(now=now):
                 routine.append(entry)
-            elif entry.evidence.is_request_due(resumed_at=resumed_at, now=now):
+            elif not entry.evidence.answers_queries and entry.evidence.is_request_due(
+                resumed_at=resumed_at, now=now
+            ):
                 requests.append(entry)
         self._requests_due = requests
-        chosen = nsmallest(MAX_QUERIES, urgent, key=_last_word)
+        limit = MAX_START_QUERIES if is_starting else MAX_QUERIES
+        chosen = nsmallest(limit, urgent, key=_last_word)
         chosen += nsmallest(MAX_ROUTINE_QUERIES, routine, key=_last_word)
         return self._query(chosen, contact_at=contact_at, now=now)
 
@@ -539,12 +553,22 @@
         # With XOR the same operation adds and removes a record, in constant time.
         self._bucket_sums[_bucket(record.name)] ^= _record_sum(record)
 
+    def is_heard_since(self, moment: float) -> bool:
+        """Return whether all that is handed out rests on frames after a moment."""
+        return all(
+            entry.is_gone
+            or not entry.evidence.is_credible
+            or entry.evidence.is_heard_since(moment)
+            for entry in self._entries_by_name.values()
+        )
+
     def records_in_differing_buckets(
-        self, digests: Iterable[bytes]
+        self, digests: Iterable[bytes], *, heard_since: float | None = None
     ) -> tuple[TargetRecord, ...]:
         """Return the records of the buckets whose digests differ from ``digests``.
 
-        Records that are in doubt here are left out.
+        Records that are in doubt here are left out, and those whose agents have sent
+        no frame here after ``heard_since``.
         """
         differing = {
             number
@@ -558,6 +582,7 @@
             for name, entry in self._entries_by_name.items()
             if _bucket(name) in differing
             and (entry.is_gone or entry.evidence.is_credible)
+            and (heard_since is None or entry.evidence.is_heard_since(heard_since))
         )
 
 
--- a/standins/membership.py
+++ b/standins/membership.py
@@ -97,13 +97,15 @@
         """Whether this process is still that of its name."""
         return self._fleet.balancers_by_endpoint.get(self.endpoint) is self
 
-    def resume(self) -> None:
+    def resume(self, *, are_timers_first: bool = True) -> None:
         """Continue after a pause, with the frames that have arrived meanwhile.
 
-        Timers run before the frames are read, as in an event loop.
+        Args:
+            are_timers_first: Whether timers run before the frames are read.
         """
         self.is_paused = False
-        self._gossip_if_due()
+        if are_timers_first:
+            self._gossip_if_due()
         queued, self._queued = self._queued, []
         for frame, sender in queued:
             self.receive(frame, sender)
@@ -144,7 +146,7 @@
         if self.is_paused or peer.is_paused:
             return
         digests = self.membership.table.bucket_digests
-        records = peer.membership.table.records_in_differing_buckets(digests)
+        records = peer.membership.records_for_peer(digests, now=self._fleet.now)
         if Build.SAYING is not self.build or Build.SAYING is not peer.build:
             records = [_without_capability(record) for record in records]
         self.membership.learn_records(records, now=self._fleet.now)
