--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -27,7 +27,8 @@
     Attributes:
         DOUBTED: It may have ended, and its target is still offered.
         SUSPECTED: Its target is offered again as soon as it answers.
-        OUTDATED: It was last heard before this balancer was paused or cut off.
+        OUTDATED: It was last heard before this balancer was paused or cut off, or not
+            since the balancer started.
         ROUTINE: It has sent no frame for long.
     """
 
@@ -63,6 +64,8 @@
         since: When the record of this agent process was learned.
         is_confirmed: Whether the agent has confirmed its record, or the balancer
             had just started when it learned it.
+        is_trusted: Whether the balancer had just started when it learned the record
+            of a peer.
         received_at: When the agent last sent a frame here.
         is_observed: Whether the agent sends heartbeats here.
         was_suspected: Whether the target was suspected when last reviewed.
@@ -78,6 +81,7 @@
 
     since: float
     is_confirmed: bool
+    is_trusted: bool = False
     received_at: float | None = None
     is_observed: bool = False
     was_suspected: bool = False
@@ -175,18 +179,20 @@
             is_failing: Whether several targets of its data centre are suspected.
             now: The present time.
         """
-        if self._must_request or not self.may_query(now=now):
+        if not self.may_query(now=now):
+            return None
+        if not self.answers_queries and self._must_request:
             return None
         if self.was_suspected:
             return QueryReason.SUSPECTED
         if self._is_doubted(now=now):
             return QueryReason.DOUBTED
-        if self.received_at is not None and self.received_at <= resumed_at:
+        if self.received_at is None:
+            return QueryReason.OUTDATED if self.is_trusted else QueryReason.ROUTINE
+        if self.received_at <= resumed_at:
             return QueryReason.OUTDATED
         max_age = SUSPECT_SECONDS if is_failing else VERIFY_SECONDS
-        if self.received_at is None or now - self.received_at > max_age:
-            return QueryReason.ROUTINE
-        return None
+        return QueryReason.ROUTINE if now - self.received_at > max_age else None
 
     def _is_doubted(self, *, now: float) -> bool:
         """Return whether the agent may have ended, though it isn't suspected.
@@ -197,6 +203,10 @@
             return True
         return any(map(self._counts, self._silences_by_observer.values()))
 
+    def is_heard_since(self, moment: float) -> bool:
+        """Return whether the agent has sent a frame here after a moment."""
+        return self.received_at is not None and self.received_at > moment
+
     def is_heard(self, *, now: float) -> bool:
         """Return whether the agent has sent a frame here lately."""
         return (
@@ -228,7 +238,7 @@
             resumed_at: As for `query_reason`.
             now: The present time.
         """
-        if self.answers_queries or self._is_request_open or not self._must_request:
+        if self._is_request_open or not self._must_request:
             return False
         if self.received_at is None:
             return True
@@ -403,14 +413,17 @@
         """
         if not self.is_confirmed:
             return self.since
-        if self._is_unresponsive:
+        # All targets are reviewed each second, nearly all without a missing answer.
+        is_unanswered = self.unanswered_queries or self.unanswered_requests
+        if is_unanswered and self._is_unresponsive:
             return self._unanswered_since
-        if self.is_heard(now=now):
+        if self.received_at is not None and now - self.received_at <= SUSPECT_SECONDS:
             return None
-        if self._may_be_older:
-            return None
-        if not self.answers_queries and self.unanswered_flows >= UNANSWERED_FLOWS_LIMIT:
-            return self._unanswered_since
+        if not self.answers_queries:
+            if self._may_be_older:
+                return None
+            if self.unanswered_flows >= UNANSWERED_FLOWS_LIMIT:
+                return self._unanswered_since
         if len(self._silences_by_observer) < OBSERVERS_NEEDED:
             return None
         times = sorted(self._silence_times())
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -44,6 +44,8 @@
 # agent has ended.
 MAX_ROUND_SECONDS = 2.5
 CONTACT_SECONDS = 2.0
+# Frames that are read so soon after a pause may have been sent before it.
+DRAIN_SECONDS = 0.5
 SETTLE_SECONDS = 2.0  # after a pause; late agents are queried first
 # A balancer that has just started believes records from peers while it queries the
 # agents. After a loss of power most targets become known within this time.
@@ -96,6 +98,8 @@
         self._early_batches: deque[tuple[float, SilenceBatch]] = deque(
             maxlen=MAX_EARLY_BATCHES
         )
+        # After a pause, until the table is known to be up to date again.
+        self._is_outdated = False
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
@@ -109,8 +113,7 @@
 
         Returns ``None`` for a frame that doesn't belong to the membership protocol.
         """
-        if now - self._contact_at > CONTACT_SECONDS:
-            self._resumed_at = now
+        self._detect_pause(now=now)
         self._contact_at = now
         match frame:
             case Heartbeat():
@@ -124,6 +127,33 @@
                 return self._take_gossip(frame, sender=sender, now=now, draw=draw)
         return None
 
+    def _detect_pause(self, *, now: float) -> None:
+        """Detect that this balancer was paused or cut off until now.
+
+        Frames and requests may come before the timers notice. What was learned before
+        may be outdated, so it isn't passed on to balancers that would trust it.
+        """
+        if now - self._round_at > MAX_ROUND_SECONDS:
+            self._round_at = now
+            self._settled_at = now + SETTLE_SECONDS
+            self.peers.drop_silences()
+        elif now - self._contact_at <= CONTACT_SECONDS:
+            return
+        self._resumed_at = now
+        self._is_outdated = len(self.table) > 0
+
+    @property
+    def _drained_at(self) -> float:
+        return self._resumed_at + DRAIN_SECONDS
+
+    def records_for_peer(
+        self, digests: Iterable[bytes], *, now: float
+    ) -> tuple[TargetRecord, ...]:
+        """Return the records that a peer with other bucket digests needs."""
+        self._detect_pause(now=now)
+        heard_since = self._drained_at if self._is_outdated else None
+        return self.table.records_in_differing_buckets(digests, heard_since=heard_since)
+
     def _take_heartbeat(
         self, frame: Heartbeat, *, sender: tuple[str, int], now: float
     ) -> ToAgent:
@@ -190,8 +220,12 @@
         return self.table.silences(since=self._resumed_at)
 
     def _learn_from_peer(self, record: TargetRecord, *, now: float) -> bool:
-        is_starting = now - self.started_at < TRUST_SECONDS
-        return self.table.learn_from_peer(record, is_starting=is_starting, now=now)
+        return self.table.learn_from_peer(
+            record, is_starting=self._is_starting(now=now), now=now
+        )
+
+    def _is_starting(self, *, now: float) -> bool:
+        return now - self.started_at < TRUST_SECONDS
 
     def _ack(
         self,
@@ -290,12 +324,12 @@
         is empty, or that has not converged when its peer has, fetches at once. So does
         one that was paused or cut off, since it has missed reports of silence.
         """
-        is_outdated = self._resumed_at > self._fetched_at
+        has_missed_reports = self._resumed_at > self._fetched_at
         if frame.digest == self.table.digest:
             self._differing_peer = None
-            self._record_agreement(frame)
-            return is_outdated
-        if is_outdated:
+            self._record_agreement(frame, now=now)
+            return has_missed_reports
+        if has_missed_reports:
             return True
         if not len(self.table) or (
             frame.is_converged and not self.is_converged(now=now)
@@ -305,7 +339,7 @@
         self._differing_peer = None if differed_before else frame.sender.name
         return differed_before
 
-    def _record_agreement(self, frame: Gossip) -> None:
+    def _record_agreement(self, frame: Gossip, *, now: float) -> None:
         """Record that a peer's table equals this one.
 
         Agreement with a peer that has not converged is recorded separately: two new
@@ -315,6 +349,8 @@
         self.has_agreed_with_any = has_targets
         if frame.is_converged:
             self.has_agreed = has_targets
+            if now > self._drained_at:
+                self._is_outdated = False
 
     def gossip_round(
         self, *, now: float, draw: random.Random, eager: bool = False
@@ -335,10 +371,10 @@
     def _review_targets(self, *, now: float) -> None:
         """Report observed silences, and remove targets that have ended."""
         if now - self._round_at > MAX_ROUND_SECONDS:
-            self._resumed_at = now
-            self._settled_at = now + SETTLE_SECONDS
-            self.peers.drop_silences()
+            self._detect_pause(now=now)
         self._round_at = now
+        if self._is_outdated and self.table.is_heard_since(self._drained_at):
+            self._is_outdated = False
         if now >= self._settled_at and now - self._contact_at <= CONTACT_SECONDS:
             own = self.peers.own
             silences = self.table.changed_silences(
@@ -352,7 +388,7 @@
                     msgspec.structs.replace(silence, is_batched=True)
                 )
         self.belief_changes += self.table.remove_expired(
-            resumed_at=self._resumed_at, now=now
+            settled_at=self._settled_at, now=now
         )
 
     def _queries(self, *, only_new: bool, now: float) -> list[ToAgent]:
@@ -363,7 +399,10 @@
             queried = self.table.first_queries(contact_at=contact_at, now=now)
         else:
             queried = self.table.queries(
-                contact_at=contact_at, resumed_at=self._resumed_at, now=now
+                contact_at=contact_at,
+                resumed_at=self._resumed_at,
+                is_starting=self._is_starting(now=now),
+                now=now,
             )
         return [
             ToAgent(
@@ -394,6 +433,10 @@
             now=now,
         )
 
+    def _is_authority(self, *, now: float) -> bool:
+        """Return whether new balancers may rely on this table."""
+        return self.is_converged(now=now) and not self._is_outdated
+
     def _queue_update(self, item: TargetRecord | SilenceReport | SilenceBatch) -> None:
         self.peers.queue_update(item)
         self.has_updates = True
@@ -412,7 +455,7 @@
         answer = self.peers.answer_without_updates(
             version=self.configuration.version,
             digest=self.table.digest,
-            is_converged=self.is_converged(now=now),
+            is_converged=self._is_authority(now=now),
             evacuations=self.evacuations.known,
             store_generation=self.store_generation.number,
             draw=draw,
@@ -437,7 +480,7 @@
             version=self.configuration.version,
             digest=self.table.digest,
             is_answer=is_answer,
-            is_converged=self.is_converged(now=now),
+            is_converged=self._is_authority(now=now),
             evacuations=self.evacuations.known,
             store_generation=self.store_generation.number,
             draw=draw,
--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -9,7 +9,7 @@
 
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
-from monsoonpier.model.revision import NO_REVISION, Revision
+from monsoonpier.model.revision import Revision
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
     Compare,
@@ -69,7 +69,7 @@
         self._draw = draw
         self._restored = asyncio.Event()
         self._registered_generation = 0
-        self._registered_at = NO_REVISION
+        self._written = b""  # the record in the registration
         self._is_check_due = False
         self.lease = Lease()
 
@@ -86,18 +86,28 @@
         lease, self.lease = self.lease, self.lease.released()
         if not lease.id:
             return
-        key = BALANCERS + self._peers.own.name
-        compares = (Compare(key=key, mod_revision=self._registered_at),)
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
-                removed = await self._store.transact(
-                    compares=compares, puts=(), removes=(key,)
-                )
+                is_removed = await self._remove()
         except (StoreError, TimeoutError) as error:
             _log.info("registration not removed", reason=str(error))
             return
-        if not removed.succeeded:
-            _log.info("registration not removed", reason="written again meanwhile")
+        if not is_removed:
+            _log.info("registration not removed", reason="it is another process's")
+
+    async def _remove(self) -> bool:
+        """Remove the registration if it is this process's; return whether it was.
+
+        Its revision isn't enough to tell, since a restored store gives out the same
+        ones again, and a write whose answer was lost has an unknown one.
+        """
+        key = BALANCERS + self._peers.own.name
+        found = (await self._store.read(key)).values_by_key.get(key)
+        if found is None or found.value != self._written:
+            return False
+        compares = (Compare(key=key, mod_revision=found.mod_revision),)
+        removed = await self._store.transact(compares=compares, puts=(), removes=(key,))
+        return removed.succeeded
 
     async def run(self) -> None:
         """Register, and renew the lease until the balancer leaves."""
@@ -165,10 +175,10 @@
         asked_at = self._now()
         lease, generation = await self._grant()
         own = self._peers.own
-        put = Put(key=BALANCERS + own.name, value=self._codec.encode(own), lease=lease)
+        self._written = self._codec.encode(own)
+        put = Put(key=BALANCERS + own.name, value=self._written, lease=lease)
         self._is_check_due = True
         written = await self._store.transact(compares=(), puts=(put,))
-        self._registered_at = written.revision
         self._learn_generation(written.revision)
         self._registered_generation = min(generation, written.revision.generation)
         if not self._is_registration_current:
@@ -185,4 +195,4 @@
             lease = await self._store.grant(ttl_seconds=LEASE_TTL_SECONDS)
             if generation == self._store.generation:
                 return lease, generation
-            # Another answer may have told the new one; the lease may be of the old one.
+            # A restore was learned meanwhile; the lease may be of the old generation.
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -136,7 +136,7 @@
         self.registration.store_restored()
 
     async def leave(self) -> None:
-        """Revoke the registration."""
+        """Remove the registration."""
         await self.registration.leave()
 
     async def _watch_or_poll_forever(self) -> None:
@@ -214,7 +214,7 @@
                     self._apply_event(event)
             except CompactedError as error:
                 _log.info("watch restarted", reason=str(error))
-                # It tells of a restore before the reads that follow.
+                # The watch's answer may reveal a restore before the next read does.
                 self._learn_generation(Revision(generation=self._store.generation))
                 # Prevents a busy loop if servers of one store answer alternately
                 # from two generations.
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -32,6 +32,7 @@
 # So many targets of a data centre that are suspected, or trusted again, in one round
 # may mean that all of them are. One alone may just be unstable.
 SEVERAL = 2
+MAX_START_QUERIES = 64  # in place of MAX_SUSPECTED_QUERIES, after a start
 MAX_REQUESTS = 8  # of an agent's status, over TCP, per round
 BUCKETS = 16
 DIGEST_BYTES = 8
@@ -136,7 +137,11 @@
         if known is None and record.condition is Condition.GONE:
             return False
         is_confirmed = is_starting or not record.answers_queries
-        return self._learn(record, is_confirmed=is_confirmed, now=now)
+        is_learned = self._learn(record, is_confirmed=is_confirmed, now=now)
+        evidence = self._entries_by_name[record.name].evidence
+        if is_learned and evidence.since == now:
+            evidence.is_trusted = is_starting
+        return is_learned
 
     def _learn(self, record: TargetRecord, *, is_confirmed: bool, now: float) -> bool:
         entry = self._entries_by_name.get(record.name)
@@ -374,7 +379,12 @@
         )
 
     def queries(
-        self, *, contact_at: float, resumed_at: float, now: float
+        self,
+        *,
+        contact_at: float,
+        resumed_at: float,
+        is_starting: bool = False,
+        now: float,
     ) -> list[TargetRecord]:
         """Return the targets whose agents to query now, and count the queries.
 
@@ -383,6 +393,7 @@
         Args:
             contact_at: When any frame of another process last arrived.
             resumed_at: When this balancer last started, resumed or regained contact.
+            is_starting: Whether it has just started and has trusted its peers.
             now: The present time.
         """
         failing = self._failing_data_centres()
@@ -399,10 +410,15 @@
             )
             if reason is not None:
                 entries_by_reason[reason].append(entry)
-            elif entry.evidence.is_request_due(resumed_at=resumed_at, now=now):
+            elif not entry.evidence.answers_queries and entry.evidence.is_request_due(
+                resumed_at=resumed_at, now=now
+            ):
                 requests.append(entry)
         self._requests_due = requests
-        chosen = _urgent_queries(entries_by_reason)
+        chosen = _urgent_queries(
+            entries_by_reason,
+            limit=MAX_START_QUERIES if is_starting else MAX_SUSPECTED_QUERIES,
+        )
         chosen += _routine_queries(
             entries_by_reason[QueryReason.ROUTINE], failing=failing
         )
@@ -474,13 +490,13 @@
         return [entry.record for entry in entries]
 
     def remove_expired(
-        self, *, resumed_at: float = 0.0, now: float
+        self, *, settled_at: float = 0.0, now: float
     ) -> list[BeliefChange]:
         """Remove targets that have been gone or suspected for long; return changes.
 
         Args:
-            resumed_at: As for `queries`. Since then a suspected target has had the
-                time to answer.
+            settled_at: When this balancer had settled after its last pause. Since
+                then a suspected target has had the time to answer.
             now: The present time.
         """
         changes = []
@@ -491,7 +507,7 @@
                 continue
             entry.evidence.remove_old_silences(now=now)
             since = entry.evidence.suspected_since(now=now)
-            if since is not None and now - max(since, resumed_at) > FORGET_SECONDS:
+            if since is not None and now - max(since, settled_at) > FORGET_SECONDS:
                 self._remove(name)
                 changes.append(_belief_change(entry, "removed", now=now))
                 continue
@@ -639,12 +655,22 @@
         # With XOR the same operation adds and removes a record, in constant time.
         self._bucket_sums[_bucket(record.name)] ^= _record_sum(record)
 
+    def is_heard_since(self, moment: float) -> bool:
+        """Return whether all that is handed out rests on frames after a moment."""
+        return all(
+            entry.is_gone
+            or not entry.evidence.is_credible
+            or entry.evidence.is_heard_since(moment)
+            for entry in self._entries_by_name.values()
+        )
+
     def records_in_differing_buckets(
-        self, digests: Iterable[bytes]
+        self, digests: Iterable[bytes], *, heard_since: float | None = None
     ) -> tuple[TargetRecord, ...]:
         """Return the records of the buckets whose digests differ from ``digests``.
 
-        Records that are in doubt here are left out.
+        Records that are in doubt here are left out, and those whose agents have sent
+        no frame here after ``heard_since``.
         """
         differing = {
             number
@@ -658,20 +684,25 @@
             for name, entry in self._entries_by_name.items()
             if _bucket(name) in differing
             and (entry.is_gone or entry.evidence.is_credible)
+            and (heard_since is None or entry.evidence.is_heard_since(heard_since))
         )
 
 
 def _urgent_queries(
-    entries_by_reason: Mapping[QueryReason, list[_Entry]],
+    entries_by_reason: Mapping[QueryReason, list[_Entry]], *, limit: int
 ) -> list[_Entry]:
-    """Return the targets to query first, some for each reason."""
+    """Return the targets to query first, some for each reason.
+
+    Args:
+        entries_by_reason: The targets to choose from.
+        limit: How many suspected and outdated ones there may be.
+    """
     doubted = entries_by_reason[QueryReason.DOUBTED]
     suspected = entries_by_reason[QueryReason.SUSPECTED]
     outdated = entries_by_reason[QueryReason.OUTDATED]
-    count = MAX_SUSPECTED_QUERIES - min(len(outdated), MIN_OUTDATED_QUERIES)
+    count = limit - min(len(outdated), MIN_OUTDATED_QUERIES)
     chosen = nsmallest(count, suspected, key=_last_word)
-    count = MAX_SUSPECTED_QUERIES - len(chosen)
-    chosen += nsmallest(count, outdated, key=_last_word)
+    chosen += nsmallest(limit - len(chosen), outdated, key=_last_word)
     count = MAX_QUERIES - len(chosen)
     return nsmallest(count, doubted, key=_last_word) + chosen
 
--- a/monsoonpier/balancer/update_bytes.py
+++ b/monsoonpier/balancer/update_bytes.py
@@ -21,14 +21,18 @@
         record.ip,
         record.control,
     )
-    return RECORD_BYTES + len(record.instance) + sum(len(text) for text in texts)
+    return RECORD_BYTES + len(record.instance) + sum(map(_text_bytes, texts))
 
 
 def report_bytes(report: SilenceReport) -> int:
     """Return about how many bytes a report takes."""
-    return REPORT_BYTES + len(report.name) + len(report.observer)
+    return REPORT_BYTES + _text_bytes(report.name) + _text_bytes(report.observer)
 
 
 def batch_bytes(batch: SilenceBatch) -> int:
     """Return about how many bytes a batch takes."""
-    return BATCH_BYTES + len(batch.observer) + KEY_BYTES * len(batch.keys)
+    return BATCH_BYTES + _text_bytes(batch.observer) + KEY_BYTES * len(batch.keys)
+
+
+def _text_bytes(text: str) -> int:
+    return len(text.encode())
