--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -58,12 +58,13 @@
     """What one balancer knows of whether a target's agent is alive. Does no I/O.
 
     A record that a peer has sent is no evidence: the peer may have been paused since
-    the target ended. Only frames of the agent itself confirm a record.
+    the target ended. If the agent is known to answer queries, only its own frames
+    confirm the record.
 
     Attributes:
         since: When the record of this agent process was learned.
-        is_confirmed: Whether the agent has confirmed its record, or the balancer
-            had just started when it learned it.
+        is_confirmed: Whether the agent has confirmed its record, may be unable to, or
+            the balancer had just started when it learned the record.
         is_trusted: Whether the balancer had just started when it learned the record
             of a peer.
         received_at: When the agent last sent a frame here.
@@ -298,7 +299,7 @@
         return not self.answers_queries and not self._left_requests_unanswered
 
     @property
-    def last_word_at(self) -> float:
+    def last_contact_at(self) -> float:
         """When the agent was last queried or last sent a frame here; -1 for never."""
         received_at = -1.0 if self.received_at is None else self.received_at
         return max(received_at, self._queried_at)
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -22,12 +22,11 @@
 ANSWER_SECONDS = 0.2  # a new flow without an answer by then counts as lost
 STALE_SECONDS = 0.5  # older reports of requests in flight are ignored
 FAILED_STALE_SECONDS = 10.0  # older reports of failed requests are ignored
-# Queries per round of gossip. Targets in doubt come first, since they are offered. If a
-# sixth of 4,800 targets ends, some 60 of them have one observer left to report it.
+# Queries per round of gossip. Targets in doubt come first, since they are offered.
 MAX_QUERIES = 128
-MAX_SUSPECTED_QUERIES = 32  # and outdated ones
+MAX_SUSPECTED_QUERIES = 32  # of suspected and outdated targets together
 MIN_OUTDATED_QUERIES = 8
-MAX_FIRST_QUERIES = 32  # at once, ten times a second at the most
+MAX_FIRST_QUERIES = 32  # in a round that is sent at once
 MAX_ROUTINE_QUERIES = 8
 # So many targets of a data centre that are suspected, or trusted again, in one round
 # may mean that all of them are. One alone may just be unstable.
@@ -706,14 +705,17 @@
     suspected = entries_by_reason[QueryReason.SUSPECTED]
     outdated = entries_by_reason[QueryReason.OUTDATED]
     count = limit - min(len(outdated), MIN_OUTDATED_QUERIES)
-    chosen = nsmallest(count, suspected, key=_last_word)
+    chosen = nsmallest(count, suspected, key=_last_contact)
     chosen += nsmallest(
         limit - len(chosen),
         outdated,
-        key=lambda entry: (entry.record.data_centre not in failing, _last_word(entry)),
+        key=lambda entry: (
+            entry.record.data_centre not in failing,
+            _last_contact(entry),
+        ),
     )
     count = MAX_QUERIES - len(chosen)
-    return nsmallest(count, doubted, key=_last_word) + chosen
+    return nsmallest(count, doubted, key=_last_contact) + chosen
 
 
 def _routine_queries(entries: list[_Entry], *, failing: set[str]) -> list[_Entry]:
@@ -725,16 +727,18 @@
     first = nsmallest(
         MAX_ROUTINE_QUERIES // 2,
         (entry for entry in entries if entry.record.data_centre in failing),
-        key=_last_word,
+        key=_last_contact,
     )
     names = {entry.record.name for entry in first}
     others = (entry for entry in entries if entry.record.name not in names)
-    return first + nsmallest(MAX_ROUTINE_QUERIES - len(first), others, key=_last_word)
+    return first + nsmallest(
+        MAX_ROUTINE_QUERIES - len(first), others, key=_last_contact
+    )
 
 
-def _last_word(entry: _Entry) -> float:
+def _last_contact(entry: _Entry) -> float:
     """Return when an agent last sent a frame or was last queried."""
-    return entry.evidence.last_word_at
+    return entry.evidence.last_contact_at
 
 
 def _requested_at(entry: _Entry) -> float:
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -16,7 +16,7 @@
     "TargetRecord",
 ]
 
-PROCESS_KEY_BYTES = 8  # two of 4,800 are equal with a probability of 6e-13
+PROCESS_KEY_BYTES = 8  # equal keys are unlikely among thousands of targets
 
 # New flows that a target may have beyond its slots. The next run then starts
 # without a round trip to a balancer. Balancers and agents must use the same
