--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -51,6 +51,7 @@
 # agents. After a loss of power most targets become known within this time.
 TRUST_SECONDS = 10.0
 MAX_EARLY_BATCHES = 1_024
+FETCH_SECONDS = 1.0  # between requests for the reports missed in a pause or a cut
 
 
 class Membership:
@@ -93,7 +94,9 @@
         self._round_at = started_at
         self._resumed_at = started_at
         self._settled_at = started_at
-        self._fetched_at = started_at  # when a peer last sent its table
+        # When the reports that a peer last sent were asked for, and the last attempt.
+        self._fetched_at = started_at
+        self._asked_at = started_at
         # Reports received before the records that they are about.
         self._early_batches: deque[tuple[float, SilenceBatch]] = deque(
             maxlen=MAX_EARLY_BATCHES
@@ -133,12 +136,21 @@
         Frames and requests may come before the timers notice. What was learned before
         may be outdated, so it isn't passed on to balancers that would trust it.
         """
-        if now - self._round_at > MAX_ROUND_SECONDS:
-            self._round_at = now
-            self._settled_at = now + SETTLE_SECONDS
-            self.peers.drop_silences()
-        elif now - self._contact_at <= CONTACT_SECONDS:
+        self._detect_own_pause(now=now)
+        if now - self._contact_at > CONTACT_SECONDS:
+            self._resume(now=now)
+
+    def _detect_own_pause(self, *, now: float) -> None:
+        """Detect that this balancer was paused, by the time of its last round."""
+        if now - self._round_at <= MAX_ROUND_SECONDS:
             return
+        self._round_at = now
+        self._settled_at = now + SETTLE_SECONDS
+        self.peers.drop_silences()
+        self._early_batches.clear()
+        self._resume(now=now)
+
+    def _resume(self, *, now: float) -> None:
         self._resumed_at = now
         self._is_outdated = len(self.table) > 0
 
@@ -202,7 +214,7 @@
         for silence in silences:
             self.table.record_silence(silence, now=now)
         self._apply_early_batches(now=now)
-        self._fetched_at = now
+        self._fetched_at = self._asked_at
 
     def _apply_early_batches(self, *, now: float) -> None:
         """Apply reports that came before the records that they are about."""
@@ -325,12 +337,14 @@
         one that was paused or cut off, since it has missed reports of silence.
         """
         has_missed_reports = self._resumed_at > self._fetched_at
+        has_missed_reports &= now - self._asked_at >= FETCH_SECONDS
         if frame.digest == self.table.digest:
             self._differing_peer = None
             self._record_agreement(frame, now=now)
-            return has_missed_reports
         if has_missed_reports:
-            return True
+            self._asked_at = now
+        if has_missed_reports or frame.digest == self.table.digest:
+            return has_missed_reports
         if not len(self.table) or (
             frame.is_converged and not self.is_converged(now=now)
         ):
@@ -356,6 +370,7 @@
         self, *, now: float, draw: random.Random, eager: bool = False
     ) -> list[ToAgent]:
         """Return one round of gossip; an eager one is sent at once for an update."""
+        self._detect_own_pause(now=now)
         self.has_updates = False
         if not eager:
             self._review_targets(now=now)
@@ -370,8 +385,6 @@
 
     def _review_targets(self, *, now: float) -> None:
         """Report observed silences, and remove targets that have ended."""
-        if now - self._round_at > MAX_ROUND_SECONDS:
-            self._detect_pause(now=now)
         self._round_at = now
         if self._is_outdated and self.table.is_heard_since(self._drained_at):
             self._is_outdated = False
@@ -400,7 +413,7 @@
         else:
             queried = self.table.queries(
                 contact_at=contact_at,
-                resumed_at=self._resumed_at,
+                resumed_at=self._drained_at if self._is_outdated else self._resumed_at,
                 is_starting=self._is_starting(now=now),
                 now=now,
             )
@@ -466,6 +479,7 @@
         self, endpoint: tuple[str, int], *, now: float, draw: random.Random
     ) -> ToAgent:
         """Return a gossip message for an address, outside the usual rounds."""
+        self._detect_own_pause(now=now)
         return self._gossip_to(endpoint, is_answer=False, now=now, draw=draw)
 
     def _gossip_to(
--- a/monsoonpier/balancer/registration.py
+++ b/monsoonpier/balancer/registration.py
@@ -83,8 +83,8 @@
         The lease isn't revoked but expires: if the store was restored, it may belong
         to another process, whose registration would be removed too.
         """
-        lease, self.lease = self.lease, self.lease.released()
-        if not lease.id:
+        self.lease = self.lease.released()
+        if not self._written:
             return
         try:
             async with asyncio.timeout(LEAVE_CALL_SECONDS):
@@ -93,7 +93,7 @@
             _log.info("registration not removed", reason=str(error))
             return
         if not is_removed:
-            _log.info("registration not removed", reason="it is another process's")
+            _log.info("registration not removed", reason="not this process's")
 
     async def _remove(self) -> bool:
         """Remove the registration if it is this process's; return whether it was.
@@ -175,6 +175,8 @@
         asked_at = self._now()
         lease, generation = await self._grant()
         own = self._peers.own
+        if own.leaving:
+            return  # Otherwise a call in flight would undo the removal.
         self._written = self._codec.encode(own)
         put = Put(key=BALANCERS + own.name, value=self._written, lease=lease)
         self._is_check_due = True
--- a/tests/balancer/test_many_ended.py
+++ b/tests/balancer/test_many_ended.py
@@ -9,7 +9,7 @@
 
 from monsoonpier.balancer.actions import FetchTable, ToAgent
 from monsoonpier.balancer.evidence import SUSPECT_SECONDS, VERIFY_SECONDS
-from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.membership import FETCH_SECONDS, Membership
 from monsoonpier.balancer.silence_batches import batched
 from monsoonpier.model.target import Condition, LoadReport, TargetRecord
 from monsoonpier.wire.frames import (
@@ -392,8 +392,9 @@
         self.targets = [target(number) for number in (0, 1, 6, 7)]
         for each in self.targets:
             self.hear(each, now=END)
-        # Any frame ends the time without contact, and the peer's table is known.
+        # Any frame ends the time without contact, and the peer's table is fetched.
         self.queried(now=END)
+        self.gossip(now=END)
         self.side.membership.learn_records((), now=END)
 
     def hear(self, agent: TargetRecord, *, now: float) -> None:
@@ -477,5 +478,8 @@
         self.assertEqual(self.gossip(now=END), [])
         later = END + PAUSED_SECONDS
         self.assertEqual(self.gossip(now=later), [FetchTable(control="b2")])
-        self.side.membership.learn_records((), now=later)
-        self.assertEqual(self.gossip(now=later), [])
+        self.assertEqual(self.gossip(now=later + 0.1), [])
+        again = later + FETCH_SECONDS
+        self.assertEqual(self.gossip(now=again), [FetchTable(control="b2")])
+        self.side.membership.learn_records((), now=again)
+        self.assertEqual(self.gossip(now=again + FETCH_SECONDS), [])
--- a/tests/balancer/test_outdated_reports.py
+++ b/tests/balancer/test_outdated_reports.py
@@ -150,3 +150,37 @@
         frames = [a.frame for a in node.round(now=1_002.5)]
         found = [b for f in frames if isinstance(f, Gossip) for b in f.batches]
         self.assertFalse([b for b in found if b.observer == "b8" and not b.silent])
+
+    def test_paused_relay_sends_an_update_first(self):
+        """An update is still to be sent at once when the pause ends."""
+        relay = Node("b2")
+        relay.membership.peers.learn(own("b1"))
+        relay.hear(now=1_000.0)
+        relay.round(now=1_000.0)
+        relay.gossip(batch("b8", 1, silent=True), now=1_000.5)
+        self.assertTrue(relay.membership.has_updates)
+        sent = relay.membership.gossip_round(now=1_200.0, draw=relay.draw, eager=True)
+        gossip = [a.frame for a in sent if isinstance(a.frame, Gossip)]
+        self.assertTrue(gossip)
+        self.assertFalse(any(each.batches or each.is_converged for each in gossip))
+
+    def test_early_batches_refuted_by_a_frame(self):
+        """They count as received when they were, not when the table is fetched."""
+        node = Node("b1", started_at=1_000.0)
+        node.hear(now=1_000.5)
+        for observer in ("b8", "b9"):
+            node.gossip(batch(observer, 1, silent=True), now=1_001.0)
+        node.membership.table.learn(TARGET, now=1_001.0)
+        node.hear(now=1_002.0)
+        node.membership.learn_records((), now=1_008.0)
+        self.assertFalse(node.is_suspected(now=1_008.0))
+
+    def test_early_batches_from_before_a_pause(self):
+        """They may have been withdrawn when the table is fetched."""
+        node = Node("b1", started_at=1_000.0)
+        node.round(now=1_000.0)
+        for observer in ("b8", "b9"):
+            node.gossip(batch(observer, 1, silent=True), now=1_000.5)
+        node.round(now=1_006.0)  # paused meanwhile
+        node.membership.learn_records((TARGET,), now=1_006.1)
+        self.assertFalse(node.is_suspected(now=1_006.1))
