--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -91,7 +91,7 @@
         self.belief_changes: list[BeliefChange] = []
         self._differing_peer: str | None = None
         self._contact_at = started_at  # when a frame of another process last arrived
-        self._round_at = started_at
+        self._round_at: float | None = None  # when the last round was sent
         self._resumed_at = started_at
         self._settled_at = started_at
         # When the reports that a peer last sent were asked for, and the last attempt.
@@ -142,7 +142,7 @@
 
     def _detect_own_pause(self, *, now: float) -> None:
         """Detect that this balancer was paused, by the time of its last round."""
-        if now - self._round_at <= MAX_ROUND_SECONDS:
+        if self._round_at is None or now - self._round_at <= MAX_ROUND_SECONDS:
             return
         self._round_at = now
         self._settled_at = now + SETTLE_SECONDS
--- a/tests/balancer/test_outdated_reports.py
+++ b/tests/balancer/test_outdated_reports.py
@@ -112,6 +112,7 @@
         relay.membership.peers.learn(own("b1"))
         for each in (node, relay):
             each.hear(now=1_000.0)
+            each.round(now=1_000.0)
             each.gossip(
                 batch("b8", 1, silent=True), batch("b9", 1, silent=True), now=1_001.0
             )
@@ -167,11 +168,11 @@
     def test_early_batches_refuted_by_a_frame(self):
         """They count as received when they were, not when the table is fetched."""
         node = Node("b1", started_at=1_000.0)
-        node.hear(now=1_000.5)
         for observer in ("b8", "b9"):
             node.gossip(batch(observer, 1, silent=True), now=1_001.0)
-        node.membership.table.learn(TARGET, now=1_001.0)
         node.hear(now=1_002.0)
+        for second in range(3, 8):
+            node.gossip(now=1_000.0 + second)  # ends no contact
         node.membership.learn_records((), now=1_008.0)
         self.assertFalse(node.is_suspected(now=1_008.0))
 
