--- a/tests/packets/test_soak.py
+++ b/tests/packets/test_soak.py
@@ -10,6 +10,7 @@
 
 SEED = 454067
 LINKS_SEED = 58080
+RESTARTED_TARGET_SEED = 757402
 SECONDS = 4.0
 
 
@@ -51,6 +52,14 @@
         self.assertEqual(report.broken, (), report)
         self.assertGreater(report.verdict.requests, 100)
 
+    async def test_restarted_target(self) -> None:
+        """A flow that a new instance of a target has accepted isn't reset.
+
+        Guards against resets between the start of an instance and its first heartbeat.
+        """
+        report = await run_seed(RESTARTED_TARGET_SEED, seconds=8.0)
+        self.assertEqual(report.broken, (), report)
+
     async def test_short_run(self) -> None:
         """No guarantee is violated under faults of processes and the store."""
         report = await run_seed(SEED, seconds=SECONDS, edition=1)
