Decide once what a round and a message of gossip need

Read once more, no behaviour changed: a message of gossip computed the table's digest twice; queries that a round had just expired were expired again; the time since the start was compared in three places beside _is_starting, and the last contact chosen in two; changed_silence wrote has_reported_silence again.

--- a/monsoonpier/balancer/evidence.py
+++ b/monsoonpier/balancer/evidence.py
@@ -379,10 +379,11 @@
 
         A report of its earlier process is withdrawn only after a frame of the agent.
         """
-        silence = self._silences_by_observer.get(observer)
-        is_reported = silence is not None and silence.is_silent
         is_silent = self.is_silent(now=now)
-        if is_silent == is_reported or (is_reported and self._counts(silence)):
+        is_reported = self.has_reported_silence(observer)
+        if is_silent == is_reported:
+            return None
+        if is_reported and self._counts(self._silences_by_observer[observer]):
             return None
         return is_silent
 
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -218,7 +218,7 @@
 
     def _apply_early_batches(self, *, now: float) -> None:
         """Apply reports that came before the records that they are about."""
-        if now - self.started_at >= TRUST_SECONDS:
+        if not self._is_starting(now=now):
             self._early_batches.clear()
         for received_at, batch in self._early_batches:
             self.table.record_batch(batch, now=received_at)
@@ -313,7 +313,7 @@
             if not silence.is_batched and self.table.record_silence(silence, now=now):
                 self._queue_update(silence)
         for batch in frame.batches:
-            if now - self.started_at < TRUST_SECONDS:
+            if self._is_starting(now=now):
                 self._early_batches.append((now, batch))
             if self.table.record_batch(batch, now=now):
                 self._queue_update(batch)
@@ -338,13 +338,14 @@
         """
         has_missed_reports = self._resumed_at > self._fetched_at
         has_missed_reports &= now - self._asked_at >= FETCH_SECONDS
+        if has_missed_reports:
+            self._asked_at = now
         if frame.digest == self.table.digest:
             self._differing_peer = None
             self._record_agreement(frame, now=now)
-        if has_missed_reports:
-            self._asked_at = now
-        if has_missed_reports or frame.digest == self.table.digest:
             return has_missed_reports
+        if has_missed_reports:
+            return True
         if not len(self.table) or (
             frame.is_converged and not self.is_converged(now=now)
         ):
@@ -406,8 +407,7 @@
 
     def _queries(self, *, only_new: bool, now: float) -> list[ToAgent]:
         """Return queries of agents that may have ended, and of some others."""
-        # Without peers, agents are the only processes that could be in contact.
-        contact_at = self._contact_at if self.peers.has_peers else now
+        contact_at = self._last_contact_at(now=now)
         if only_new:
             queried = self.table.first_queries(contact_at=contact_at, now=now)
         else:
@@ -442,10 +442,17 @@
             request.name,
             epoch=request.epoch,
             is_answered=is_answered,
-            contact_at=self._contact_at if self.peers.has_peers else now,
+            contact_at=self._last_contact_at(now=now),
             now=now,
         )
 
+    def _last_contact_at(self, *, now: float) -> float:
+        """Return when a frame of another process last arrived.
+
+        Without peers, agents are the only processes that could be in contact.
+        """
+        return self._contact_at if self.peers.has_peers else now
+
     def _is_authority(self, *, now: float) -> bool:
         """Return whether new balancers may rely on this table."""
         return self.is_converged(now=now) and not self._is_outdated
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -364,18 +364,17 @@
         names = list(itertools.islice(self._names_to_query, MAX_FIRST_QUERIES))
         for name in names:
             del self._names_to_query[name]
-        entries = [self._entries_by_name.get(name) for name in names]
-        return self._query(
-            [
-                entry
-                for entry in entries
-                if entry is not None
-                and not entry.is_gone
-                and entry.evidence.may_query(now=now)
-            ],
-            contact_at=contact_at,
-            now=now,
-        )
+        found = [self._entries_by_name.get(name) for name in names]
+        entries = [
+            entry
+            for entry in found
+            if entry is not None
+            and not entry.is_gone
+            and entry.evidence.may_query(now=now)
+        ]
+        for entry in entries:
+            entry.evidence.expire_query(contact_at=contact_at, now=now)
+        return self._query(entries, now=now)
 
     def queries(
         self,
@@ -422,7 +421,7 @@
         chosen += _routine_queries(
             entries_by_reason[QueryReason.ROUTINE], failing=failing
         )
-        return self._query(chosen, contact_at=contact_at, now=now)
+        return self._query(chosen, now=now)
 
     def _failing_data_centres(self) -> set[str]:
         """Return the data centres of which several targets are suspected."""
@@ -481,11 +480,8 @@
         }
         return list(living.values())
 
-    def _query(
-        self, entries: list[_Entry], *, contact_at: float, now: float
-    ) -> list[TargetRecord]:
+    def _query(self, entries: list[_Entry], *, now: float) -> list[TargetRecord]:
         for entry in entries:
-            entry.evidence.expire_query(contact_at=contact_at, now=now)
             entry.evidence.record_query(now=now)
         return [entry.record for entry in entries]
 
