Bound the age of what a balancer knows of the store

Cause: a balancer that doesn't watch the store relied on those that do and had nothing that told it whether they still knew the present. Nothing bounded the age of its configuration and evacuation orders but a read each 60 s. An unanswering watcher is replaced after four unanswered rounds of gossip, of which there is one a second to one random peer, so the time grows with the number of balancers; one that gossips but doesn't reach the store is never replaced. A balancer that started from the configuration copy counted that as a read.

Now each balancer knows a revision up to which it holds all changes, and a time at which the store had no later one (Freshness). Watch calls and reads raise both. A peer's statement counts from the moment of the query that it answers, so that late replies and clocks don't matter, and only if nothing that the peer holds is missing here. After a fifth of configuration_seconds (new setting, default 3; config_apply_ms on the platform) a balancer queries a watcher of its data centre, or any peer if that brought nothing; after 0.6 of it, it reads the changes since its revision from the store, which is a call with an almost empty answer if there are none. Watch calls wait for a quarter of it in place of 2 s. Balancers that don't watch read the whole configuration no more each 60 s, only the registered balancers.

--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -12,15 +12,19 @@
     RequestStatus,
     ToAgent,
 )
+from monsoonpier.balancer.freshness import Freshness, FreshnessLimits
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.table import BeliefChange, TargetTable
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.service import Configuration
+from monsoonpier.model.settings import CONFIGURATION_SECONDS
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.wire.frames import (
     Announce,
     BalancerRecord,
+    FreshnessQuery,
+    FreshnessReply,
     Gossip,
     Heartbeat,
     HeartbeatAck,
@@ -69,6 +73,7 @@
             evidence: balancers that have just started may know the same few targets.
         evacuations: The last known evacuation orders.
         store_generation: The newest known generation of the store.
+        freshness: As of when the configuration and evacuations are known.
         started_at: When this balancer started, by its monotonic clock.
         belief_changes: Targets newly suspected, trusted or removed, since the caller
             last emptied the list.
@@ -76,14 +81,25 @@
     Args:
         own: This balancer's own record.
         started_at: As above. With the default the balancer counts as converged.
+        configuration_seconds: The time in which a stored change must be in force.
     """
 
-    def __init__(self, *, own: BalancerRecord, started_at: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        own: BalancerRecord,
+        started_at: float = 0.0,
+        configuration_seconds: float = CONFIGURATION_SECONDS,
+    ) -> None:
         self.peers = Peers(own=own)
         self.table = TargetTable()
         self.configuration = Configuration()
         self.evacuations = Evacuations()
         self.store_generation = StoreGeneration()
+        self.freshness = Freshness(
+            limits=FreshnessLimits(bound_seconds=configuration_seconds),
+            started_at=started_at,
+        )
         self.has_updates = False
         self.has_agreed = False
         self.has_agreed_with_any = False
@@ -128,6 +144,10 @@
                 return []
             case Gossip():
                 return self._take_gossip(frame, sender=sender, now=now, draw=draw)
+            case FreshnessQuery():
+                return [self._answer_freshness(frame, sender=sender, now=now)]
+            case FreshnessReply():
+                return self._take_freshness(frame, now=now)
         return None
 
     def _detect_pause(self, *, now: float) -> None:
@@ -518,6 +538,59 @@
         self.has_updates = True
         return True
 
+    def freshness_queries(self, *, now: float, draw: random.Random) -> list[ToAgent]:
+        """Return a query to a peer if the knowledge of the store must be validated.
+
+        Asks a balancer that watches the store, or any other one if the last query
+        brought nothing.
+        """
+        if not self.freshness.is_query_due(is_watcher=False, now=now):
+            return []
+        if not self.freshness.is_query_due(
+            is_watcher=self.peers.is_watcher(now=now), now=now
+        ):
+            return []
+        peer = self.peers.pick_for_freshness(
+            prefers_watchers=not self.freshness.has_unanswered_query,
+            now=now,
+            draw=draw,
+        )
+        if peer is None:
+            return []
+        query = self.freshness.query(draw.getrandbits(32), now=now)
+        return [ToAgent(endpoint=peer.endpoint, frame=query)]
+
+    def _answer_freshness(
+        self, query: FreshnessQuery, *, sender: tuple[str, int], now: float
+    ) -> ToAgent:
+        own = self.peers.own
+        reply = FreshnessReply(
+            number=query.number,
+            balancer=own.name,
+            control=own.control,
+            version=self.configuration.version,
+            revision=self.freshness.revision.number,
+            generation=self.freshness.revision.generation,
+            age_ms=self.freshness.age_ms(now=now),
+            evacuations=self.evacuations.known,
+        )
+        return ToAgent(endpoint=sender, frame=reply)
+
+    def _take_freshness(self, reply: FreshnessReply, *, now: float) -> list:
+        """Take over a peer's validation if what it knows is known here too.
+
+        A statement about an earlier generation of the store says nothing about what
+        was written since the restore.
+        """
+        self.evacuate(self.evacuations.joined(reply.evacuations))
+        self._learn_generation(reply.generation, now=now)
+        if reply.version > self.configuration.version:
+            return [FetchConfiguration(control=reply.control)]
+        validation = self.freshness.validation_in(reply)
+        if validation is not None and reply.generation >= self.store_generation.number:
+            self.freshness.validate(validation)
+        return []
+
     def evacuate(self, evacuations: Evacuations) -> None:
         """Apply evacuation orders, and gossip at once if any changed."""
         if evacuations.known != self.evacuations.known:
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -136,6 +136,8 @@
             evacuate=self._apply_evacuations,
             draw=draw,
             generation=membership.store_generation,
+            freshness=membership.freshness,
+            read_orders=lambda: membership.evacuations.active,
             on_restored=self._on_store_restored,
         )
         self._control = ControlServer(
@@ -326,9 +328,32 @@
             until = _now() + seconds
             while _now() < until:
                 await asyncio.sleep(min(self._update_check_seconds, seconds))
+                self._query_freshness()
                 if self._membership.has_updates:
                     self._send_round(eager=True)
 
+    def _query_freshness(self) -> None:
+        """Query a peer if the stored state must be validated; log changed doubt."""
+        now = _now()
+        membership = self._membership
+        for action in membership.freshness_queries(now=now, draw=self._draw):
+            self.execute(action)
+        self._log_doubt(now=now)
+
+    def _log_doubt(self, *, now: float) -> None:
+        freshness = self._membership.freshness
+        is_doubted = freshness.changed_doubt(now=now)
+        if is_doubted is None:
+            return
+        event = "stored state in doubt" if is_doubted else "stored state confirmed"
+        _log.info(
+            event,
+            age=round(freshness.age(now=now), 3),
+            version=self._configuration.version,
+            revision=str(freshness.revision),
+            validated_by=freshness.validated_by,
+        )
+
     @property
     def _is_starting(self) -> bool:
         return _now() - self._started < STARTUP_SECONDS
--- a/monsoonpier/balancer/packets/process.py
+++ b/monsoonpier/balancer/packets/process.py
@@ -65,7 +65,9 @@
         self._life = ProcessLifecycle()
         self._started = time.monotonic()
         self._membership = Membership(
-            own=balancer_record(settings), started_at=self._started
+            own=balancer_record(settings),
+            started_at=self._started,
+            configuration_seconds=settings.configuration_seconds,
         )
         self._steering = PacketSteering(
             membership=self._membership,
@@ -224,6 +226,11 @@
             "Seconds since the configuration came into force.",
             age,
         )
+        yield gauge(
+            "stored_state_age_seconds",
+            "Seconds since the stored state was last known to be in force here.",
+            membership.freshness.age(now=_now()),
+        )
         yield from self._steering.histograms
         yield from wait_metrics(
             self._steering.waiting_summaries(now=_now()),
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -278,6 +278,10 @@
 
     def is_watcher(self, *, now: float) -> bool:
         """Return whether this balancer is one of the few that watch the platform."""
+        return self._own.name in self._watchers_nearby(now=now)
+
+    def _watchers_nearby(self, *, now: float) -> tuple[str, ...]:
+        """Return the names of the balancers in this data centre that watch."""
         data_centres = self._data_centres_by_name(now=now)
         own = self._own.data_centre
         names = [
@@ -285,8 +289,29 @@
         ]
         per_data_centre = math.ceil(MIN_WATCHERS / len({own, *data_centres.values()}))
         count = min(per_data_centre, MOST_WATCHERS_PER_DATA_CENTRE)
-        chosen = top("platform watch", names, count=count)
-        return self._own.name in chosen
+        return tuple(top("platform watch", names, count=count))
+
+    def pick_for_freshness(
+        self, *, prefers_watchers: bool, now: float, draw: random.Random
+    ) -> BalancerRecord | None:
+        """Return the peer to query for the freshness of its knowledge.
+
+        Args:
+            prefers_watchers: Choose one that watches the platform, if one is known in
+                this data centre; otherwise any peer.
+            now: The present time.
+            draw: Random numbers.
+        """
+        records = self.records_by_name
+        names = self._watchers_nearby(now=now) if prefers_watchers else ()
+        names = [name for name in names if name != self._own.name]
+        if not names:
+            names = [
+                name
+                for name in records
+                if name != self._own.name and not self.is_excluded(name, now=now)
+            ]
+        return records[draw.choice(names)] if names else None
 
     def balancers_for(self, target: str, *, count: int, now: float) -> tuple:
         """Return the balancers to which a target's agent should send heartbeats."""
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -1,7 +1,7 @@
-"""The store link of a balancer: registration, watch, polling and configuration copy.
+"""The store link of a balancer: registration, watch, reads and configuration copy.
 
-Only a few balancers watch the store; the others learn of changes by gossip and poll it
-rarely.
+Only a few balancers watch the store; the others learn of changes by gossip. Each reads
+changes itself while no peer can tell it that it knows them all.
 """
 
 import asyncio
@@ -13,12 +13,14 @@
 import structlog
 
 from monsoonpier.balancer.configuration_copy import ConfigurationCopies
+from monsoonpier.balancer.freshness import Freshness, FreshnessLimits, Validation
 from monsoonpier.balancer.peers import Peers
 from monsoonpier.balancer.registration import Registration
 from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.stored_configuration import CurrentConfiguration
 from monsoonpier.model.evacuation import Evacuation, evacuation
-from monsoonpier.model.revision import Revision
+from monsoonpier.model.revision import NO_REVISION, Revision
+from monsoonpier.model.settings import CONFIGURATION_SECONDS
 from monsoonpier.process.registry import registered_balancers
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
@@ -39,7 +41,10 @@
 __all__ = ["EvacuationsRead", "StoreLink"]
 
 WATCH_CHECK_SECONDS = 2.0  # interval of checks whether this balancer must watch
-POLL_SECONDS = 60.0  # interval of reads by balancers that don't watch
+POLL_SECONDS = 60.0  # interval of reads of the registered balancers
+VALIDATION_CHECK_SECONDS = 0.1  # shortest interval of checks whether a read is due
+# Spreads reads, so that the first ones can inform the other balancers.
+READ_JITTER = 0.05  # as a share of the age at which changes are read
 REREAD_SECONDS = 0.2  # first delay before a failed read or watch is repeated
 MAX_REREAD_SECONDS = 2.0
 BALANCERS_FRESH_SECONDS = 5.0  # balancers read within this time aren't read again
@@ -81,6 +86,8 @@
         draw: Random numbers for jitter.
         clock: The monotonic clock.
         generation: The newest known generation of the store; gossip updates it too.
+        freshness: As of when the stored state is known; peers' replies update it too.
+        read_orders: Returns the data centres with an evacuation order in force.
         on_restored: Called with the previous generation and the revision of the
             answer when an answer of the store reveals a restore.
     """
@@ -97,6 +104,8 @@
         draw: random.Random,
         clock: Callable[[], float] = time.monotonic,
         generation: StoreGeneration | None = None,
+        freshness: Freshness | None = None,
+        read_orders: Callable[[], frozenset[str]] = frozenset,
         on_restored: Callable[[int, Revision], None] = lambda _old, _revision: None,
     ) -> None:
         self._now = clock
@@ -108,6 +117,11 @@
         self._evacuate = evacuate
         self._draw = draw
         self._generation = generation or StoreGeneration()
+        self._freshness = freshness or Freshness(
+            limits=FreshnessLimits(bound_seconds=CONFIGURATION_SECONDS),
+            started_at=clock(),
+        )
+        self._read_orders = read_orders
         self._on_restored = on_restored
         self._conclusive_generation = 0
         self._is_last_read_conclusive = True
@@ -121,13 +135,18 @@
             clock=clock,
         )
         self._watching: asyncio.Task | None = None
-        self._last_read = -POLL_SECONDS
+        self._last_read = (
+            -1.0
+        )  # when configuration or copy were last read; below 0: never
         self._balancers_read_at = -POLL_SECONDS
 
     async def run(self) -> None:
-        """Register, watch or poll, and maintain the copy until cancelled."""
+        """Register, watch, read and maintain the copy until cancelled."""
         await asyncio.gather(
-            self.registration.run(), self._watch_or_poll_forever(), self._copy_forever()
+            self.registration.run(),
+            self._watch_or_poll_forever(),
+            self._validate_forever(),
+            self._copy_forever(),
         )
 
     def store_restored(self) -> None:
@@ -149,8 +168,10 @@
                     self._watching = asyncio.create_task(self._watch())
                 elif not is_watcher and running:
                     self._watching.cancel()
-                if not is_watcher and self._now() - self._last_read > POLL_SECONDS:
+                if not is_watcher and self._last_read < 0:
                     await self._try_read()
+                if self._now() - self._balancers_read_at > POLL_SECONDS:
+                    await self._try_read_balancers()
                 if self._is_conclusive_read_due(is_watcher=is_watcher):
                     await self._try_conclusive_read()
                 await asyncio.sleep(WATCH_CHECK_SECONDS * self._draw.uniform(0.5, 1.0))
@@ -158,12 +179,69 @@
             if self._watching is not None:
                 self._watching.cancel()
 
+    async def _validate_forever(self) -> None:
+        """Read changes when no peer has validated what is known for too long."""
+        limits = self._freshness.limits
+        backoff = Backoff(
+            initial_seconds=limits.query_interval_seconds / 2,
+            max_seconds=limits.wait_seconds,
+        )
+        while True:
+            await asyncio.sleep(self._seconds_to_read())
+            is_watcher = self._peers.is_watcher(now=self._now())
+            if not self._freshness.is_read_due(is_watcher=is_watcher, now=self._now()):
+                continue
+            try:
+                await self._read_changes()
+                backoff = backoff.after_success()
+            except StoreError as error:
+                _log.info("store unreachable", reason=str(error), key=CONFIGURATION)
+                await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
+                backoff = backoff.after_failure()
+
+    def _seconds_to_read(self) -> float:
+        """Return the time until a read may be due."""
+        is_watcher = self._watching is not None and not self._watching.done()
+        jitter = self._draw.uniform(1.0, 1.0 + READ_JITTER)
+        read_age = jitter * self._freshness.read_age(is_watcher=is_watcher)
+        left = read_age - self._freshness.age(now=self._now())
+        return max(VALIDATION_CHECK_SECONDS, left)
+
+    async def _read_changes(self) -> None:
+        """Read the changes since the known revision; everything if that is needed."""
+        after = self._freshness.revision
+        if after == NO_REVISION:
+            await self._read()
+            return
+        asked_at = self._now()
+        orders = self._read_orders()
+        try:
+            changes = await self._store.read_changes(
+                CONFIGURATION,
+                prefix=True,
+                after=after,
+                known_keys=frozenset(EVACUATIONS + name for name in orders),
+            )
+        except CompactedError as error:
+            _log.info("changes not available", reason=str(error), after=str(after))
+            await self._read()
+            return
+        self._learn_generation(changes.revision)
+        for event in changes.events:
+            self._apply_event(event)
+        self._validate(changes.revision, asked_at)
+
+    def _validate(self, revision: Revision, as_of: float) -> None:
+        """Record that everything up to a revision is known as of a time."""
+        self._freshness.validate(
+            Validation(revision=revision, as_of=as_of, source="store")
+        )
+
     async def _load_copy(self) -> None:
         """Apply the configuration copy, if there is one.
 
-        The copy may be outdated; a newer configuration then follows from watchers
-        or peers. Evacuation orders are read without `may_be_stale`, since no flow may
-        be placed before they are known.
+        The copy may be outdated, so it validates nothing. Evacuation orders are read
+        without `may_be_stale`, since no flow may be placed before they are known.
         """
         try:
             copy = await self._copies.read(may_be_stale=True)
@@ -208,7 +286,10 @@
             try:
                 revision = await self._read()
                 async for event in self._store.watch(
-                    CONFIGURATION, prefix=True, from_revision=revision.next
+                    CONFIGURATION,
+                    prefix=True,
+                    from_revision=revision.next,
+                    on_progress=self._validate,
                 ):
                     backoff = backoff.after_success()
                     self._apply_event(event)
@@ -230,6 +311,12 @@
         except StoreError as error:
             _log.info("store unreachable", reason=str(error))
 
+    async def _try_read_balancers(self) -> None:
+        try:
+            await self._read_balancers(may_be_stale=True)
+        except StoreError as error:
+            _log.info("store unreachable", reason=str(error), key=BALANCERS)
+
     async def _read(self) -> Revision:
         """Read balancers, evacuations and configuration; return the revision."""
         if self._now() - self._balancers_read_at > BALANCERS_FRESH_SECONDS:
@@ -241,6 +328,7 @@
         if CONFIGURATION in stored.values_by_key:
             self._configuration.apply(stored.values_by_key[CONFIGURATION].value)
         self._last_read = self._now()
+        self._validate(stored.revision, asked_at)
         return stored.revision
 
     def _is_conclusive_read_due(self, *, is_watcher: bool) -> bool:
--- a/monsoonpier/balancer/tokens/decision.py
+++ b/monsoonpier/balancer/tokens/decision.py
@@ -10,6 +10,7 @@
 from monsoonpier.balancer.target_choice import Chosen, NoTarget, choose_target
 from monsoonpier.model.keys import KeyRing
 from monsoonpier.model.service import Configuration, Service
+from monsoonpier.model.settings import CONFIGURATION_SECONDS
 from monsoonpier.model.token import open_token
 from monsoonpier.wire.codec import Dropped
 from monsoonpier.wire.datagrams import (
@@ -39,10 +40,19 @@
     """
 
     def __init__(
-        self, *, own: BalancerRecord, keys: KeyRing, started_at: float = 0.0
+        self,
+        *,
+        own: BalancerRecord,
+        keys: KeyRing,
+        started_at: float = 0.0,
+        configuration_seconds: float = CONFIGURATION_SECONDS,
     ) -> None:
         self._keys = keys
-        self.membership = Membership(own=own, started_at=started_at)
+        self.membership = Membership(
+            own=own,
+            started_at=started_at,
+            configuration_seconds=configuration_seconds,
+        )
         self.dropped_by_reason: Counter[str] = Counter()
         self.opens_by_result: Counter[str] = Counter()
         self.forwarded = 0
--- a/monsoonpier/balancer/tokens/process.py
+++ b/monsoonpier/balancer/tokens/process.py
@@ -41,6 +41,7 @@
             own=balancer_record(settings),
             keys=settings.keys,
             started_at=self._started,
+            configuration_seconds=settings.configuration_seconds,
         )
         self._store = EtcdStore(addresses=settings.platform, draw=self._draw)
         self._rebind = asyncio.Event()
@@ -172,6 +173,11 @@
         uptime = _now() - self._started
         yield gauge("uptime_seconds", "Seconds since start.", uptime)
         yield gauge("targets", "Known targets.", len(balancer.table))
+        yield gauge(
+            "stored_state_age_seconds",
+            "Seconds since the stored state was last known to be in force here.",
+            self._balancer.membership.freshness.age(now=_now()),
+        )
         yield gauge(
             "balancers", "Known balancers.", len(balancer.peers.records_by_name)
         )
--- a/monsoonpier/documents/settings.py
+++ b/monsoonpier/documents/settings.py
@@ -11,7 +11,11 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.findings import Finding, Place
 from monsoonpier.model.keys import Key, KeyRing
-from monsoonpier.model.settings import Settings, TargetSettings
+from monsoonpier.model.settings import (
+    CONFIGURATION_SECONDS,
+    Settings,
+    TargetSettings,
+)
 
 __all__ = ["LoadedSettings", "load_settings"]
 
@@ -124,9 +128,10 @@
         except ValueError as error:
             place = document.place(("service_bind_ip",))
             findings.append(Finding(place=place, problem=str(error)))
-    if math.isnan(content.get("link_megabits", 1.0)):
-        place = document.place(("link_megabits",))
-        findings.append(Finding(place=place, problem="not a number"))
+    for key in ("configuration_seconds", "link_megabits"):
+        if math.isnan(content.get(key, 1.0)):
+            place = document.place((key,))
+            findings.append(Finding(place=place, problem="not a number"))
     tcp = [content.get("control"), content.get("metrics")]
     if tcp[0] is not None and tcp[0] == tcp[1]:
         place = document.place(("metrics",))
@@ -166,6 +171,9 @@
         target=TargetSettings(**target) if target else None,
         reserve_slots=content.get("reserve_slots", False),
         link_megabits=content.get("link_megabits"),
+        configuration_seconds=content.get(
+            "configuration_seconds", CONFIGURATION_SECONDS
+        ),
         **addresses,
     )
 
--- a/monsoonpier/model/revision.py
+++ b/monsoonpier/model/revision.py
@@ -30,6 +30,11 @@
         """The next revision of the same generation."""
         return replace(self, number=self.number + 1)
 
+    @property
+    def previous(self) -> "Revision":
+        """The revision before this one, in the same generation."""
+        return replace(self, number=self.number - 1)
+
     def __str__(self) -> str:
         """Return the number, prefixed by the generation unless that is 0."""
         if not self.generation:
--- a/monsoonpier/model/settings.py
+++ b/monsoonpier/model/settings.py
@@ -5,7 +5,9 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import KeyRing
 
-__all__ = ["Settings", "TargetSettings"]
+__all__ = ["CONFIGURATION_SECONDS", "Settings", "TargetSettings"]
+
+CONFIGURATION_SECONDS = 3.0  # default of the setting of this name
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,6 +38,8 @@
     target: TargetSettings | None = None
     reserve_slots: bool = False  # for waiting flows without a token
     link_megabits: float | None = None  # Mbit/s of the VM's link; None is no limit
+    # In which a stored configuration or evacuation order must be in force.
+    configuration_seconds: float = CONFIGURATION_SECONDS
 
     @property
     def link_bits_per_second(self) -> float | None:
--- a/monsoonpier/platform/daemons.py
+++ b/monsoonpier/platform/daemons.py
@@ -48,14 +48,20 @@
 
 
 async def _run_balancer(settings: PlatformSettings) -> None:
+    from monsoonpier.balancer.freshness import FreshnessLimits
     from monsoonpier.balancer.packets.process import PacketBalancerProcess
     from monsoonpier.platform.configuration import PLATFORM_FORMAT
 
+    limits = FreshnessLimits(bound_seconds=settings.common.configuration_seconds)
     process = PacketBalancerProcess(
         settings=settings.common,
         packets=settings.packets,
         codec=PlatformPackets(),
-        store=PlatformStore(address=settings.store, draw=random.Random()),
+        store=PlatformStore(
+            address=settings.store,
+            draw=random.Random(),
+            wait_seconds=limits.wait_seconds,
+        ),
         configuration_format=PLATFORM_FORMAT,
     )
     ready = HttpServer(address=settings.ready, handler=_ready_handler(process))
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -11,7 +11,11 @@
 
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import Key, KeyRing
-from monsoonpier.model.settings import Settings, TargetSettings
+from monsoonpier.model.settings import (
+    CONFIGURATION_SECONDS,
+    Settings,
+    TargetSettings,
+)
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
@@ -40,6 +44,12 @@
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] | None = None
 
 
+class _Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of the platform's rules; only that of the configuration is used."""
+
+    config_apply_ms: Annotated[float, msgspec.Meta(gt=0)] = CONFIGURATION_SECONDS * 1000
+
+
 class _File(msgspec.Struct, frozen=True, kw_only=True):
     """The settings file; unknown fields are ignored."""
 
@@ -50,6 +60,7 @@
     listen: _Listen
     platform: _StoreSettings
     limits: _Limits = _Limits()
+    bounds: _Bounds = _Bounds()
     seeds: tuple[str, ...] = ()
     zones: Mapping[str, str] = {}  # region by zone
     app: str | None = None
@@ -147,6 +158,7 @@
         target=target,
         reserve_slots=reserve_slots,
         link_megabits=file.limits.link_mbps,
+        configuration_seconds=file.bounds.config_apply_ms / 1000,
     )
     return PlatformSettings(
         common=common,
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -3,7 +3,6 @@
 import base64
 import random
 import time
-from collections.abc import AsyncIterator
 from urllib.parse import urlencode
 
 import msgspec
@@ -15,6 +14,7 @@
 from monsoonpier.process.metrics import Histogram
 from monsoonpier.store.generation import GenerationTracker
 from monsoonpier.store.interface import (
+    Changes,
     CompactedError,
     Compare,
     KeyValue,
@@ -27,15 +27,12 @@
     WatchEvent,
 )
 from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
-from monsoonpier.store.long_poll import PollResult, long_poll
+from monsoonpier.store.long_poll import WATCH_SECONDS, LongPollStore
 from monsoonpier.store.paging import Page, read_pages
 
 __all__ = ["PlatformStore"]
 
 CALL_SECONDS = 2.0  # timeout of one call; 500 times the response of a healthy store
-# Longest wait of one watch call. If its response is lost, the watch misses changes
-# for this long; a new configuration must take effect within 3 s.
-WATCH_SECONDS = 2.0
 WATCH_SLACK_SECONDS = 0.75  # three times the response of a store 60 times slower
 _PATH = "/monsoonpier/"
 # Sent in all responses; increases at each restore from a backup.
@@ -77,12 +74,18 @@
     ttl_ms: int
 
 
-class PlatformStore:
+class PlatformStore(LongPollStore):
     """A `Store` that makes the platform's HTTP calls and translates keys."""
 
-    def __init__(self, *, address: Address, draw: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        draw: random.Random,
+        wait_seconds: float = WATCH_SECONDS,
+    ) -> None:
+        super().__init__(wait_seconds=wait_seconds, draw=draw)
         self._client = HttpClient(address=address)
-        self._draw = draw
         self._generations = GenerationTracker(name=_GENERATION_HEADER)
         self.calls = 0
         self.call_seconds = Histogram(
@@ -171,51 +174,31 @@
         path = f"{_PATH}kv-lease-end/{lease}"
         _require_ok(await self._call("DELETE", path), "kv-lease-end")
 
-    async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: Revision
-    ) -> AsyncIterator[WatchEvent]:
-        """Yield every change at ``from_revision`` or later; reconnect when needed.
-
-        Raises:
-            CompactedError: If the store has discarded changes since that revision.
-            RestoredError: If the store now has another generation, even if its
-                revision numbers have reached that revision again.
-        """
-        wanted = _platform_key(key, prefix=prefix)
-        generation = from_revision.generation
-
-        async def poll(after: int) -> PollResult:
-            watched = await self._watch_once(wanted, after, generation)
-            items = [i for i in watched.events if prefix or i.key == wanted]
-            events = [_decode_event(item, generation=generation) for item in items]
-            return PollResult(
-                events=tuple(filter(None, events)), number=watched.current_rev
-            )
-
-        after = from_revision.number - 1
-        async for event in long_poll(poll, key=wanted, after=after, draw=self._draw):
-            yield event
-
     async def close(self) -> None:
         """Close the idle connections."""
         self._client.close()
 
-    async def _watch_once(self, wanted: str, after: int, generation: int) -> _Changes:
-        query = {
-            "prefix": wanted,
-            "after": after,
-            "wait_ms": int(WATCH_SECONDS * 1000),
-        }
+    async def _poll_changes(
+        self, key: str, *, prefix: bool, after: Revision, wait_seconds: float
+    ) -> Changes:
+        wanted = _platform_key(key, prefix=prefix)
+        wait_ms = int(wait_seconds * 1000)
+        query = {"prefix": wanted, "after": after.number, "wait_ms": wait_ms}
         path = f"{_PATH}kv-watch?{urlencode(query)}"
-        response = await self._call(
-            "GET", path, timeout=WATCH_SECONDS + WATCH_SLACK_SECONDS
-        )
+        timeout = wait_seconds + WATCH_SLACK_SECONDS
+        response = await self._call("GET", path, timeout=timeout)
         present = self._revision(response).generation
-        if present != generation:
+        if present != after.generation:
             raise RestoredError(f"the store was restored; its generation is {present}")
         if response.status == 410:
             raise CompactedError("the revision to watch from has been compacted")
-        return _parse(_require_ok(response, "kv-watch"), _Changes)
+        found = _parse(_require_ok(response, "kv-watch"), _Changes)
+        items = [i for i in found.events if prefix or i.key == wanted]
+        events = [_decode_event(item, generation=present) for item in items]
+        return Changes(
+            revision=Revision(generation=present, number=found.current_rev),
+            events=tuple(filter(None, events)),
+        )
 
     async def _get(self, name: str, query: dict) -> Response:
         """Make a GET call and require status 200."""
--- a/monsoonpier/store/etcd.py
+++ b/monsoonpier/store/etcd.py
@@ -9,7 +9,7 @@
 import base64
 import json
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 import structlog
@@ -17,6 +17,7 @@
 from monsoonpier.model.revision import Revision
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
+    Changes,
     CompactedError,
     Compare,
     KeyValue,
@@ -32,6 +33,8 @@
 __all__ = ["EtcdStore"]
 
 CALL_SECONDS = 2.0  # timeout of one call
+# The same for a read of changes, which is repeated at another address.
+CHANGES_SECONDS = 0.75
 WATCH_SILENCE_SECONDS = 60.0  # a watch without data is restarted after this
 MAX_LINE_BYTES = 4 * 1_048_576  # limit of one message in a watch stream
 _log = structlog.get_logger("monsoonpier.store.etcd")
@@ -126,11 +129,51 @@
         """Revoke a lease, which deletes its keys."""
         await self._call("/v3/lease/revoke", {"ID": str(lease)})
 
+    async def read_changes(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        after: Revision,
+        known_keys: frozenset[str] = frozenset(),
+    ) -> Changes:
+        """Return the changes of the key, or of all keys with that prefix.
+
+        Reads the values only if a key was changed. Deletions are reported of
+        ``known_keys`` alone.
+        """
+        body = _selector(key, prefix=prefix) | {"keys_only": True}
+        response = await self._call("/v3/kv/range", body, call_seconds=CHANGES_SECONDS)
+        revision = _decode_revision(response["header"]["revision"])
+        listed = [_decode_key_value(raw) for raw in response.get("kvs", [])]
+        missing = known_keys - {listed_value.key for listed_value in listed}
+        events = [
+            WatchEvent(key=name, value=None, mod_revision=revision)
+            for name in sorted(missing)
+        ]
+        if any(value.mod_revision > after for value in listed):
+            found = await self.read(key, prefix=prefix)
+            events += [
+                WatchEvent(
+                    key=value.key, value=value.value, mod_revision=value.mod_revision
+                )
+                for value in found.values_by_key.values()
+                if value.mod_revision > after
+            ]
+        return Changes(revision=revision, events=tuple(events))
+
     async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: Revision
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        from_revision: Revision,
+        on_progress: Callable[[Revision, float], None] | None = None,
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change at ``from_revision`` or later; reconnect when needed.
 
+        The gateway reports no progress, so ``on_progress`` isn't called.
+
         Raises:
             CompactedError: If the store has discarded changes since that
                 revision. Callers must read the key again and watch from the
@@ -189,12 +232,15 @@
                 for raw in result.get("events", []):
                     yield _decode_watch_event(raw)
 
-    async def _call(self, path: str, body: dict) -> dict:
+    async def _call(
+        self, path: str, body: dict, *, call_seconds: float | None = None
+    ) -> dict:
+        seconds = min(self._call_seconds, call_seconds or self._call_seconds)
         failure = "no address"
         for _ in self._addresses:
             self.calls += 1
             try:
-                return await self._call_once(path, body)
+                return await self._call_once(path, body, seconds=seconds)
             except aiohttp.ClientConnectorError as error:
                 # Nothing was sent, so trying another address is safe.
                 failure = str(error)
@@ -205,8 +251,8 @@
                 raise StoreError(f"{path}: {error!r}") from error
         raise StoreError(f"the store is unreachable: {failure}")
 
-    async def _call_once(self, path: str, body: dict) -> dict:
-        timeout = aiohttp.ClientTimeout(total=self._call_seconds)
+    async def _call_once(self, path: str, body: dict, *, seconds: float) -> dict:
+        timeout = aiohttp.ClientTimeout(total=seconds)
         async with self._get_session().post(
             self._url(path), json=body, timeout=timeout
         ) as response:
--- a/monsoonpier/store/interface.py
+++ b/monsoonpier/store/interface.py
@@ -1,12 +1,13 @@
 """The interface of the platform's key-value store, in the terms of etcd v3."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from monsoonpier.model.revision import NO_REVISION, Revision
 
 __all__ = [
+    "Changes",
     "CompactedError",
     "Compare",
     "KeyValue",
@@ -125,6 +126,14 @@
     mod_revision: Revision
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Changes:
+    """The changes after a revision, up to ``revision``."""
+
+    revision: Revision
+    events: tuple[WatchEvent, ...] = ()
+
+
 class Store(Protocol):
     """The operations of the key-value store; each may raise `StoreError`.
 
@@ -147,6 +156,30 @@
             may_be_stale: Allow data that is seconds old, which is cheaper to read.
         """
 
+    async def read_changes(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        after: Revision,
+        known_keys: frozenset[str] = frozenset(),
+    ) -> Changes:
+        """Return the changes of the key, or of all keys with that prefix.
+
+        Small and cheap if there are none. Of several changes of a key only the last
+        one is certain to be returned.
+
+        Args:
+            key: The key or prefix.
+            prefix: Whether ``key`` is a prefix.
+            after: The revision after which changes are returned.
+            known_keys: Keys that existed at ``after``. Stores that don't report
+                deletions report those of these keys that are missing.
+
+        Raises:
+            CompactedError: As for `watch`.
+        """
+
     async def transact(
         self,
         *,
@@ -166,10 +199,23 @@
         """Revoke a lease, which deletes its keys."""
 
     def watch(
-        self, key: str, *, prefix: bool = False, from_revision: Revision
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        from_revision: Revision,
+        on_progress: Callable[[Revision, float], None] | None = None,
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change at ``from_revision`` or later; reconnect when needed.
 
+        Args:
+            key: The key or prefix.
+            prefix: Whether ``key`` is a prefix.
+            from_revision: The first revision of interest.
+            on_progress: Called with a revision and a monotonic time, after the
+                changes up to the revision were processed, if the store had no later
+                one at that time. Some stores never report it.
+
         Raises:
             CompactedError: If the store has discarded changes since that revision.
             RestoredError: If the store now has another generation.
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -27,6 +27,8 @@
     "DirectoryReply",
     "FirstAttemptReply",
     "FrameCodec",
+    "FreshnessQuery",
+    "FreshnessReply",
     "Gossip",
     "Heartbeat",
     "FlowOwned",
@@ -491,6 +493,33 @@
     tries: Tries = 1
 
 
+class FreshnessQuery(_Frame, tag=35, kw_only=True, gc=False):
+    """Asks a balancer as of when it knows everything in the store."""
+
+    number: Annotated[int, Meta(ge=0, lt=2**32)]
+
+
+class FreshnessReply(_Frame, tag=36, kw_only=True, gc=False):
+    """Answers a `FreshnessQuery`.
+
+    ``balancer`` has the configuration ``version`` and the orders ``evacuations``.
+    They include each change up to ``revision`` of the store's ``generation``, and
+    ``age_ms`` ago the store had no later one. ``age_ms`` is ``None`` if the balancer
+    has not validated its knowledge since its start.
+    """
+
+    number: Annotated[int, Meta(ge=0, lt=2**32)]
+    balancer: Name
+    control: Name
+    version: Annotated[int, Meta(ge=0)]
+    revision: Annotated[int, Meta(ge=0)]
+    generation: Annotated[int, Meta(ge=0, le=MAX_GENERATION)]
+    age_ms: Annotated[int, Meta(ge=0)] | None
+    evacuations: Annotated[
+        tuple[Evacuation, ...], Meta(max_length=MAX_EVACUATIONS)
+    ] = ()
+
+
 Frame = (
     ForwardDatagram
     | ReplyDatagram
@@ -520,6 +549,8 @@
     | AttemptRejected
     | FirstAttemptQuery
     | FirstAttemptReply
+    | FreshnessQuery
+    | FreshnessReply
 )
 
 
--- a/standins/fake_store.py
+++ b/standins/fake_store.py
@@ -6,6 +6,7 @@
 
 from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import (
+    Changes,
     Compare,
     LeaseNotFoundError,
     Put,
@@ -100,8 +101,31 @@
         except KeyError as error:
             raise LeaseNotFoundError(str(error)) from error
 
+    async def read_changes(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        after: Revision,
+        known_keys: frozenset[str] = frozenset(),
+    ) -> Changes:
+        """Return the changes after a revision."""
+        self._raise_if_down()
+        self.generation = self.store.generation
+        if self.store.generation != after.generation:
+            raise RestoredError("the platform was restored from a backup")
+        self.store.expire(now=self._clock())
+        end = range_end(key, prefix=prefix)
+        events = self.store.events(key, end=end, since=after.number + 1)
+        return Changes(revision=self.store.revision, events=tuple(events))
+
     async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: Revision
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        from_revision: Revision,
+        on_progress: Callable[[Revision, float], None] | None = None,
     ) -> AsyncIterator[WatchEvent]:
         """Yield changes from that revision on; resume after an outage.
 
@@ -118,6 +142,8 @@
                 for event in self.store.events(key, end=end, since=since):
                     since = event.mod_revision.number + 1
                     yield event
+                if on_progress is not None:
+                    on_progress(self.store.revision, self._clock())
             await asyncio.sleep(POLL_SECONDS)
 
     async def close(self) -> None:
--- a/standins/held_store.py
+++ b/standins/held_store.py
@@ -8,6 +8,7 @@
 
 from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import (
+    Changes,
     CompactedError,
     Compare,
     LeaseNotFoundError,
@@ -68,10 +69,18 @@
     Args:
         shared: The store.
         course: Returns the course of the next call of this name.
+        wait_seconds: The longest wait of a watch call.
     """
 
-    def __init__(self, *, shared: SharedStore, course: Callable[[str], Course]) -> None:
+    def __init__(
+        self,
+        *,
+        shared: SharedStore,
+        course: Callable[[str], Course],
+        wait_seconds: float = WATCH_SECONDS,
+    ) -> None:
         self._shared = shared
+        self._wait_seconds = wait_seconds
         self._course = course
         self.generation = 0
 
@@ -124,20 +133,52 @@
         """End a lease; its keys are deleted."""
         await self._call("revoke", lambda store: store.revoke(lease))
 
+    async def read_changes(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        after: Revision,
+        known_keys: frozenset[str] = frozenset(),
+    ) -> Changes:
+        """Return the changes after a revision."""
+        end = range_end(key, prefix=prefix)
+
+        def execute(store: Store) -> Changes:
+            if after > store.revision:
+                raise CompactedError("the revision has been compacted")
+            events = store.events(key, end=end, since=after.number + 1)
+            return Changes(revision=store.revision, events=tuple(events))
+
+        changes = await self._call("read_changes", execute)
+        if changes.revision.generation != after.generation:
+            raise RestoredError("the store was restored")
+        return changes
+
     async def watch(
-        self, key: str, *, prefix: bool = False, from_revision: Revision
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        from_revision: Revision,
+        on_progress: Callable[[Revision, float], None] | None = None,
     ) -> AsyncIterator[WatchEvent]:
         """Yield changes from that revision on; retry failed calls."""
         since = from_revision.number
         end = range_end(key, prefix=prefix)
 
+        revision = from_revision.previous
+
         def execute(store: Store) -> list[WatchEvent]:
+            nonlocal revision
             if since > store.number + 1 and store.generation == generation:
                 raise CompactedError("the revision has been compacted")
+            revision = store.revision
             return store.events(key, end=end, since=since)
 
         generation = from_revision.generation
         while True:
+            asked_at = _now()
             try:
                 events = await self._call("watch", execute, watched=generation)
             except CompactedError:
@@ -148,6 +189,9 @@
             for event in events:
                 since = event.mod_revision.number + 1
                 yield event
+            if on_progress is not None:
+                waited = 0.0 if events else self._wait_seconds
+                on_progress(revision, asked_at + waited)
 
     async def close(self) -> None:
         """Do nothing: there is no connection to close."""
@@ -197,7 +241,7 @@
     async def _wait_for_change(self, execute: Callable, *, watched: int) -> None:
         """Hold a watch until there is a change; abort it if the store is down."""
         shared = self._shared
-        began_in, until = shared.store.generation, _now() + WATCH_SECONDS
+        began_in, until = shared.store.generation, _now() + self._wait_seconds
         while began_in == watched and _now() < until:
             if shared.is_down or shared.store.generation != began_in:
                 raise StoreError("connection reset")
--- a/tests/balancer/test_large_configurations.py
+++ b/tests/balancer/test_large_configurations.py
@@ -69,7 +69,9 @@
         self.faults.bytes_per_second = VALUE_BYTES * 4 / 3 / TRANSFER_SECONDS
         port = self.proxy._listener.sockets[0].getsockname()[1]
         self.store = PlatformStore(
-            address=Address(ip="127.0.0.1", port=port), draw=random.Random(1)
+            address=Address(ip="127.0.0.1", port=port),
+            draw=random.Random(1),
+            wait_seconds=WAIT_SECONDS,
         )
         self.held = _Held()
         configuration = mock.create_autospec(CurrentConfiguration, instance=True)
@@ -87,7 +89,6 @@
             draw=random.Random(1),
         )
         for module, name, seconds in (
-            (platform_store, "WATCH_SECONDS", WAIT_SECONDS),
             (platform_store, "WATCH_SLACK_SECONDS", SLACK_SECONDS),
             (client, "TRANSFER_SECONDS", LIMIT_SECONDS),
         ):
--- a/tests/store/test_contract.py
+++ b/tests/store/test_contract.py
@@ -89,6 +89,33 @@
         self.assertEqual((event.key, event.value), (KEY, None))
         self.assertEqual(event.mod_revision, result.revision)
 
+    async def test_changes(self):
+        """A read of changes returns those after a revision, deletions too."""
+        await self.put("/a/1", b"one")
+        before = (await self.put("/a/2", b"two")).revision
+
+        async def read():
+            return await self.store.read_changes(
+                "/a/",
+                prefix=True,
+                after=before,
+                known_keys=frozenset({"/a/1", "/a/2"}),
+            )
+
+        unchanged = await read()
+        self.assertEqual((unchanged.events, unchanged.revision), ((), before))
+        await self.put("/b/1", b"not this")
+        self.assertEqual((await read()).events, ())
+        await self.put("/a/1", b"new")
+        await self.store.transact(compares=(), puts=(), removes=("/a/2",))
+        changed = await read()
+        self.assertEqual(
+            {event.key: event.value for event in changed.events},
+            {"/a/1": b"new", "/a/2": None},
+        )
+        found = await self.store.read("/a/", prefix=True)
+        self.assertEqual(changed.revision, found.revision)
+
     async def test_lease(self):
         """Revoking a lease deletes its keys; it can no longer be used or renewed."""
         lease = await self.store.grant(ttl_seconds=30)
@@ -186,6 +213,15 @@
             with self.subTest(later=later), self.assertRaises(RestoredError):
                 await asyncio.wait_for(anext(watch), 5)
 
+    async def test_changes_since_before_a_restore(self):
+        """Changes since a revision of before a restore can't be read."""
+        for later in (0, 5):
+            _, before = await self._restore_backup()
+            for number in range(later):
+                await self.put("/test/other", b"%d" % number)
+            with self.subTest(later=later), self.assertRaises(RestoredError):
+                await self.store.read_changes(KEY, after=before)
+
 
 class FakeTests(_Contract, _RestoreContract, unittest.IsolatedAsyncioTestCase):
     """The in-memory fake."""
@@ -257,6 +293,49 @@
         event = await asyncio.wait_for(anext(watch), 5)
         self.assertEqual((event.key, event.value), (CONFIGURATION, b"v2"))
 
+    async def test_progress(self) -> None:
+        """A watch reports as of when there is no change that it hasn't returned."""
+        self.store = PlatformStore(
+            address=self.store._client._address,
+            draw=random.Random(1),
+            wait_seconds=0.2,
+        )
+        first = await self.put(KEY, b"one")
+        reports: list[tuple[Revision, float]] = []
+        began = time.monotonic()
+        watch = self.store.watch(
+            KEY,
+            from_revision=first.revision.next,
+            on_progress=lambda *report: reports.append(report),
+        )
+        following = asyncio.create_task(anext(watch))
+        while not reports:
+            await asyncio.sleep(0.01)
+        # The store held the call for the whole wait, and then had no change.
+        self.assertEqual(reports[0][0], first.revision)
+        self.assertGreaterEqual(reports[0][1], began + 0.2)
+        self.assertLessEqual(reports[0][1], time.monotonic())
+        changed_at = time.monotonic()
+        second = await self.put(KEY, b"two")
+        self.assertEqual((await following).value, b"two")
+        # Not before the change has been processed.
+        self.assertNotIn(second.revision, [revision for revision, _ in reports])
+        reports.clear()
+        waiting = asyncio.create_task(anext(watch))
+        while not reports:
+            await asyncio.sleep(0.01)
+        waiting.cancel()
+        self.assertEqual(reports[0][0], second.revision)
+        self.assertLessEqual(reports[0][1], changed_at)
+
+    async def test_compacted_changes(self) -> None:
+        """A read of compacted changes raises `CompactedError`."""
+        self.stand_in.put("op/config", b"v1")
+        self.stand_in.put("op/config", b"v2")
+        self.stand_in.faults.is_compacted = True
+        with self.assertRaises(CompactedError):
+            await self.store.read_changes(CONFIGURATION, after=Revision(number=1))
+
     async def test_compacted(self) -> None:
         """A watch of compacted changes raises `CompactedError`."""
         self.stand_in.put("op/config", b"v1")
