Reuse no connection of before a call that timed out

Cause: the client keeps two idle connections. A call that timed out closed its own connection, and its repetition took the other one, which the same event had made silent, so that it timed out too.

Now a call that times out also closes the idle connections. A connection in use is left, as its own call may be answered still.

Test: tests.process.test_silent_connections, in which the repeated call times out without this change (run so) and succeeds with it; one mutation.

--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -33,7 +33,10 @@
 
 
 class HttpClient:
-    """Calls one server; a connection on which a call failed is not reused."""
+    """Calls one server; a connection on which a call failed is not reused.
+
+    After a call that timed out no connection of before is reused.
+    """
 
     def __init__(self, *, address: Address) -> None:
         self._address = address
@@ -62,6 +65,9 @@
             response = await connection.exchange(request, timeout=timeout)
         except (TimeoutError, OSError, httptools.HttpParserError) as error:
             connection.close()
+            if isinstance(error, TimeoutError):
+                # What made this connection silent may have done so to the idle ones.
+                self.close()
             raise HttpError(
                 f"{method} {target}: {error!r}",
                 was_sent=True,
