Spread reads of changes, and query the peer that sent a configuration

Their knowledge dates from the same watch calls, so that their reads come due at the same moment, before the first one can inform the others; and one that has the version from a peer doesn't know its revision, and reads the same change again.

--- a/monsoonpier/balancer/freshness.py
+++ b/monsoonpier/balancer/freshness.py
@@ -8,6 +8,7 @@
 """
 
 import math
+import random
 from dataclasses import dataclass
 
 from monsoonpier.model.revision import NO_REVISION, Revision
@@ -17,6 +18,10 @@
 
 MAX_AGE_MS = 2**31 - 1
 MAX_OPEN_QUERIES = 8  # later replies to earlier queries are ignored
+# Reads by many balancers that lost their watchers at once are spread so that the first
+# one can inform the others: a few come early, most of them late.
+EARLIEST_READ = 0.7  # as a share of the age at which changes must be read
+READ_SPREAD_EXPONENT = 1 / 8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,7 +64,7 @@
 
     @property
     def read_seconds(self) -> float:
-        """The age at which any other balancer reads changes.
+        """The greatest age at which any other balancer reads changes.
 
         Until then a change that the watchers have received arrives from peers, which
         is much smaller.
@@ -125,20 +130,25 @@
 
     # Reads of the store
 
-    def read_age(self, *, is_watcher: bool) -> float:
+    def read_age(self, *, is_watcher: bool, draw: random.Random) -> float:
         """Return the age in seconds at which changes must be read from the store."""
-        limits = self.limits
-        return limits.watcher_read_seconds if is_watcher else limits.read_seconds
-
-    def is_read_due(self, *, is_watcher: bool, now: float) -> bool:
-        """Return whether this balancer must read changes from the store itself."""
-        return self.age(now=now) >= self.read_age(is_watcher=is_watcher)
+        if is_watcher:
+            return self.limits.watcher_read_seconds
+        late = draw.random() ** READ_SPREAD_EXPONENT
+        share = EARLIEST_READ + (1.0 - EARLIEST_READ) * late
+        return share * self.limits.read_seconds
+
+    def read_begins(self, *, is_watcher: bool, now: float) -> None:
+        """Record a read of changes, which only a watcher makes without doubt."""
+        if not is_watcher:
+            self._late_at = now
 
     def changed_doubt(self, *, now: float) -> bool | None:
         """Return whether doubt begins (true) or ends; ``None`` without a change.
 
-        It begins when no watch and no peer has validated the knowledge in time, and
-        ends when they have done so for the time in which a change must be in force.
+        It begins when no watch and no peer has validated the knowledge before a read
+        was due, and ends when they have done so for the time in which a change must be
+        in force.
         """
         if self.age(now=now) >= self.limits.read_seconds:
             self._late_at = now
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -557,8 +557,26 @@
         )
         if peer is None:
             return []
+        return [self._freshness_query(peer, now=now, draw=draw)]
+
+    def configuration_fetched(
+        self, control: str, *, now: float, draw: random.Random
+    ) -> list[ToAgent]:
+        """Return a query to the peer that sent a configuration.
+
+        Otherwise the same change would be read from the store again.
+        """
+        return [
+            self._freshness_query(record, now=now, draw=draw)
+            for record in self.peers.records_by_name.values()
+            if record.control == control
+        ]
+
+    def _freshness_query(
+        self, peer: BalancerRecord, *, now: float, draw: random.Random
+    ) -> ToAgent:
         query = self.freshness.query(draw.getrandbits(32), now=now)
-        return [ToAgent(endpoint=peer.endpoint, frame=query)]
+        return ToAgent(endpoint=peer.endpoint, frame=query)
 
     def _answer_freshness(
         self, query: FreshnessQuery, *, sender: tuple[str, int], now: float
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -442,6 +442,11 @@
         match reply:
             case ConfigurationReply(packed=packed) if packed:
                 self._configuration.apply_packed(packed, learned_from=action.control)
+                queries = membership.configuration_fetched(
+                    action.control, now=_now(), draw=self._draw
+                )
+                for query in queries:
+                    self.execute(query)
             case TableReply(records=records, balancers=balancers, silences=silences):
                 membership.learn_records(records, silences=silences, now=_now())
                 for balancer in balancers:
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -41,10 +41,10 @@
 __all__ = ["EvacuationsRead", "StoreLink"]
 
 WATCH_CHECK_SECONDS = 2.0  # interval of checks whether this balancer must watch
-POLL_SECONDS = 60.0  # interval of reads of the registered balancers
+# Longest interval of reads of the registered balancers; jitter spreads those of
+# balancers that started together.
+POLL_SECONDS = 60.0
 VALIDATION_CHECK_SECONDS = 0.1  # shortest interval of checks whether a read is due
-# Spreads reads, so that the first ones can inform the other balancers.
-READ_JITTER = 0.05  # as a share of the age at which changes are read
 REREAD_SECONDS = 0.2  # first delay before a failed read or watch is repeated
 MAX_REREAD_SECONDS = 2.0
 BALANCERS_FRESH_SECONDS = 5.0  # balancers read within this time aren't read again
@@ -160,6 +160,7 @@
 
     async def _watch_or_poll_forever(self) -> None:
         await self._load_copy()
+        poll_at = self._next_poll()
         try:
             while True:
                 is_watcher = self._peers.is_watcher(now=self._now())
@@ -170,8 +171,9 @@
                     self._watching.cancel()
                 if not is_watcher and self._last_read < 0:
                     await self._try_read()
-                if self._now() - self._balancers_read_at > POLL_SECONDS:
+                if self._now() >= poll_at:
                     await self._try_read_balancers()
+                    poll_at = self._next_poll()
                 if self._is_conclusive_read_due(is_watcher=is_watcher):
                     await self._try_conclusive_read()
                 await asyncio.sleep(WATCH_CHECK_SECONDS * self._draw.uniform(0.5, 1.0))
@@ -179,6 +181,9 @@
             if self._watching is not None:
                 self._watching.cancel()
 
+    def _next_poll(self) -> float:
+        return self._now() + POLL_SECONDS * self._draw.uniform(0.5, 1.0)
+
     async def _validate_forever(self) -> None:
         """Read changes when no peer has validated what is known for too long."""
         limits = self._freshness.limits
@@ -186,11 +191,15 @@
             initial_seconds=limits.query_interval_seconds / 2,
             max_seconds=limits.wait_seconds,
         )
+        freshness = self._freshness
         while True:
-            await asyncio.sleep(self._seconds_to_read())
             is_watcher = self._peers.is_watcher(now=self._now())
-            if not self._freshness.is_read_due(is_watcher=is_watcher, now=self._now()):
+            read_age = freshness.read_age(is_watcher=is_watcher, draw=self._draw)
+            left = read_age - freshness.age(now=self._now())
+            await asyncio.sleep(max(VALIDATION_CHECK_SECONDS, left))
+            if freshness.age(now=self._now()) < read_age:
                 continue
+            freshness.read_begins(is_watcher=is_watcher, now=self._now())
             try:
                 await self._read_changes()
                 backoff = backoff.after_success()
@@ -199,14 +208,6 @@
                 await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
                 backoff = backoff.after_failure()
 
-    def _seconds_to_read(self) -> float:
-        """Return the time until a read may be due."""
-        is_watcher = self._watching is not None and not self._watching.done()
-        jitter = self._draw.uniform(1.0, 1.0 + READ_JITTER)
-        read_age = jitter * self._freshness.read_age(is_watcher=is_watcher)
-        left = read_age - self._freshness.age(now=self._now())
-        return max(VALIDATION_CHECK_SECONDS, left)
-
     async def _read_changes(self) -> None:
         """Read the changes since the known revision; everything if that is needed."""
         after = self._freshness.revision
--- a/standins/store_fleet.py
+++ b/standins/store_fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from monsoonpier.balancer.actions import FetchConfiguration, ToAgent
@@ -24,8 +25,9 @@
 from monsoonpier.documents.stored import pack
 from monsoonpier.model.evacuation import Evacuation
 from monsoonpier.model.keys import KeyRing
+from monsoonpier.model.revision import Revision
 from monsoonpier.model.service import Configuration
-from monsoonpier.store.interface import Put
+from monsoonpier.store.interface import Changes, Put, Snapshot
 from monsoonpier.store.keys import CONFIGURATION, CONFIGURATION_COPY, EVACUATIONS
 from monsoonpier.wire.frames import (
     BalancerRecord,
@@ -90,9 +92,49 @@
         return Course(answer_seconds=CALL_SECONDS)
 
 
+class _CountingStore(HeldStore):
+    """Reports each read that returned the whole configuration."""
+
+    def __init__(self, *, on_value: Callable[[], None], **arguments) -> None:
+        super().__init__(**arguments)
+        self._on_value = on_value
+
+    async def read(
+        self, key: str, *, prefix: bool = False, may_be_stale: bool = False
+    ) -> Snapshot:
+        """Return the key, or all keys that begin with it."""
+        found = await super().read(key, prefix=prefix, may_be_stale=may_be_stale)
+        if CONFIGURATION in found.values_by_key:
+            self._on_value()
+        return found
+
+    async def read_changes(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        after: Revision,
+        known_keys: frozenset[str] = frozenset(),
+    ) -> Changes:
+        """Return the changes after a revision."""
+        changes = await super().read_changes(
+            key, prefix=prefix, after=after, known_keys=known_keys
+        )
+        if any(event.key == CONFIGURATION for event in changes.events):
+            self._on_value()
+        return changes
+
+
 class StoreFleet:
     """Balancers and their store; to be used within `run_in_virtual_time`.
 
+    Attributes:
+        shared: The store.
+        balancers_by_name: The balancers that run.
+        calls: Time, balancer and name of each call to the store.
+        value_reads: When reads returned the whole configuration, watches aside.
+        freshness_bytes_by_endpoint: Bytes of freshness messages, by sender.
+
     Args:
         balancers: How many there are.
         data_centres: How many data centres they are in, by turns.
@@ -114,8 +156,9 @@
     ) -> None:
         self.shared = SharedStore(store=Store())
         self.balancers_by_name: dict[str, FleetBalancer] = {}
-        self.calls: list[tuple[float, str, str]] = []  # time, balancer, name
-        self.freshness_bytes_by_second: Counter[int] = Counter()
+        self.calls: list[tuple[float, str, str]] = []
+        self.value_reads: list[float] = []
+        self.freshness_bytes_by_endpoint: Counter[tuple[str, int]] = Counter()
         self._bound_seconds = bound_seconds
         self._keys = keys
         self._codec = FrameCodec(keys=keys)
@@ -184,7 +227,8 @@
         balancer = FleetBalancer(
             record=record, membership=membership, started_at=_now()
         )
-        store = HeldStore(
+        store = _CountingStore(
+            on_value=lambda: self.value_reads.append(_now()),
             shared=self.shared,
             course=lambda call: self._course(balancer, call),
             wait_seconds=membership.freshness.limits.wait_seconds,
@@ -301,7 +345,7 @@
     ) -> None:
         if isinstance(frame, FreshnessQuery | FreshnessReply):
             size = len(self._codec.encode(frame))
-            self.freshness_bytes_by_second[int(_now())] += size
+            self.freshness_bytes_by_endpoint[source] += size
         if self._draw.random() < self._loss:
             return
         delay = self._draw.uniform(*DELAY_SECONDS)
@@ -329,3 +373,7 @@
         if peer.configuration.version > balancer.configuration.version:
             packed = peer.configuration.packed("")
             balancer.configuration.apply_packed(packed, learned_from=control)
+            queries = balancer.membership.configuration_fetched(
+                control, now=_now(), draw=self._draw
+            )
+            self._execute(balancer, queries)
--- a/tests/balancer/test_freshness.py
+++ b/tests/balancer/test_freshness.py
@@ -196,7 +196,10 @@
         self.assertEqual(late, {})
 
     def test_calm(self):
-        """Without a fault only those that watch call the store for changes."""
+        """Without a fault only those that watch call the store for changes.
+
+        All read the registered balancers now and then.
+        """
 
         async def play() -> tuple[set[str], set[str]]:
             fleet = StoreFleet(
@@ -208,12 +211,14 @@
             )
             await asyncio.sleep(CALM_SECONDS)
             fleet.calls.clear()
+            fleet.value_reads.clear()
             await asyncio.sleep(OBSERVED_SECONDS)
             callers = {
                 name
                 for _, name, call in fleet.calls
-                if call in ("watch", "read", "read_changes")
+                if call in ("watch", "read_changes")
             }
+            self.assertEqual(fleet.value_reads, [])
             watchers = {each.record.name for each in fleet.watchers}
             await fleet.stop()
             return callers, watchers
