Receive several versions of a large configuration only as the last one

Cause: an answer to a watch holds each change since its revision in full. While it is received more changes gather, so that the next answer is larger; after 4 s it is given up.

Now an answer whose length says that it is clearly larger than the present state isn't received, and the present state is read instead, after a short pause that leaves the link to others. A balancer that doesn't watch, whose configuration is large, asks the store only for the evacuation orders, which tells the revision too, and reads the configuration itself after 0.8 of configuration_seconds: until then peers send it compressed, 19 kB.

Ruled out: an age that is wrong (the watchers' ages were 3 s and more, since each answer took that long); the processor alone (two more configurations a balancer in 14 s).

--- a/monsoonpier/balancer/freshness.py
+++ b/monsoonpier/balancer/freshness.py
@@ -29,8 +29,8 @@
     """Limits on the age of a balancer's knowledge of the store.
 
     They are shares of the time in which a change must be in force. The rest of it,
-    after ``read_seconds``, is for a call that gets no response, its repetition, and
-    the transfer of a large configuration on a slow link.
+    after ``read_seconds``, is for a call that gets no response and its repetition, and
+    after ``whole_read_seconds`` for the transfer of a large configuration.
 
     Attributes:
         bound_seconds: The time in which a stored change must be in force.
@@ -71,6 +71,15 @@
         """
         return 0.6 * self.bound_seconds
 
+    @property
+    def whole_read_seconds(self) -> float:
+        """The age at which a balancer reads a large configuration itself.
+
+        All balancers that did so would fill their links, while one of them is enough:
+        peers send it compressed.
+        """
+        return 0.8 * self.bound_seconds
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Validation:
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -28,6 +28,7 @@
     Snapshot,
     Store,
     StoreError,
+    WatchBehindError,
     WatchEvent,
 )
 from monsoonpier.store.keys import (
@@ -45,6 +46,11 @@
 # balancers that started together.
 POLL_SECONDS = 60.0
 VALIDATION_CHECK_SECONDS = 0.1  # shortest interval of checks whether a read is due
+# Changes of this size are received whatever the size of the present state. A larger
+# configuration is left to peers, as long as they have the time to send it.
+SMALL_CHANGES_BYTES = 65_536
+# As a share of the value in force; two versions of a large configuration have more.
+MAX_CHANGES_SHARE = 1.5
 REREAD_SECONDS = 0.2  # first delay before a failed read or watch is repeated
 MAX_REREAD_SECONDS = 2.0
 BALANCERS_FRESH_SECONDS = 5.0  # balancers read within this time aren't read again
@@ -209,11 +215,45 @@
                 backoff = backoff.after_failure()
 
     async def _read_changes(self) -> None:
-        """Read the changes since the known revision; everything if that is needed."""
+        """Read the changes since the known revision; everything if that is needed.
+
+        Peers have the time to send a large configuration first.
+        """
+        is_large = self._configuration.value_bytes > SMALL_CHANGES_BYTES
+        if is_large and await self._is_unchanged():
+            return
+        if is_large and await self._is_validated_in_time():
+            return
+        if not await self._try_read_changes():
+            await self._read()
+
+    async def _is_unchanged(self) -> bool:
+        """Read the evacuation orders; return whether the store had no other change."""
+        asked_at = self._now()
+        stored = await self._store.read(EVACUATIONS, prefix=True)
+        self._apply_evacuations(stored, asked_at=asked_at)
+        if stored.revision != self._freshness.revision:
+            return False
+        self._validate(stored.revision, asked_at)
+        return True
+
+    async def _is_validated_in_time(self) -> bool:
+        """Wait until peers validate what is known, or a whole read is due."""
+        limit = self._freshness.limits.whole_read_seconds
+        while (age := self._freshness.age(now=self._now())) < limit:
+            await asyncio.sleep(min(limit - age, VALIDATION_CHECK_SECONDS))
+            if self._freshness.age(now=self._now()) < age:
+                return True
+        return False
+
+    async def _try_read_changes(self) -> bool:
+        """Read the changes since the known revision; return whether it was possible.
+
+        It isn't if they are larger than the present state, or no more available.
+        """
         after = self._freshness.revision
         if after == NO_REVISION:
-            await self._read()
-            return
+            return False
         asked_at = self._now()
         orders = self._read_orders()
         try:
@@ -222,15 +262,16 @@
                 prefix=True,
                 after=after,
                 known_keys=frozenset(EVACUATIONS + name for name in orders),
+                max_bytes=self._max_changes_bytes(),
             )
         except CompactedError as error:
             _log.info("changes not available", reason=str(error), after=str(after))
-            await self._read()
-            return
+            return False
         self._learn_generation(changes.revision)
         for event in changes.events:
             self._apply_event(event)
         self._validate(changes.revision, asked_at)
+        return True
 
     def _validate(self, revision: Revision, as_of: float) -> None:
         """Record that everything up to a revision is known as of a time."""
@@ -291,11 +332,16 @@
                     prefix=True,
                     from_revision=revision.next,
                     on_progress=self._validate,
+                    read_max_bytes=self._max_changes_bytes,
                 ):
                     backoff = backoff.after_success()
                     self._apply_event(event)
             except CompactedError as error:
                 _log.info("watch restarted", reason=str(error))
+                if isinstance(error, WatchBehindError):
+                    # Leaves a part of a narrow link to other traffic while large
+                    # configurations change faster than they arrive.
+                    await asyncio.sleep(self._freshness.limits.query_interval_seconds)
                 # The watch's answer may reveal a restore before the next read does.
                 self._learn_generation(Revision(generation=self._store.generation))
                 # Prevents a busy loop if servers of one store answer alternately
@@ -306,6 +352,11 @@
                 await asyncio.sleep(backoff.wait_seconds(draw=self._draw))
                 backoff = backoff.after_failure()
 
+    def _max_changes_bytes(self) -> int:
+        """Return the size of changes about which the present state is smaller."""
+        largest = int(MAX_CHANGES_SHARE * self._configuration.value_bytes)
+        return max(SMALL_CHANGES_BYTES, largest)
+
     async def _try_read(self) -> None:
         try:
             await self._read()
--- a/monsoonpier/balancer/stored_configuration.py
+++ b/monsoonpier/balancer/stored_configuration.py
@@ -65,6 +65,11 @@
         """The version of the configuration in force; 0 if there is none."""
         return self._membership.configuration.version
 
+    @property
+    def value_bytes(self) -> int:
+        """The size of the stored value in force."""
+        return len(self._value)
+
     @property
     def copy(self) -> ConfigurationCopy:
         """The configuration in force as a copy for the store."""
--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -43,7 +43,13 @@
         self._idle: list[_Connection] = []
 
     async def call(
-        self, method: str, target: str, *, body: bytes = b"", timeout: float
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b"",
+        timeout: float,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Send one request and return its response.
 
@@ -55,14 +61,19 @@
                 response's body, or for the complete response if it has none. A body
                 that has begun gets ``TRANSFER_SECONDS`` at least, as long as it
                 isn't held up for ``STALL_SECONDS``.
+            max_bytes: The limit on the size of the response's body, which isn't
+                received if the response says that it is larger.
 
         Raises:
-            HttpError: If no complete response is received in time.
+            HttpError: If no complete response is received in time. It counts as
+                partial if the body is too large.
         """
         connection = await self._acquire(min(timeout, CONNECT_SECONDS))
         try:
             request = self._encode_request(method, target, body)
-            response = await connection.exchange(request, timeout=timeout)
+            response = await connection.exchange(
+                request, timeout=timeout, max_bytes=max_bytes
+            )
         except (TimeoutError, OSError, httptools.HttpParserError) as error:
             connection.close()
             if isinstance(error, TimeoutError):
@@ -129,6 +140,8 @@
         self._keeps_alive = True
         self._limit: asyncio.Timeout | None = None
         self._transfer_until = 0.0
+        self._max_bytes = MAX_BODY_BYTES
+        self._is_too_large = False
         self.used_at = 0.0
 
     @property
@@ -139,13 +152,16 @@
 
     @property
     def has_part_of_body(self) -> bool:
-        """Whether a part of the last response's body was received."""
-        return bool(self._body)
+        """Whether a part of the last response's body was received, or is too large."""
+        return bool(self._body) or self._is_too_large
 
-    async def exchange(self, request: bytes, *, timeout: float) -> Response:
+    async def exchange(
+        self, request: bytes, *, timeout: float, max_bytes: int = MAX_BODY_BYTES
+    ) -> Response:
         """Send a request and wait for its response, as `HttpClient.call` does."""
         assert self._transport is not None
         self._body.clear()
+        self._max_bytes = min(max_bytes, MAX_BODY_BYTES)
         self._response = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         async with asyncio.timeout(timeout) as self._limit:
@@ -176,10 +192,18 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers_by_name[name.decode("latin-1").lower()] = value.decode("latin-1")
 
+    def on_headers_complete(self) -> None:
+        self._check_size(self._headers_by_name.get("content-length", "0"))
+
     def on_body(self, body: bytes) -> None:
         self._extend_limit(is_first=not self._body)
         self._body += body
-        if len(self._body) > MAX_BODY_BYTES:
+        self._check_size(str(len(self._body)))
+
+    def _check_size(self, size: str) -> None:
+        """Give the response up if its body has more bytes than allowed."""
+        if size.isdecimal() and int(size) > self._max_bytes:
+            self._is_too_large = True
             self._fail(OSError("response body too large"))
             self.close()
 
--- a/monsoonpier/platform/store.py
+++ b/monsoonpier/platform/store.py
@@ -27,13 +27,14 @@
     WatchEvent,
 )
 from monsoonpier.store.keys import CONFIGURATION, EVACUATIONS
-from monsoonpier.store.long_poll import WATCH_SECONDS, LongPollStore
+from monsoonpier.store.long_poll import WATCH_SECONDS, ChangesRequest, LongPollStore
 from monsoonpier.store.paging import Page, read_pages
 
 __all__ = ["PlatformStore"]
 
 CALL_SECONDS = 2.0  # timeout of one call; 500 times the response of a healthy store
 WATCH_SLACK_SECONDS = 0.75  # three times the response of a store 60 times slower
+_MAX_OVERHEAD_BYTES = 16_384  # of an answer with one large value and some small ones
 _PATH = "/monsoonpier/"
 # Sent in all responses; increases at each restore from a backup.
 _GENERATION_HEADER = "store-era"
@@ -178,22 +179,23 @@
         """Close the idle connections."""
         self._client.close()
 
-    async def _poll_changes(
-        self, key: str, *, prefix: bool, after: Revision, wait_seconds: float
-    ) -> Changes:
-        wanted = _platform_key(key, prefix=prefix)
-        wait_ms = int(wait_seconds * 1000)
-        query = {"prefix": wanted, "after": after.number, "wait_ms": wait_ms}
-        path = f"{_PATH}kv-watch?{urlencode(query)}"
-        timeout = wait_seconds + WATCH_SLACK_SECONDS
-        response = await self._call("GET", path, timeout=timeout)
+    async def _poll_changes(self, request: ChangesRequest) -> Changes:
+        wanted = _platform_key(request.key, prefix=request.prefix)
+        wait_ms = int(request.wait_seconds * 1000)
+        query = {"prefix": wanted, "after": request.after.number, "wait_ms": wait_ms}
+        response = await self._call(
+            "GET",
+            f"{_PATH}kv-watch?{urlencode(query)}",
+            timeout=request.wait_seconds + WATCH_SLACK_SECONDS,
+            max_bytes=request.max_bytes * 4 // 3 + _MAX_OVERHEAD_BYTES,  # as base64
+        )
         present = self._revision(response).generation
-        if present != after.generation:
+        if present != request.after.generation:
             raise RestoredError(f"the store was restored; its generation is {present}")
         if response.status == 410:
             raise CompactedError("the revision to watch from has been compacted")
         found = _parse(_require_ok(response, "kv-watch"), _Changes)
-        items = [i for i in found.events if prefix or i.key == wanted]
+        items = [i for i in found.events if request.prefix or i.key == wanted]
         events = [_decode_event(item, generation=present) for item in items]
         return Changes(
             revision=Revision(generation=present, number=found.current_rev),
@@ -210,18 +212,13 @@
         return await self._call("POST", _PATH + name, body=msgspec.json.encode(body))
 
     async def _call(
-        self,
-        method: str,
-        path: str,
-        *,
-        body: bytes = b"",
-        timeout: float = CALL_SECONDS,
+        self, method: str, path: str, *, timeout: float = CALL_SECONDS, **options
     ) -> Response:
         """Make one HTTP call; record its time and the store's generation."""
         self.calls += 1
         began = time.monotonic()
         try:
-            response = await self._client.call(method, path, body=body, timeout=timeout)
+            response = await self._client.call(method, path, timeout=timeout, **options)
         except HttpError as error:
             raise StoreError(str(error), was_partial=error.was_partial) from error
         finally:
--- a/monsoonpier/store/etcd.py
+++ b/monsoonpier/store/etcd.py
@@ -17,6 +17,7 @@
 from monsoonpier.model.revision import Revision
 from monsoonpier.store.backoff import Backoff
 from monsoonpier.store.interface import (
+    MAX_CHANGES_BYTES,
     Changes,
     CompactedError,
     Compare,
@@ -136,6 +137,7 @@
         prefix: bool = False,
         after: Revision,
         known_keys: frozenset[str] = frozenset(),
+        max_bytes: int = MAX_CHANGES_BYTES,
     ) -> Changes:
         """Return the changes of the key, or of all keys with that prefix.
 
@@ -169,6 +171,7 @@
         prefix: bool = False,
         from_revision: Revision,
         on_progress: Callable[[Revision, float], None] | None = None,
+        read_max_bytes: Callable[[], int] = lambda: MAX_CHANGES_BYTES,
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change at ``from_revision`` or later; reconnect when needed.
 
--- a/monsoonpier/store/interface.py
+++ b/monsoonpier/store/interface.py
@@ -7,6 +7,7 @@
 from monsoonpier.model.revision import NO_REVISION, Revision
 
 __all__ = [
+    "MAX_CHANGES_BYTES",
     "Changes",
     "CompactedError",
     "Compare",
@@ -24,6 +25,9 @@
 ]
 
 
+MAX_CHANGES_BYTES = 4 * 1_048_576  # of changes in one answer; several large values
+
+
 class StoreError(Exception):
     """The store is unreachable, or its response was lost or unusable.
 
@@ -163,6 +167,7 @@
         prefix: bool = False,
         after: Revision,
         known_keys: frozenset[str] = frozenset(),
+        max_bytes: int = MAX_CHANGES_BYTES,
     ) -> Changes:
         """Return the changes of the key, or of all keys with that prefix.
 
@@ -175,9 +180,11 @@
             after: The revision after which changes are returned.
             known_keys: Keys that existed at ``after``. Stores that don't report
                 deletions report those of these keys that are missing.
+            max_bytes: As for `watch`.
 
         Raises:
             CompactedError: As for `watch`.
+            WatchBehindError: As for `watch`.
         """
 
     async def transact(
@@ -205,6 +212,7 @@
         prefix: bool = False,
         from_revision: Revision,
         on_progress: Callable[[Revision, float], None] | None = None,
+        read_max_bytes: Callable[[], int] = lambda: MAX_CHANGES_BYTES,
     ) -> AsyncIterator[WatchEvent]:
         """Yield every change at ``from_revision`` or later; reconnect when needed.
 
@@ -215,11 +223,15 @@
             on_progress: Called with a revision and a monotonic time, after the
                 changes up to the revision were processed, if the store had no later
                 one at that time. Some stores never report it.
+            read_max_bytes: Returns the size of changes, about which it is cheaper to
+                read the present state than to receive them all. Stores that send one
+                change at a time don't ask for it.
 
         Raises:
             CompactedError: If the store has discarded changes since that revision.
             RestoredError: If the store now has another generation.
-            WatchBehindError: If the changes can't be received in time.
+            WatchBehindError: If the changes can't be received in time, or are too
+                large.
         """
 
     async def close(self) -> None:
--- a/standins/fake_store.py
+++ b/standins/fake_store.py
@@ -6,6 +6,7 @@
 
 from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import (
+    MAX_CHANGES_BYTES,
     Changes,
     Compare,
     LeaseNotFoundError,
@@ -108,6 +109,7 @@
         prefix: bool = False,
         after: Revision,
         known_keys: frozenset[str] = frozenset(),
+        max_bytes: int = MAX_CHANGES_BYTES,
     ) -> Changes:
         """Return the changes after a revision."""
         self._raise_if_down()
@@ -126,6 +128,7 @@
         prefix: bool = False,
         from_revision: Revision,
         on_progress: Callable[[Revision, float], None] | None = None,
+        read_max_bytes: Callable[[], int] = lambda: MAX_CHANGES_BYTES,
     ) -> AsyncIterator[WatchEvent]:
         """Yield changes from that revision on; resume after an outage.
 
--- a/standins/held_store.py
+++ b/standins/held_store.py
@@ -8,6 +8,7 @@
 
 from monsoonpier.model.revision import Revision
 from monsoonpier.store.interface import (
+    MAX_CHANGES_BYTES,
     Changes,
     CompactedError,
     Compare,
@@ -140,6 +141,7 @@
         prefix: bool = False,
         after: Revision,
         known_keys: frozenset[str] = frozenset(),
+        max_bytes: int = MAX_CHANGES_BYTES,
     ) -> Changes:
         """Return the changes after a revision."""
         end = range_end(key, prefix=prefix)
@@ -162,6 +164,7 @@
         prefix: bool = False,
         from_revision: Revision,
         on_progress: Callable[[Revision, float], None] | None = None,
+        read_max_bytes: Callable[[], int] = lambda: MAX_CHANGES_BYTES,
     ) -> AsyncIterator[WatchEvent]:
         """Yield changes from that revision on; retry failed calls."""
         since = from_revision.number
--- a/standins/store_fleet.py
+++ b/standins/store_fleet.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from monsoonpier.balancer.actions import FetchConfiguration, ToAgent
@@ -27,7 +27,14 @@
 from monsoonpier.model.keys import KeyRing
 from monsoonpier.model.revision import Revision
 from monsoonpier.model.service import Configuration
-from monsoonpier.store.interface import Changes, Put, Snapshot
+from monsoonpier.store.interface import (
+    MAX_CHANGES_BYTES,
+    Changes,
+    Put,
+    Snapshot,
+    WatchBehindError,
+    WatchEvent,
+)
 from monsoonpier.store.keys import CONFIGURATION, CONFIGURATION_COPY, EVACUATIONS
 from monsoonpier.wire.frames import (
     BalancerRecord,
@@ -95,9 +102,12 @@
 class _CountingStore(HeldStore):
     """Reports each read that returned the whole configuration."""
 
-    def __init__(self, *, on_value: Callable[[], None], **arguments) -> None:
+    def __init__(
+        self, *, on_value: Callable[[], None], transfer_seconds: float, **arguments
+    ) -> None:
         super().__init__(**arguments)
         self._on_value = on_value
+        self._transfer_seconds = transfer_seconds
 
     async def read(
         self, key: str, *, prefix: bool = False, may_be_stale: bool = False
@@ -106,6 +116,7 @@
         found = await super().read(key, prefix=prefix, may_be_stale=may_be_stale)
         if CONFIGURATION in found.values_by_key:
             self._on_value()
+            await asyncio.sleep(self._transfer_seconds)
         return found
 
     async def read_changes(
@@ -115,15 +126,25 @@
         prefix: bool = False,
         after: Revision,
         known_keys: frozenset[str] = frozenset(),
+        max_bytes: int = MAX_CHANGES_BYTES,
     ) -> Changes:
         """Return the changes after a revision."""
         changes = await super().read_changes(
             key, prefix=prefix, after=after, known_keys=known_keys
         )
         if any(event.key == CONFIGURATION for event in changes.events):
+            if self._transfer_seconds:
+                raise WatchBehindError("the changes are too large")
             self._on_value()
         return changes
 
+    async def watch(self, key: str, **arguments) -> AsyncIterator[WatchEvent]:
+        """Yield changes; a configuration after its transfer."""
+        async for event in super().watch(key, **arguments):
+            if event.key == CONFIGURATION:
+                await asyncio.sleep(self._transfer_seconds)
+            yield event
+
 
 class StoreFleet:
     """Balancers and their store; to be used within `run_in_virtual_time`.
@@ -142,6 +163,8 @@
         keys: Authenticate frames and the configuration copy.
         seed: Decides delays, jitter and the choice of peers.
         loss: The share of datagrams that are lost.
+        transfer_seconds: The time in which a configuration is received from the store;
+            unless 0, it is too large to be received with other changes.
     """
 
     def __init__(
@@ -153,7 +176,9 @@
         keys: KeyRing,
         seed: int,
         loss: float = 0.0,
+        transfer_seconds: float = 0.0,
     ) -> None:
+        self._transfer_seconds = transfer_seconds
         self.shared = SharedStore(store=Store())
         self.balancers_by_name: dict[str, FleetBalancer] = {}
         self.calls: list[tuple[float, str, str]] = []
@@ -229,6 +254,7 @@
         )
         store = _CountingStore(
             on_value=lambda: self.value_reads.append(_now()),
+            transfer_seconds=self._transfer_seconds,
             shared=self.shared,
             course=lambda call: self._course(balancer, call),
             wait_seconds=membership.freshness.limits.wait_seconds,
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -54,6 +54,7 @@
         self.known = Evacuations()
         self.received: list[str] = []
         configuration = mock.create_autospec(CurrentConfiguration, instance=True)
+        configuration.value_bytes = 0
         configuration.apply.side_effect = lambda _: self.received.append(
             "configuration"
         )
--- a/tests/balancer/test_large_configurations.py
+++ b/tests/balancer/test_large_configurations.py
@@ -16,6 +16,7 @@
 from monsoonpier.http import client
 from monsoonpier.http.client import HttpClient, HttpError
 from monsoonpier.model.address import Address
+from monsoonpier.model.settings import CONFIGURATION_SECONDS
 from monsoonpier.platform import store as platform_store
 from monsoonpier.platform.store import PlatformStore
 from monsoonpier.wire.frames import FrameCodec
@@ -77,6 +78,7 @@
         configuration = mock.create_autospec(CurrentConfiguration, instance=True)
         configuration.apply.side_effect = self._apply
         configuration.version = 0
+        configuration.value_bytes = VALUE_BYTES
         self.configuration = configuration
         self.evacuate = mock.Mock()
         self.link = StoreLink(
@@ -161,6 +163,49 @@
             self.stand_in.faults.is_down = False
             await self._seconds_until(CHANGES + 1, at_most=NEWEST_SECONDS)
 
+    async def test_several_versions_at_once(self):
+        """Of several versions only the last one is received.
+
+        Guards against an answer with all of them, which fills the link for several
+        times as long, during which more versions gather.
+        """
+        async with self._watching():
+            self.stand_in.faults.is_down = True
+            for version in (2, 3, 4):
+                self._put(version)
+            self.stand_in.faults.is_down = False
+            await self._seconds_until(4, at_most=NEWEST_SECONDS)
+        self.assertEqual(self.held.versions, [1, 4])
+
+    async def test_large_change_is_left_to_peers(self):
+        """A balancer that doesn't watch waits for its peers before it reads.
+
+        Guards against many balancers that read a large configuration at once and fill
+        their links.
+        """
+        self._put(1)
+        await self.link._read()
+        self._put(2)
+        self.stand_in.put("op/evacuate/dc-9", b"{}")
+        began = time.monotonic()
+        reading = asyncio.create_task(self.link._read_changes())
+        while self.evacuate.call_args.args[0].revisions_by_data_centre == {}:
+            await asyncio.sleep(0.01)
+        # The order is known at once; the configuration comes when nobody has sent it.
+        self.assertEqual(self.held.versions, [1])
+        await reading
+        self.assertEqual(self.held.versions, [1, 2])
+        waited = time.monotonic() - began
+        self.assertGreater(waited, 0.7 * CONFIGURATION_SECONDS)
+
+    async def test_unchanged_configuration_is_not_read(self):
+        """Without a change a balancer receives no large value again."""
+        self._put(1)
+        await self.link._read()
+        await self.link._read_changes()
+        self.assertEqual(self.stand_in.calls_by_name.get("kv-watch", 0), 0)
+        self.assertEqual(self.held.versions, [1])
+
     async def test_change_at_the_end_of_a_wait(self):
         """A change shortly before the end of a wait has the time to arrive.
 
--- a/tests/balancer/test_store_link.py
+++ b/tests/balancer/test_store_link.py
@@ -38,6 +38,7 @@
         self.now = 1000.0
         self.platform = FakeStore(clock=lambda: self.now)
         self.configuration = mock.create_autospec(CurrentConfiguration, instance=True)
+        self.configuration.value_bytes = 0
         self.evacuated: list[Evacuation | EvacuationsRead] = []
         self.peers = Peers(own=balancer("b1").peers.own)
         self.link = StoreLink(
--- a/tests/balancer/test_store_orders.py
+++ b/tests/balancer/test_store_orders.py
@@ -132,6 +132,7 @@
         )
         configuration = SimpleNamespace(
             version=3,
+            value_bytes=6,
             copy=ConfigurationCopy(version=3, packed=b"packed"),
             apply=lambda _value: None,
             apply_packed=lambda _packed: None,
--- a/tests/balancer/test_store_restore.py
+++ b/tests/balancer/test_store_restore.py
@@ -43,7 +43,9 @@
             peers=self.membership.peers,
             codec=FrameCodec(keys=KEYS),
             copies=self.copies,
-            configuration=mock.create_autospec(CurrentConfiguration, instance=True),
+            configuration=mock.create_autospec(
+                CurrentConfiguration, instance=True, value_bytes=0
+            ),
             evacuate=self._apply,
             draw=random.Random(1),
             clock=lambda: self.now,
