Don't assume to know all targets while a peer's table is missing

Cause: a balancer that has started resets a flow that all agents it knows have denied, once it assumes that it knows all targets. Without a peer's agreement it assumed so 4 s after its start, even if a converged peer had shown that its table differs and hadn't answered the request for it.

At 30.30 s, 4.2 s after its start, it reset 7 flows in 5 ms with reason "nobody holds the flow" and targets 7.

Now it waits for the table, for 10 s at the most. Flows whose owners are gone are reset as much later by such a balancer.

--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -42,6 +42,9 @@
 # were up to 3 s apart in the soak.
 AGREED_SECONDS = 1.0  # an agent's heartbeat interval
 ALONE_SECONDS = 4.0
+# In place of ALONE_SECONDS after a converged peer has shown that its table differs,
+# until it or another peer has sent them.
+MISSING_TABLE_SECONDS = 10.0
 NAMED_BALANCERS = 6  # an agent sends heartbeats to the first few that it reaches
 # A balancer whose rounds of gossip are further apart was paused, and one that receives
 # no frame for so long is cut off. It must not conclude from missed heartbeats that an
@@ -119,10 +122,13 @@
         )
         # After a pause, until the table is known to be up to date again.
         self._is_outdated = False
+        # After a start, whether a converged peer's table differs and hasn't come yet.
+        self._misses_table = False
 
     def is_converged(self, *, now: float) -> bool:
         """Return whether all reachable targets are likely to be known."""
-        needed = AGREED_SECONDS if self.has_agreed else ALONE_SECONDS
+        alone_seconds = MISSING_TABLE_SECONDS if self._misses_table else ALONE_SECONDS
+        needed = AGREED_SECONDS if self.has_agreed else alone_seconds
         return now - self.started_at >= needed
 
     def from_process(
@@ -235,6 +241,7 @@
             self.table.record_silence(silence, now=now)
         self._apply_early_batches(now=now)
         self._fetched_at = self._asked_at
+        self._misses_table = False
 
     def _apply_early_batches(self, *, now: float) -> None:
         """Apply reports that came before the records that they are about."""
@@ -366,9 +373,10 @@
             return has_missed_reports
         if has_missed_reports:
             return True
-        if not len(self.table) or (
-            frame.is_converged and not self.is_converged(now=now)
-        ):
+        if frame.is_converged and not self.is_converged(now=now):
+            self._misses_table = True
+            return True
+        if not len(self.table):
             return True
         differed_before = self._differing_peer is not None
         self._differing_peer = None if differed_before else frame.sender.name
