Spread whole reads too, and simulate large configurations

bench.freshness_cost now plays 24 and 460 balancers with a large configuration, and an evacuation order beside the change.

A wait that shrank to nothing is gone: in virtual time, where the clock stands still meanwhile, a rounded rest of 1e-16 s was waited for without end.

--- a/bench/freshness_cost.py
+++ b/bench/freshness_cost.py
@@ -25,17 +25,26 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Fleet:
-    """The size of a simulated fleet."""
+    """A simulated fleet.
+
+    Attributes:
+        balancers: How many there are.
+        data_centres: How many data centres they are in.
+        bound_seconds: The time in which a stored change must be in force.
+        transfer_seconds: The time in which a configuration is received; unless 0, it
+            counts as large.
+    """
 
     balancers: int
     data_centres: int
     bound_seconds: float
+    transfer_seconds: float = 0.0
 
 
 FLEETS = (
     Fleet(balancers=4, data_centres=1, bound_seconds=3.0),
-    Fleet(balancers=24, data_centres=3, bound_seconds=5.0),
-    Fleet(balancers=460, data_centres=6, bound_seconds=13.0),
+    Fleet(balancers=24, data_centres=3, bound_seconds=5.0, transfer_seconds=0.7),
+    Fleet(balancers=460, data_centres=6, bound_seconds=13.0, transfer_seconds=0.7),
 )
 
 
@@ -69,7 +78,9 @@
 
     Attributes:
         ailing: The number of balancers that failed.
-        change_seconds: When the change was in force on the last healthy balancer.
+        change_seconds: When the configuration was in force on the last healthy
+            balancer.
+        order_seconds: The same for an evacuation order.
         calm_calls: Calls a second before the fault.
         calls: Calls a second over the minute after it.
         peak_calls: Calls in the worst second of it.
@@ -80,6 +91,7 @@
 
     ailing: int
     change_seconds: float
+    order_seconds: float
     calm_calls: float
     calls: float
     peak_calls: int
@@ -107,6 +119,7 @@
         bound_seconds=size.bound_seconds,
         keys=KEYS,
         seed=1,
+        transfer_seconds=size.transfer_seconds,
     )
     await asyncio.sleep(CALM_SECONDS - MEASURED_CALM_SECONDS)
     fleet.calls.clear()
@@ -123,9 +136,11 @@
     await asyncio.sleep(CHANGE_SECONDS)
     changed_at = loop.time()
     fleet.put_configuration(2)
+    fleet.put_evacuation("dc-9")
     await asyncio.sleep(AFTER_SECONDS - CHANGE_SECONDS)
     healthy = [each for each in fleet.running if each not in ailing]
     in_force = [each.in_force_at.get(2, float("inf")) for each in healthy]
+    ordered = [each.evacuated_at.get("dc-9", float("inf")) for each in healthy]
     by_second = Counter(
         int(at - began) for at, _, call in fleet.calls if call in VALIDATING_CALLS
     )
@@ -133,6 +148,7 @@
     return Figures(
         ailing=len(ailing),
         change_seconds=max(in_force) - changed_at,
+        order_seconds=max(ordered) - changed_at,
         calm_calls=len(calm) / MEASURED_CALM_SECONDS,
         calls=sum(by_second.values()) / AFTER_SECONDS,
         peak_calls=max(by_second.values()),
@@ -151,7 +167,8 @@
                 figures = run_in_virtual_time(_play(size, fault=fault, share=share))
                 yield (
                     f"| {size.balancers} | {fault}: {share} ({figures.ailing}) "
-                    f"| {figures.change_seconds:.2f} of {size.bound_seconds:g} s "
+                    f"| {figures.change_seconds:.2f}, {figures.order_seconds:.2f} of "
+                    f"{size.bound_seconds:g} s "
                     f"| {figures.calm_calls:.1f} | {figures.calls:.1f} "
                     f"| {figures.peak_calls} | {figures.value_reads} "
                     f"| {figures.mean_bytes:.0f}, {figures.most_bytes:.0f} |"
@@ -162,7 +179,7 @@
     """Print a table; the arguments choose sizes, otherwise all are played."""
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
     print(
-        "| balancers | fault | change in force after | calls/s calm | calls/s after "
+        "| balancers | fault | version, order in force after | calls/s calm | after "
         "| peak second | whole reads | bytes/s mean, most |"
     )
     print("|---|---|---|---|---|---|---|---|")
--- a/monsoonpier/balancer/freshness.py
+++ b/monsoonpier/balancer/freshness.py
@@ -143,9 +143,11 @@
         """Return the age in seconds at which changes must be read from the store."""
         if is_watcher:
             return self.limits.watcher_read_seconds
-        late = draw.random() ** READ_SPREAD_EXPONENT
-        share = EARLIEST_READ + (1.0 - EARLIEST_READ) * late
-        return share * self.limits.read_seconds
+        return _spread(self.limits.read_seconds, draw=draw)
+
+    def whole_read_age(self, *, draw: random.Random) -> float:
+        """Return the age in seconds at which a large configuration must be read."""
+        return _spread(self.limits.whole_read_seconds, draw=draw)
 
     def read_begins(self, *, is_watcher: bool, now: float) -> None:
         """Record a read of changes, which only a watcher makes without doubt."""
@@ -220,3 +222,9 @@
         if self._as_of is None or validation.as_of > self._as_of:
             self._sent_at_by_number.clear()
         return validation
+
+
+def _spread(seconds: float, *, draw: random.Random) -> float:
+    """Return an age up to ``seconds``, rarely a much smaller one."""
+    late = draw.random() ** READ_SPREAD_EXPONENT
+    return seconds * (EARLIEST_READ + (1.0 - EARLIEST_READ) * late)
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -239,9 +239,9 @@
 
     async def _is_validated_in_time(self) -> bool:
         """Wait until peers validate what is known, or a whole read is due."""
-        limit = self._freshness.limits.whole_read_seconds
+        limit = self._freshness.whole_read_age(draw=self._draw)
         while (age := self._freshness.age(now=self._now())) < limit:
-            await asyncio.sleep(min(limit - age, VALIDATION_CHECK_SECONDS))
+            await asyncio.sleep(VALIDATION_CHECK_SECONDS)
             if self._freshness.age(now=self._now()) < age:
                 return True
         return False
--- a/standins/store_fleet.py
+++ b/standins/store_fleet.py
@@ -53,6 +53,7 @@
 FETCH_SECONDS = 0.02
 FETCH_TIMEOUT_SECONDS = 2.0
 CALL_SECONDS = 0.004
+LARGE_BYTES = 100_000  # of a configuration that takes time to be received
 UNANSWERED = Course(is_answered=False, is_executed=False)
 FORMAT = ConfigurationFormat(
     decode=lambda value: Configuration(version=int(value)),
@@ -211,7 +212,8 @@
 
     def put_configuration(self, version: int) -> None:
         """Write a configuration."""
-        self._put(CONFIGURATION, b"%d" % version)
+        size = LARGE_BYTES if self._transfer_seconds else 0
+        self._put(CONFIGURATION, (b"%d" % version).ljust(size))
 
     def put_evacuation(self, data_centre: str) -> None:
         """Write an evacuation order."""
