--- a/standins/store_fleet.py
+++ b/standins/store_fleet.py
@@ -35,7 +35,12 @@
     WatchBehindError,
     WatchEvent,
 )
-from monsoonpier.store.keys import CONFIGURATION, CONFIGURATION_COPY, EVACUATIONS
+from monsoonpier.store.keys import (
+    BALANCERS,
+    CONFIGURATION,
+    CONFIGURATION_COPY,
+    EVACUATIONS,
+)
 from monsoonpier.wire.frames import (
     BalancerRecord,
     FrameCodec,
@@ -225,6 +230,14 @@
         copy = ConfigurationCopy(version=version, packed=packed)
         self._put(CONFIGURATION_COPY, encode_copy(copy, keys=self._keys))
 
+    def restore(self) -> None:
+        """Restore the store from a backup of this moment."""
+        self.shared.store.restore(self.shared.store.backup())
+
+    def register(self, record: BalancerRecord) -> None:
+        """Write the registration of a balancer that nobody gossips about."""
+        self._put(BALANCERS + record.name, self._codec.encode(record))
+
     def _put(self, key: str, value: bytes) -> None:
         puts = (Put(key=key, value=value),)
         self.shared.store.transact(compares=(), puts=puts, now=0.0)
--- a/tests/balancer/test_freshness.py
+++ b/tests/balancer/test_freshness.py
@@ -8,6 +8,7 @@
 from monsoonpier.balancer.actions import FetchConfiguration
 from monsoonpier.balancer.freshness import Freshness, FreshnessLimits, Validation
 from monsoonpier.balancer.membership import Membership
+from monsoonpier.balancer.store_link import POLL_SECONDS
 from monsoonpier.model.evacuation import evacuation
 from monsoonpier.model.revision import NO_REVISION, Revision
 from monsoonpier.model.service import Configuration
@@ -195,6 +196,67 @@
         )
         self.assertEqual(late, {})
 
+    async def _seconds_until(
+        self, condition: Callable[[FleetBalancer], bool], *, of: list[FleetBalancer]
+    ) -> float:
+        """Return after how many seconds a condition holds for these balancers."""
+        now = asyncio.get_running_loop().time
+        began = now()
+        while not all(condition(each) for each in of):
+            if now() - began > 2 * POLL_SECONDS:
+                break
+            await asyncio.sleep(0.05)
+        return now() - began
+
+    def test_restored_store(self):
+        """A restore of the store is known in time though no watcher reaches it."""
+
+        async def play(fault: Fault) -> float:
+            fleet = StoreFleet(
+                balancers=24,
+                data_centres=3,
+                bound_seconds=BOUND_SECONDS,
+                keys=KEYS,
+                seed=1,
+            )
+            await asyncio.sleep(CALM_SECONDS)
+            ailing = fleet.watchers
+            fault(fleet, ailing)
+            fleet.restore()
+            seconds = await self._seconds_until(
+                lambda each: each.membership.store_generation.number == 1,
+                of=[each for each in fleet.running if each not in ailing],
+            )
+            await fleet.stop()
+            return seconds
+
+        for fault in FAULTS:
+            with self.subTest(fault=fault.__name__):
+                seconds = run_in_virtual_time(play(fault))
+                self.assertLessEqual(seconds, BOUND_SECONDS)
+
+    def test_registered_balancer(self):
+        """Each balancer reads the registered ones now and then, watchers too."""
+
+        async def play() -> float:
+            fleet = StoreFleet(
+                balancers=6,
+                data_centres=3,
+                bound_seconds=BOUND_SECONDS,
+                keys=KEYS,
+                seed=1,
+            )
+            await asyncio.sleep(CALM_SECONDS)
+            fleet.register(balancer("b99", host=99).peers.own)
+            seconds = await self._seconds_until(
+                lambda each: "b99" in each.membership.peers.records_by_name,
+                of=fleet.running,
+            )
+            await fleet.stop()
+            return seconds
+
+        self.assertLessEqual(run_in_virtual_time(play()), POLL_SECONDS)
+
     def test_calm(self):
         """Without a fault only those that watch call the store for changes.
 
