--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -43,7 +43,7 @@
 AGREED_SECONDS = 1.0  # an agent's heartbeat interval
 ALONE_SECONDS = 4.0
 # In place of ALONE_SECONDS after a converged peer has shown that its table differs,
-# until it or another peer has sent them.
+# until that peer or another one has sent its table.
 MISSING_TABLE_SECONDS = 10.0
 NAMED_BALANCERS = 6  # an agent sends heartbeats to the first few that it reaches
 # A balancer whose rounds of gossip are further apart was paused, and one that receives
@@ -552,6 +552,7 @@
         Asks a balancer that watches the store, or any other one if the last query
         brought nothing.
         """
+        # Most calls end here, without the cost of `is_watcher`.
         if not self.freshness.is_query_due(is_watcher=False, now=now):
             return []
         if not self.freshness.is_query_due(
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -45,6 +45,7 @@
 # Longest interval of reads of the registered balancers; jitter spreads those of
 # balancers that started together.
 POLL_SECONDS = 60.0
+NEVER = -POLL_SECONDS  # before any time of the monotonic clock
 VALIDATION_CHECK_SECONDS = 0.1  # shortest interval of checks whether a read is due
 # Changes of this size are received whatever the size of the present state. A larger
 # configuration is left to peers, as long as they have the time to send it.
@@ -141,10 +142,8 @@
             clock=clock,
         )
         self._watching: asyncio.Task | None = None
-        self._last_read = (
-            -1.0
-        )  # when configuration or copy were last read; below 0: never
-        self._balancers_read_at = -POLL_SECONDS
+        self._last_read = NEVER  # of the configuration or its copy
+        self._balancers_read_at = NEVER
 
     async def run(self) -> None:
         """Register, watch, read and maintain the copy until cancelled."""
@@ -175,7 +174,7 @@
                     self._watching = asyncio.create_task(self._watch())
                 elif not is_watcher and running:
                     self._watching.cancel()
-                if not is_watcher and self._last_read < 0:
+                if not is_watcher and self._last_read == NEVER:
                     await self._try_read()
                 if self._now() >= poll_at:
                     await self._try_read_balancers()
@@ -228,7 +227,11 @@
             await self._read()
 
     async def _is_unchanged(self) -> bool:
-        """Read the evacuation orders; return whether the store had no other change."""
+        """Read the evacuation orders; return whether the store had no other change.
+
+        The answer is small whatever the size of the configuration, and its revision
+        tells whether any key of the store was changed.
+        """
         asked_at = self._now()
         stored = await self._store.read(EVACUATIONS, prefix=True)
         self._apply_evacuations(stored, asked_at=asked_at)
--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -35,7 +35,7 @@
 class HttpClient:
     """Calls one server; a connection on which a call failed is not reused.
 
-    After a call that timed out no connection of before is reused.
+    After a call has timed out, no earlier connection is reused.
     """
 
     def __init__(self, *, address: Address) -> None:
