List review cases in KNOWN-RED.txt as entries of their own

Each line had to begin with a test's name, three lines at most, so the records of cases 1 and 2 stood behind the last test's. An entry may begin with a case's folder now, which must hold a claim; it excuses no test, is printed by each run, and has a limit of three of its own. Tests are excused exactly as before: an entry that names neither a test nor a case stops the run.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -6,7 +6,12 @@
 import nose2
 from nose2.main import PluggableTestProgram
 
-from tests.known_red import FailedNames, KnownRedError, read_known_red
+from tests.known_red import (
+    FailedNames,
+    KnownRedError,
+    read_known_cases,
+    read_known_red,
+)
 
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -16,6 +21,7 @@
     """Run the tests and return the exit status."""
     try:
         known = read_known_red(KNOWN_RED)
+        cases = read_known_cases(KNOWN_RED)
     except KnownRedError as error:
         print(error, file=sys.stderr)
         return 1
@@ -26,6 +32,8 @@
     for name in failed:
         if name in known:
             print(f"known red: {known[name]}")
+    for line in cases.values():
+        print(f"known red case: {line}")
     unexpected = [name for name in failed if name not in known]
     passed = len(set(FailedNames.finished) - set(failed))
     print(f"{passed} passed, {len(unexpected)} failed")
