Write updates of evacuation orders and the simulated faults once

- The four faults stood in bench.freshness_cost and in test_freshness; both take FAULTS_BY_NAME of the stand-in.
The tests' fleets are made in one place.
- The HTTP client wrote the size of a body as text for each part and read it again.

Left: the signatures of read_changes and watch, which each store and stand-in repeats as it does those of the other calls.

--- a/bench/freshness_cost.py
+++ b/bench/freshness_cost.py
@@ -6,14 +6,14 @@
 import asyncio
 import sys
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import structlog
 
 from monsoonpier.model.keys import Key, KeyRing
 from standins.held_store import run_in_virtual_time
-from standins.store_fleet import FleetBalancer, StoreFleet
+from standins.store_fleet import FAULTS_BY_NAME, FleetBalancer, StoreFleet
 
 KEYS = KeyRing(keys=(Key(id=1, secret=b"k" * 32),))
 CALM_SECONDS = 40.0
@@ -48,30 +48,6 @@
 )
 
 
-def _kill(fleet: StoreFleet, each: FleetBalancer) -> None:
-    fleet.kill(each)
-
-
-def _pause(_fleet: StoreFleet, each: FleetBalancer) -> None:
-    each.is_paused = True
-
-
-def _cut_off(_fleet: StoreFleet, each: FleetBalancer) -> None:
-    each.is_cut_off = True
-
-
-def _slow_down(_fleet: StoreFleet, each: FleetBalancer) -> None:
-    each.has_slow_store = True
-
-
-FAULTS: dict[str, Callable[[StoreFleet, FleetBalancer], None]] = {
-    "killed": _kill,
-    "paused": _pause,
-    "cut off": _cut_off,
-    "slow answers": _slow_down,
-}
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Figures:
     """What one play showed; calls are those that read or watch.
@@ -132,7 +108,7 @@
     fleet.value_reads.clear()
     began = loop.time()
     for each in ailing:
-        FAULTS[fault](fleet, each)
+        FAULTS_BY_NAME[fault](fleet, each)
     await asyncio.sleep(CHANGE_SECONDS)
     changed_at = loop.time()
     fleet.put_configuration(2)
@@ -162,7 +138,7 @@
     for size in FLEETS:
         if sizes and size.balancers not in sizes:
             continue
-        for fault in FAULTS:
+        for fault in FAULTS_BY_NAME:
             for share in ("one", "a data centre", "all"):
                 figures = run_in_virtual_time(_play(size, fault=fault, share=share))
                 yield (
--- a/monsoonpier/balancer/node.py
+++ b/monsoonpier/balancer/node.py
@@ -17,7 +17,11 @@
 from monsoonpier.balancer.configuration_copy import ConfigurationCopies
 from monsoonpier.balancer.contact import ContactMonitor
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
+from monsoonpier.balancer.store_link import (
+    EvacuationsRead,
+    StoreLink,
+    updated_evacuations,
+)
 from monsoonpier.balancer.stored_configuration import (
     STORED_FORMAT,
     ConfigurationFormat,
@@ -271,16 +275,7 @@
 
     def _apply_evacuations(self, update: Evacuation | EvacuationsRead) -> None:
         before = self._membership.evacuations
-        match update:
-            case Evacuation():
-                after = before.joined((update,))
-            case EvacuationsRead():
-                after = before.as_read(
-                    update.revisions_by_data_centre,
-                    revision=update.revision,
-                    is_conclusive=update.is_conclusive,
-                )
-        self._membership.evacuate(after)
+        self._membership.evacuate(updated_evacuations(before, update))
         self._report_evacuations(before, learned_from="store")
 
     def _report_evacuations(self, before: Evacuations, *, learned_from: str) -> None:
--- a/monsoonpier/balancer/store_link.py
+++ b/monsoonpier/balancer/store_link.py
@@ -18,7 +18,7 @@
 from monsoonpier.balancer.registration import Registration
 from monsoonpier.balancer.store_generation import StoreGeneration
 from monsoonpier.balancer.stored_configuration import CurrentConfiguration
-from monsoonpier.model.evacuation import Evacuation, evacuation
+from monsoonpier.model.evacuation import Evacuation, Evacuations, evacuation
 from monsoonpier.model.revision import NO_REVISION, Revision
 from monsoonpier.model.settings import CONFIGURATION_SECONDS
 from monsoonpier.process.registry import registered_balancers
@@ -39,7 +39,7 @@
 )
 from monsoonpier.wire.frames import FrameCodec
 
-__all__ = ["EvacuationsRead", "StoreLink"]
+__all__ = ["EvacuationsRead", "StoreLink", "updated_evacuations"]
 
 WATCH_CHECK_SECONDS = 2.0  # interval of checks whether this balancer must watch
 # Longest interval of reads of the registered balancers; jitter spreads those of
@@ -444,6 +444,21 @@
             self._evacuate(order)
 
 
+def updated_evacuations(
+    before: Evacuations, update: Evacuation | EvacuationsRead
+) -> Evacuations:
+    """Return the known orders after an update that a store link reported."""
+    match update:
+        case Evacuation():
+            return before.joined((update,))
+        case EvacuationsRead():
+            return before.as_read(
+                update.revisions_by_data_centre,
+                revision=update.revision,
+                is_conclusive=update.is_conclusive,
+            )
+
+
 def _evacuations_in(stored: Snapshot, *, is_conclusive: bool) -> EvacuationsRead:
     revisions_by_data_centre = {
         key.removeprefix(EVACUATIONS): value.mod_revision
--- a/monsoonpier/http/client.py
+++ b/monsoonpier/http/client.py
@@ -193,16 +193,17 @@
         self._headers_by_name[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        self._check_size(self._headers_by_name.get("content-length", "0"))
+        size = self._headers_by_name.get("content-length", "")
+        self._check_size(int(size) if size.isdecimal() else 0)
 
     def on_body(self, body: bytes) -> None:
         self._extend_limit(is_first=not self._body)
         self._body += body
-        self._check_size(str(len(self._body)))
+        self._check_size(len(self._body))
 
-    def _check_size(self, size: str) -> None:
+    def _check_size(self, size: int) -> None:
         """Give the response up if its body has more bytes than allowed."""
-        if size.isdecimal() and int(size) > self._max_bytes:
+        if size > self._max_bytes:
             self._is_too_large = True
             self._fail(OSError("response body too large"))
             self.close()
--- a/standins/store_fleet.py
+++ b/standins/store_fleet.py
@@ -17,7 +17,11 @@
     encode_copy,
 )
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
+from monsoonpier.balancer.store_link import (
+    EvacuationsRead,
+    StoreLink,
+    updated_evacuations,
+)
 from monsoonpier.balancer.stored_configuration import (
     ConfigurationFormat,
     CurrentConfiguration,
@@ -50,7 +54,7 @@
 from standins.held_store import Course, HeldStore, SharedStore
 from standins.store import Store
 
-__all__ = ["FleetBalancer", "StoreFleet"]
+__all__ = ["FAULTS_BY_NAME", "Fault", "FleetBalancer", "StoreFleet"]
 
 CHECK_SECONDS = 0.1
 GOSSIP_SECONDS = (0.8, 1.2)
@@ -332,16 +336,7 @@
         self, balancer: FleetBalancer, update: Evacuation | EvacuationsRead
     ) -> None:
         membership = balancer.membership
-        match update:
-            case Evacuation():
-                after = membership.evacuations.joined((update,))
-            case EvacuationsRead():
-                after = membership.evacuations.as_read(
-                    update.revisions_by_data_centre,
-                    revision=update.revision,
-                    is_conclusive=update.is_conclusive,
-                )
-        membership.evacuate(after)
+        membership.evacuate(updated_evacuations(membership.evacuations, update))
         self._note_evacuations(balancer)
 
     def _note_evacuations(self, balancer: FleetBalancer) -> None:
@@ -418,3 +413,26 @@
                 control, now=_now(), draw=self._draw
             )
             self._execute(balancer, queries)
+
+
+Fault = Callable[[StoreFleet, FleetBalancer], None]
+
+
+def _pause(_fleet: StoreFleet, balancer: FleetBalancer) -> None:
+    balancer.is_paused = True
+
+
+def _cut_off(_fleet: StoreFleet, balancer: FleetBalancer) -> None:
+    balancer.is_cut_off = True
+
+
+def _slow_down(_fleet: StoreFleet, balancer: FleetBalancer) -> None:
+    balancer.has_slow_store = True
+
+
+FAULTS_BY_NAME: dict[str, Fault] = {
+    "killed": StoreFleet.kill,
+    "paused": _pause,
+    "cut off": _cut_off,
+    "slow answers": _slow_down,
+}
--- a/tests/balancer/test_evacuation.py
+++ b/tests/balancer/test_evacuation.py
@@ -13,7 +13,11 @@
     encode_copy,
 )
 from monsoonpier.balancer.membership import Membership
-from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
+from monsoonpier.balancer.store_link import (
+    EvacuationsRead,
+    StoreLink,
+    updated_evacuations,
+)
 from monsoonpier.balancer.stored_configuration import CurrentConfiguration
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.model.revision import Revision
@@ -71,15 +75,7 @@
 
     def _apply(self, update: Evacuation | EvacuationsRead) -> None:
         self.received.append("evacuations")
-        match update:
-            case Evacuation():
-                self.known = self.known.joined((update,))
-            case EvacuationsRead():
-                self.known = self.known.as_read(
-                    update.revisions_by_data_centre,
-                    revision=update.revision,
-                    is_conclusive=update.is_conclusive,
-                )
+        self.known = updated_evacuations(self.known, update)
 
     async def _order(self, place: str) -> None:
         put = Put(key=EVACUATIONS + place, value=b"{}")
--- a/tests/balancer/test_freshness.py
+++ b/tests/balancer/test_freshness.py
@@ -14,37 +14,25 @@
 from monsoonpier.model.service import Configuration
 from monsoonpier.wire.frames import FreshnessReply
 from standins.held_store import run_in_virtual_time
-from standins.store_fleet import FleetBalancer, StoreFleet
+from standins.store_fleet import FAULTS_BY_NAME, FleetBalancer, StoreFleet
 from tests.rig import KEYS, balancer
 
 BOUND_SECONDS = 3.0  # in which a change must be in force
 CALM_SECONDS = 15.0  # from the start to the fault
 CHANGE_SECONDS = 2.0  # from the fault to the change
 OBSERVED_SECONDS = 24.0  # after the change
-Fault = Callable[[StoreFleet, list[FleetBalancer]], None]
 
 
-def kill(fleet: StoreFleet, ailing: list[FleetBalancer]) -> None:
-    for each in ailing:
-        fleet.kill(each)
-
-
-def pause(_fleet: StoreFleet, ailing: list[FleetBalancer]) -> None:
-    for each in ailing:
-        each.is_paused = True
-
-
-def cut_off(_fleet: StoreFleet, ailing: list[FleetBalancer]) -> None:
-    for each in ailing:
-        each.is_cut_off = True
-
-
-def slow_down(_fleet: StoreFleet, ailing: list[FleetBalancer]) -> None:
-    for each in ailing:
-        each.has_slow_store = True
-
-
-FAULTS: tuple[Fault, ...] = (kill, pause, cut_off, slow_down)
+def start_fleet(*, balancers: int, data_centres: int, seed: int = 1, loss: float = 0.0):
+    """Start a fleet with the bound of these tests."""
+    return StoreFleet(
+        balancers=balancers,
+        data_centres=data_centres,
+        bound_seconds=BOUND_SECONDS,
+        keys=KEYS,
+        seed=seed,
+        loss=loss,
+    )
 
 
 class FleetTests(unittest.TestCase):
@@ -69,7 +57,7 @@
         balancers: int,
         data_centres: int,
         choose: Callable[[list[FleetBalancer]], list[FleetBalancer]],
-        fault: Fault,
+        fault: str,
         seed: int = 1,
         loss: float = 0.0,
         meanwhile: Callable[[StoreFleet], Awaitable[None]] | None = None,
@@ -77,17 +65,13 @@
         """Return for whom a change after the fault was late."""
 
         async def play() -> dict:
-            fleet = StoreFleet(
-                balancers=balancers,
-                data_centres=data_centres,
-                bound_seconds=BOUND_SECONDS,
-                keys=KEYS,
-                seed=seed,
-                loss=loss,
+            fleet = start_fleet(
+                balancers=balancers, data_centres=data_centres, seed=seed, loss=loss
             )
             await asyncio.sleep(CALM_SECONDS)
             ailing = choose(fleet.watchers)
-            fault(fleet, ailing)
+            for each in ailing:
+                FAULTS_BY_NAME[fault](fleet, each)
             await asyncio.sleep(CHANGE_SECONDS)
             began = asyncio.get_running_loop().time()
             fleet.put_configuration(2)
@@ -108,8 +92,8 @@
         off from the store, and act on an old configuration (review case 3).
         """
         for balancers, data_centres in ((4, 1), (6, 1), (24, 3)):
-            for fault in FAULTS:
-                with self.subTest(balancers=balancers, fault=fault.__name__):
+            for fault in FAULTS_BY_NAME:
+                with self.subTest(balancers=balancers, fault=fault):
                     late = self._play(
                         balancers=balancers,
                         data_centres=data_centres,
@@ -120,9 +104,9 @@
 
     def test_some_watchers_fail(self):
         """The same if one watcher fails, or all of one data centre."""
-        for fault in FAULTS:
+        for fault in FAULTS_BY_NAME:
             for count, data_centres in ((1, 3), (1, 1), (2, 2)):
-                with self.subTest(fault=fault.__name__, count=count):
+                with self.subTest(fault=fault, count=count):
                     late = self._play(
                         balancers=12,
                         data_centres=data_centres,
@@ -141,7 +125,7 @@
                     balancers=12,
                     data_centres=3,
                     choose=lambda watchers: watchers,
-                    fault=cut_off,
+                    fault="cut off",
                     seed=seed,
                     loss=0.2,
                 )
@@ -159,13 +143,7 @@
 
     async def _start_late(self, has_watchers: bool) -> float:
         """Return when a started balancer has the newest version, after its start."""
-        fleet = StoreFleet(
-            balancers=4,
-            data_centres=1,
-            bound_seconds=BOUND_SECONDS,
-            keys=KEYS,
-            seed=1,
-        )
+        fleet = start_fleet(balancers=4, data_centres=1)
         await asyncio.sleep(CALM_SECONDS)
         watchers = fleet.watchers
         started = next(each for each in fleet.running if each not in watchers)
@@ -191,7 +169,7 @@
             balancers=6,
             data_centres=3,
             choose=lambda _watchers: [],
-            fault=kill,
+            fault="killed",
             meanwhile=restart,
         )
         self.assertEqual(late, {})
@@ -211,17 +189,12 @@
     def test_restored_store(self):
         """A restore of the store is known in time though no watcher reaches it."""
 
-        async def play(fault: Fault) -> float:
-            fleet = StoreFleet(
-                balancers=24,
-                data_centres=3,
-                bound_seconds=BOUND_SECONDS,
-                keys=KEYS,
-                seed=1,
-            )
+        async def play(fault: str) -> float:
+            fleet = start_fleet(balancers=24, data_centres=3)
             await asyncio.sleep(CALM_SECONDS)
             ailing = fleet.watchers
-            fault(fleet, ailing)
+            for each in ailing:
+                FAULTS_BY_NAME[fault](fleet, each)
             fleet.restore()
             seconds = await self._seconds_until(
                 lambda each: each.membership.store_generation.number == 1,
@@ -230,8 +203,8 @@
             await fleet.stop()
             return seconds
 
-        for fault in FAULTS:
-            with self.subTest(fault=fault.__name__):
+        for fault in FAULTS_BY_NAME:
+            with self.subTest(fault=fault):
                 seconds = run_in_virtual_time(play(fault))
                 self.assertLessEqual(seconds, BOUND_SECONDS)
 
@@ -239,13 +212,7 @@
         """Each balancer reads the registered ones now and then, watchers too."""
 
         async def play() -> float:
-            fleet = StoreFleet(
-                balancers=6,
-                data_centres=3,
-                bound_seconds=BOUND_SECONDS,
-                keys=KEYS,
-                seed=1,
-            )
+            fleet = start_fleet(balancers=6, data_centres=3)
             await asyncio.sleep(CALM_SECONDS)
             fleet.register(balancer("b99", host=99).peers.own)
             seconds = await self._seconds_until(
@@ -264,13 +231,7 @@
         """
 
         async def play() -> tuple[set[str], set[str]]:
-            fleet = StoreFleet(
-                balancers=24,
-                data_centres=3,
-                bound_seconds=BOUND_SECONDS,
-                keys=KEYS,
-                seed=1,
-            )
+            fleet = start_fleet(balancers=24, data_centres=3)
             await asyncio.sleep(CALM_SECONDS)
             fleet.calls.clear()
             fleet.value_reads.clear()
--- a/tests/balancer/test_store_restore.py
+++ b/tests/balancer/test_store_restore.py
@@ -15,7 +15,11 @@
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.balancer.registration import LEASE_TTL_SECONDS
 from monsoonpier.balancer.store_generation import RESTORE_GRACE_SECONDS
-from monsoonpier.balancer.store_link import EvacuationsRead, StoreLink
+from monsoonpier.balancer.store_link import (
+    EvacuationsRead,
+    StoreLink,
+    updated_evacuations,
+)
 from monsoonpier.balancer.stored_configuration import CurrentConfiguration
 from monsoonpier.model.evacuation import Evacuation, Evacuations
 from monsoonpier.store.interface import Put, StoreError
@@ -54,13 +58,7 @@
         )
 
     def _apply(self, update: Evacuation | EvacuationsRead) -> None:
-        match update:
-            case Evacuation():
-                self.known = self.known.joined((update,))
-            case EvacuationsRead(revisions_by_data_centre=orders):
-                self.known = self.known.as_read(
-                    orders, revision=update.revision, is_conclusive=update.is_conclusive
-                )
+        self.known = updated_evacuations(self.known, update)
 
     async def _order(self) -> None:
         put = Put(key=EVACUATIONS + PLACE, value=b"{}")
