--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
-"""The only entry VM of a zone and an agent restart some time after a common start."""
+"""The only entry VM of a zone and agents restart some time after a common start."""
 
 import asyncio
+import random
 import sys
 from pathlib import Path
 
@@ -11,13 +12,16 @@
 from deployment import CannotRun, Deployment, has_trouble, run_case  # noqa: E402
 from flows import ANSWER_SECONDS, broken_flows, open_flows, roll  # noqa: E402
 
-AGENT_AFTER_SECONDS = 0.4  # after the entry VM
+AGENTS_AFTER_SECONDS = 0.4  # after the entry VM
+SIDE_GAP_SECONDS = 1.2  # of roll_term on the sides
 COLD_SECONDS = 2.0  # as on the sites
 SETTLE_SECONDS = 8.0
-FLOWS = 16
-PAUSE_SECONDS = 0.15  # between two requests of a flow
-ZONES = {"front-2": "zone-b", "side-3": "zone-b", "side-4": "zone-b"}
-HOSTS = ("side-1", "side-2", "side-3", "side-4")
+FLOWS = 64
+PAUSE_SECONDS = (0.1, 2.0)  # between two requests of a flow
+HOSTS = tuple(f"side-{number}" for number in range(1, 9))
+# Two of eight sides restart: 0.25, where roll_term on the sides has a share of 0.3.
+RESTARTED = ("side-5", "side-6")
+ZONES = dict.fromkeys(("front-2", *HOSTS[4:]), "zone-b")
 FRONTS = ("front-1", "front-2", "front-3")
 
 
@@ -49,10 +53,10 @@
                 roll(site, ["front-2"], gap_seconds=0.0),
                 roll(
                     site,
-                    ["side-3"],
+                    RESTARTED,
                     "maps",
-                    gap_seconds=0.0,
-                    after=AGENT_AFTER_SECONDS,
+                    gap_seconds=SIDE_GAP_SECONDS,
+                    after=AGENTS_AFTER_SECONDS,
                 ),
             )
         await asyncio.sleep(5.0)
@@ -73,7 +77,7 @@
         except FlowError as error:
             site.record("request not answered", request=name, reason=error)
             return
-        await asyncio.sleep(PAUSE_SECONDS)
+        await asyncio.sleep(random.uniform(*PAUSE_SECONDS))
 
 
 if __name__ == "__main__":
