Count no agent that is starting as a denial long after a common start

Cause: OwnerResolver._evaluate took "all targets started within 3 s of this balancer" for a loss of power, at any time after that start, and then counted agents in STARTING as agents that deny the flow. A scratch copy of the case with logs on shows resets from two balancers 11 s after their start.

Ruled out: the link of 0.9 ms, which only keeps the record in STARTING longer.

Fix: such agents need not reply only in the first 4 s of the balancer, while no peer is known to be older (new optional field uptime_ms of Gossip; missing means that the peer may be older), and if the others' agents have seen their targets start, or the agent itself has reported that nothing listens. The conclusion is computed for each decision and not kept in the lookup. has_older_peer also ends the shorter wait for unknown agents.

The log line of a reset names what decided it: denials, denied_by, without_target, lookup_seconds, uptime_seconds.

--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -42,6 +42,8 @@
 # were up to 3 s apart in the soak.
 AGREED_SECONDS = 1.0  # an agent's heartbeat interval
 ALONE_SECONDS = 4.0
+# Balancers that lost power together start within this time of each other.
+SAME_START_SECONDS = 1.0
 # In place of ALONE_SECONDS after a converged peer has shown that its table differs,
 # until that peer or another one has sent its table.
 MISSING_TABLE_SECONDS = 10.0
@@ -74,6 +76,8 @@
         has_agreed: Whether a peer that has converged had an equal table.
         has_agreed_with_any: Whether any peer had an equal table. This is weaker
             evidence: balancers that have just started may know the same few targets.
+        has_older_peer: Whether a peer was running before this balancer started, or may
+            have been. Power was then not lost everywhere at this balancer's start.
         evacuations: The last known evacuation orders.
         store_generation: The newest known generation of the store.
         freshness: As of when the configuration and evacuations are known.
@@ -106,6 +110,7 @@
         self.has_updates = False
         self.has_agreed = False
         self.has_agreed_with_any = False
+        self.has_older_peer = False
         self.started_at = started_at
         self.belief_changes: list[BeliefChange] = []
         self._differing_peer: str | None = None
@@ -329,6 +334,7 @@
         draw: random.Random,
     ) -> list:
         self.peers.received_from(frame.sender)
+        self._compare_uptimes(frame, now=now)
         self.evacuate(self.evacuations.joined(frame.evacuations))
         self._learn_generation(frame.store_generation, now=now)
         for record in frame.balancers:
@@ -355,6 +361,13 @@
             actions.append(FetchTable(control=frame.sender.control))
         return actions
 
+    def _compare_uptimes(self, frame: Gossip, *, now: float) -> None:
+        """Record whether a peer is older; one of an older build may be."""
+        longest = now - self.started_at + SAME_START_SECONDS
+        self.has_older_peer |= (
+            frame.uptime_ms is None or frame.uptime_ms / 1000 > longest
+        )
+
     def _should_fetch_table(self, frame: Gossip, *, now: float) -> bool:
         """Return whether a peer's table differs and should be fetched.
 
@@ -506,6 +519,7 @@
             is_converged=self._is_authority(now=now),
             evacuations=self.evacuations.known,
             store_generation=self.store_generation.number,
+            uptime_ms=self._uptime_ms(now=now),
             draw=draw,
         )
         return ToAgent(endpoint=sender, frame=answer)
@@ -532,10 +546,15 @@
             is_converged=self._is_authority(now=now),
             evacuations=self.evacuations.known,
             store_generation=self.store_generation.number,
+            uptime_ms=self._uptime_ms(now=now),
             draw=draw,
         )
         return ToAgent(endpoint=endpoint, frame=gossip)
 
+    def _uptime_ms(self, *, now: float) -> int:
+        """Return the milliseconds since this balancer started."""
+        return max(0, round((now - self.started_at) * 1000))
+
     # Configuration
 
     def configure(self, configuration: Configuration) -> bool:
--- a/monsoonpier/balancer/packets/context.py
+++ b/monsoonpier/balancer/packets/context.py
@@ -48,15 +48,18 @@
     """The agents that may own flows of some services.
 
     Attributes:
-        names: Agents that have not ended, except those that have long had no target.
+        names: Agents that have not ended, except those without a target that could
+            own a flow from before.
         absent: Those among ``names`` that currently report no target.
         starting: Those among ``names`` that have not reported their target's state
-            since they started; after a power loss everywhere they own no flow.
+            since they started.
+        without_target: Agents of the services that are not among ``names``.
     """
 
     names: frozenset[str]
     absent: frozenset[str]
     starting: frozenset[str]
+    without_target: frozenset[str] = frozenset()
 
 
 class SteeringContext:
@@ -189,12 +192,15 @@
         """Return whether the services' targets all started when this balancer did.
 
         If so, power was lost everywhere. Targets of all data centres must be known,
-        since a power loss may affect one data centre only.
+        since a power loss may affect one data centre only. A peer that is older than
+        this balancer shows that power was not lost then.
         """
         return self._all_started_with_balancer(self._names_of(services), now=now)
 
     def _all_started_with_balancer(self, names: Collection[str], *, now: float) -> bool:
         """Return whether all of these targets started when this balancer did."""
+        if self.membership.has_older_peer:
+            return False
         records = self.membership.table.records
         known_data_centres = {record.data_centre for record in records}
         if not self._data_centres or not self._data_centres <= known_data_centres:
@@ -229,14 +235,37 @@
         """Return the agents whose replies on the services' flows are needed."""
         names = self._names_of(services)
         vacant = {name for name in names if self._has_no_target(name, now=now)}
+        vacant |= self._empty_after_power_loss(names, now=now)
         return ServiceAgents(
             names=frozenset(names - vacant),
             absent=frozenset(
                 name for name in names - vacant if self._reports_no_target(name)
             ),
             starting=frozenset(self._starting(names - vacant)),
+            without_target=frozenset(vacant),
         )
 
+    def _empty_after_power_loss(self, names: set[str], *, now: float) -> set[str]:
+        """Return the agents that have found no target since power was lost everywhere.
+
+        An agent that is restarted beside its running target looks the same, so this
+        holds only while the whole fleet has just started. An agent that has not said
+        that it finds no target counts only if the other targets' agents have seen them
+        start.
+        """
+        if now - self.started_at >= ALONE_SECONDS:
+            return set()
+        starting = self._starting(names)
+        if not starting or not self._all_started_with_balancer(names, now=now):
+            return set()
+        if self.instances.all_seen_from_start(names - starting):
+            return starting
+        return {
+            name
+            for name in starting
+            if self._reports_no_target(name) or self.instances.reports_absence(name)
+        }
+
     def _has_no_target(self, name: str, *, now: float) -> bool:
         """Return whether an agent has had no target for `ABSENT_SECONDS`."""
         record = self.membership.table.record(name)
@@ -380,8 +409,17 @@
         records = [self.membership.table.record(name) for name in names]
         return [record for record in records if record is not None]
 
-    def reset_caller(self, packet: Packet, reason: str, *, now: float) -> ResetCaller:
-        """Count and log a reset of a packet's flow, and return the action for it."""
+    def reset_caller(
+        self, packet: Packet, reason: str, *, now: float, **evidence
+    ) -> ResetCaller:
+        """Count and log a reset of a packet's flow, and return the action for it.
+
+        Args:
+            packet: The packet whose flow is reset.
+            reason: Why, as in ``docs/OPERATIONS.md``.
+            now: The current time.
+            evidence: Further fields of the log line: what the decision rests on.
+        """
         self.counts_by_result["reset"] += 1
         self.log.note(
             "caller reset",
@@ -390,5 +428,6 @@
             reason=reason,
             version=self.membership.configuration.version,
             targets=len(self.membership.table),
+            **evidence,
         )
         return ResetCaller(packet=packet, reason=reason)
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -2,6 +2,7 @@
 
 import heapq
 from collections import deque
+from collections.abc import Collection
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.context import ServiceAgents, SteeringContext
@@ -33,6 +34,7 @@
 MAX_RETRIED_FLOWS = 16_384  # the open flows of a balancer at the target size
 RECHECK_SECONDS = 0.1  # between checks of early denials
 MAX_EARLY_DENIALS = 8_192  # flows denied before all agents are known; half of these
+MAX_LOGGED_NAMES = 4  # of agents in one field of a log line
 ANY_SERVICE = "*"  # used while no configuration names the service
 
 
@@ -222,6 +224,7 @@
             frame.agent,
             age_seconds=age_seconds,
             is_absent=frame.is_absent,
+            is_seen_from_start=frame.is_conclusive and frame.run_ms is not None,
             now=now,
         )
         agents_by_services: dict[frozenset[str], ServiceAgents] = {}
@@ -251,8 +254,9 @@
     def _evaluate(self, entry: FlowEntry, agents: ServiceAgents, *, now: float) -> list:
         """Act on the replies so far: reset the flow, probe targets, or wait.
 
-        If all targets started with this balancer, power was lost everywhere and none
-        of them owns the flow. Probing them would fill the links during recovery.
+        If all agents have replied and all targets started with this balancer, power
+        was lost everywhere and none of them owns the flow. Probing them would fill the
+        links during recovery.
         """
         lookup = entry.lookup
         assert lookup is not None
@@ -261,14 +265,14 @@
             return []  # A fast path: too few replies to decide yet.
         remaining = agents.names - lookup.denied
         if not remaining:
-            return self._on_all_denied(entry, now=now)
+            return self._on_all_denied(entry, agents, now=now)
         pending = remaining - lookup.inconclusive
-        has_lost_power = pending <= agents.starting and (
-            self._context.all_started_with_balancer(self._services_of(entry), now=now)
+        has_lost_power = not pending and self._context.all_started_with_balancer(
+            self._services_of(entry), now=now
         )
         if has_lost_power:
             lookup.denied |= remaining
-            return self._on_all_denied(entry, now=now)
+            return self._on_all_denied(entry, agents, now=now)
         if pending <= agents.absent:
             return self._probe_inconclusive(entry, now=now)
         return []
@@ -320,12 +324,15 @@
             started_at=now, queried_at=now, packets=[packet], denied={frame.agent}
         )
         entry.lookup = lookup
-        if not self._agents_of(entry, now=now).names - lookup.denied:
+        agents = self._agents_of(entry, now=now)
+        if not agents.names - lookup.denied:
             lookup.has_queried_agents = True
-            return self._on_all_denied(entry, now=now)
+            return self._on_all_denied(entry, agents, now=now)
         return self._query_agents(entry, lookup, now=now)
 
-    def _on_all_denied(self, entry: FlowEntry, *, now: float) -> list:
+    def _on_all_denied(
+        self, entry: FlowEntry, agents: ServiceAgents, *, now: float
+    ) -> list:
         """Reset a flow that all known agents have denied, or defer the reset.
 
         The reset is deferred while agents that may own the flow may be unknown.
@@ -337,7 +344,7 @@
         if not self._context.knows_all_owners_of(self._services_of(entry), now=now):
             self._defer_reset(lookup.packets[-1].flow)
             return []
-        return self._reset_unowned(entry, lookup, now=now)
+        return self._reset_unowned(lookup, agents, now=now)
 
     def _defer_reset(self, flow: bytes) -> None:
         """Add a denied flow to those that `_recheck_early_denials` resets later."""
@@ -345,7 +352,7 @@
             self._early_denials.append(flow)
 
     def _reset_unowned(
-        self, entry: FlowEntry, lookup: OwnerLookup, *, now: float
+        self, lookup: OwnerLookup, agents: ServiceAgents, *, now: float
     ) -> list:
         """Reset a flow that no target owns."""
         packet = lookup.packets[-1]
@@ -354,7 +361,14 @@
         self._context.returning_callers.record_reset(
             packet, first_attempt_at=lookup.started_at, now=now
         )
-        return [self._context.reset_caller(packet, reason, now=now)]
+        evidence = {
+            "denials": len(lookup.denied),
+            "denied_by": _first_names(lookup.denied),
+            "without_target": _first_names(agents.without_target),
+            "lookup_seconds": round(now - lookup.started_at, 3),
+            "uptime_seconds": round(now - self._context.started_at, 3),
+        }
+        return [self._context.reset_caller(packet, reason, now=now, **evidence)]
 
     # Timers
 
@@ -438,5 +452,10 @@
             if agents is None:
                 self._early_denials.append(flow)
             elif lookup.has_queried_agents and not agents.names - lookup.denied:
-                actions += self._reset_unowned(entry, lookup, now=now)
+                actions += self._reset_unowned(lookup, agents, now=now)
         return actions
+
+
+def _first_names(names: Collection[str]) -> list[str]:
+    """Return the first few of these names, for a log line."""
+    return heapq.nsmallest(MAX_LOGGED_NAMES, names)
--- a/monsoonpier/balancer/packets/target_instances.py
+++ b/monsoonpier/balancer/packets/target_instances.py
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self._started_at_by_name: dict[str, float | None] = {}
+        self._seen_from_start: set[str] = set()
         self._absent_since_by_name: dict[str, float] = {}
 
     def record(
@@ -28,6 +29,7 @@
         *,
         age_seconds: float | None,
         is_absent: bool = False,
+        is_seen_from_start: bool = False,
         now: float,
     ) -> None:
         """Record an agent's report of its target's age.
@@ -37,9 +39,12 @@
             age_seconds: Time since the target started; ``None`` if unknown, as the
                 agent started when the target was already running.
             is_absent: Whether the agent has found no target since its start.
+            is_seen_from_start: Whether the agent has seen the target start.
+                Otherwise its age may be an estimate.
             now: The current time.
         """
         self._started_at_by_name.pop(name, None)
+        self._seen_from_start.discard(name)
         absent = self._absent_since_by_name
         if is_absent and (name in absent or len(absent) < MAX_NAMES):
             absent.setdefault(name, now)
@@ -47,13 +52,25 @@
         absent.pop(name, None)
         started_at = None if age_seconds is None else now - age_seconds
         self._started_at_by_name[name] = started_at
+        if is_seen_from_start:
+            self._seen_from_start.add(name)
         if len(self._started_at_by_name) > MAX_NAMES:
-            del self._started_at_by_name[next(iter(self._started_at_by_name))]
+            oldest = next(iter(self._started_at_by_name))
+            del self._started_at_by_name[oldest]
+            self._seen_from_start.discard(oldest)
+
+    def all_seen_from_start(self, names: Iterable[str]) -> bool:
+        """Return whether the agents of these targets have seen them start."""
+        return self._seen_from_start.issuperset(names)
 
     def has_reported(self, name: str) -> bool:
         """Return whether an agent has reported on its target."""
         return name in self._started_at_by_name
 
+    def reports_absence(self, name: str) -> bool:
+        """Return whether an agent's last report was that it finds no target."""
+        return name in self._absent_since_by_name
+
     def is_absent(self, name: str, *, now: float) -> bool:
         """Return whether an agent's target has been absent for `ABSENT_SECONDS`.
 
--- a/monsoonpier/balancer/peers.py
+++ b/monsoonpier/balancer/peers.py
@@ -201,6 +201,7 @@
         is_converged: bool,
         evacuations: tuple[Evacuation, ...],
         store_generation: int,
+        uptime_ms: int | None = None,
         draw: random.Random,
     ) -> Gossip:
         """Return a message with the queued updates."""
@@ -215,6 +216,7 @@
             is_converged=is_converged,
             evacuations=evacuations,
             store_generation=store_generation,
+            uptime_ms=uptime_ms,
             draw=draw,
         )
 
@@ -240,6 +242,7 @@
         is_converged: bool,
         evacuations: tuple[Evacuation, ...],
         store_generation: int,
+        uptime_ms: int | None = None,
         draw: random.Random,
     ) -> Gossip:
         """Return an answer for a peer whose table is equal."""
@@ -250,6 +253,7 @@
             is_converged=is_converged,
             evacuations=evacuations,
             store_generation=store_generation,
+            uptime_ms=uptime_ms,
             draw=draw,
         )
 
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -264,7 +264,8 @@
     ``is_converged`` says that the sender is likely to know all targets.
     ``evacuations`` holds all evacuation orders, so that the receiver knows them
     before it fetches the configuration of ``version``. ``store_generation`` is the
-    newest known generation of the store, or 0.
+    newest known generation of the store, or 0. ``uptime_ms`` is the time since the
+    sender's start, ``None`` from older builds.
     """
 
     sender: BalancerRecord
@@ -282,6 +283,7 @@
     ] = ()
     store_generation: Annotated[int, Meta(ge=0, le=MAX_GENERATION)] = 0
     batches: Annotated[tuple[SilenceBatch, ...], Meta(max_length=MAX_BATCHES)] = ()
+    uptime_ms: Annotated[int, Meta(ge=0)] | None = None
 
 
 class ForwardPacket(_Frame, tag=9, kw_only=True, gc=False):
