Take no start time of a target for a denial of its flows

Cause: an inconclusive reply counted as a denial if all known targets had started within 3 s of the balancer. The agent of a cold host estimates the age, but a correct age is no better: the host did start within these 3 s, and opened the flow in between.

Fix: OwnerResolver never turns an inconclusive reply into a denial; the target is probed with the caller's packet. Estimated ages only choose how long to wait for unknown agents, as before, and not at all if a peer is older.

Traffic: that conclusion kept entry VMs' links free after a loss of power.

Tests of test_steering that asked for that conclusion, replaced: - test_inconclusive_agents_after_power_loss asked for a reset without a probe. It now asks that twelve targets are probed with at most 3 frames and 600 bytes and that the reset comes with the last returned probe. - test_agent_without_target_after_power_loss and test_power_returns_before_peers_agree keep their times; the probes are returned in between. The first one's agent announces STARTING, as a real one without a target does. New: test_targets_are_up_before_their_agents holds the time and half of a link.

The simulation's balancers had port 0 and up, which agents take for none; they start at 1 now. It can limit balancers' links and let targets return probes.

--- a/monsoonpier/agent/packets/instance_state.py
+++ b/monsoonpier/agent/packets/instance_state.py
@@ -43,8 +43,9 @@
         Args:
             instance: Identifies the instance.
             is_first: Whether the agent has seen the instance from its start.
-            is_young: Whether the instance has just started, possibly before
-                the agent.
+            is_young: Whether the instance started a short time ago, possibly
+                before the agent. Its flows aren't known then, and its age is
+                the least that it can be.
             now: The present time.
         """
         self.instance = instance
@@ -72,7 +73,10 @@
         return is_new
 
     def age_ms(self, *, now: float) -> int | None:
-        """Return the instance's age in milliseconds, or ``None`` if unknown."""
+        """Return the instance's age in milliseconds, or ``None`` if unknown.
+
+        If the flows aren't all known, it is the least age that is possible.
+        """
         if self._started_at is None:
             return None
         return round((now - self._started_at) * 1000)
--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -18,6 +18,7 @@
     ToTarget,
 )
 from monsoonpier.agent.packets.admission import FlowAdmission
+from monsoonpier.agent.packets.denials import DenialBatches
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.instance_state import InstanceState
 from monsoonpier.agent.packets.load import TargetLoad
@@ -37,6 +38,7 @@
     ReserveSlot,
     SynQueued,
     SynRejected,
+    relayed_packets,
 )
 from monsoonpier.wire.packet import Packet, sequence_distance
 
@@ -86,6 +88,7 @@
         )
         self._first_query_at = 0.0
         self._served_addresses: set[Address] = set()
+        self._denials = DenialBatches(name=name)
         self.target_load = TargetLoad(slots=slots)
         self._reports = LoadReports(load=self.target_load, log=log)
         self.counts_by_result: Counter[str] = Counter()
@@ -155,8 +158,8 @@
         Args:
             instance: Identifies the instance.
             is_first: Whether this agent has seen the instance from its start.
-            is_young: Whether the instance has just started, possibly before
-                the agent.
+            is_young: Whether the instance started a short time ago, possibly
+                before the agent.
             now: The present time.
         """
         state = self._target_state
@@ -202,6 +205,10 @@
         """Return the present load under a new, higher number."""
         return self._admission.report(now=now)
 
+    def due_reports(self, *, now: float) -> list[ToProcess]:
+        """Return the collected denials of flows, and the load reports that are due."""
+        return self._denials.pop() + self.load_reports(now=now)
+
     def load_reports(self, *, now: float) -> list[ToProcess]:
         """Return the load reports that balancers must be sent now."""
         return self._reports.pop_due(
@@ -280,6 +287,8 @@
         now: float,
     ) -> list:
         """Decide on a caller's packet that a balancer has forwarded."""
+        if frame.takes_batches:
+            self._denials.record_capability(sender)
         actions = self._handle_from_balancer(frame, packet, sender=sender, now=now)
         return self._update_accounting(
             actions + self._admission.admit_queued(now=now), now=now
@@ -347,14 +356,13 @@
 
         The agents reply directly to the balancer that sent the packet.
         """
-        self.counts_by_result["passed_on"] += len(frame.endpoints)
-        relayed = ForwardPacket(
-            service=frame.service,
-            payload=frame.payload,
-            wants_reply=True,
-            reply_to=balancer,
-        )
-        return [ToProcess(endpoint=agent, frame=relayed) for agent in frame.endpoints]
+        relayed = relayed_packets(frame, reply_to=balancer)
+        self.counts_by_result["passed_on"] += len(frame.endpoints) * len(relayed)
+        return [
+            ToProcess(endpoint=agent, frame=packet)
+            for agent in frame.endpoints
+            for packet in relayed
+        ]
 
     def _handle_syn(
         self,
@@ -635,6 +643,8 @@
         )
         if not sender[1]:
             return []  # Only the target has sent packets of this flow so far.
+        if omit_payload and self._denials.add(packet.flow, balancer=sender):
+            return []  # Sent with the next reports, in a few milliseconds.
         payload = b"" if omit_payload else packet.raw
         frame = FlowNotOwned(agent=self._name, flow=packet.flow, payload=payload)
         return [ToProcess(endpoint=sender, frame=frame)]
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -45,6 +45,7 @@
     RecordQuery,
     RelayPacket,
     ReserveSlot,
+    relayed_packets,
 )
 from monsoonpier.wire.packet import PacketCodec
 
@@ -372,10 +373,10 @@
         match frame:
             case ForwardPacket():
                 self._receive_forwarded(frame, sender=frame.reply_to or sender)
-            case RelayPacket(service=service, payload=payload):
+            case RelayPacket():
                 self._perform(self._owner.relay(frame, balancer=sender))
-                own = ForwardPacket(service=service, payload=payload, wants_reply=True)
-                self._receive_forwarded(own, sender=sender)
+                for own in relayed_packets(frame):
+                    self._receive_forwarded(own, sender=sender)
             case OwnershipQuery():
                 self._perform(
                     self._owner.handle_query(frame, sender=sender, now=_now())
@@ -443,7 +444,7 @@
 
     def _report(self) -> None:
         self._report_timer = None
-        for action in self._owner.load_reports(now=_now()):
+        for action in self._owner.due_reports(now=_now()):
             self._send_frame(action.frame, action.endpoint)
 
     def _send_frame(self, frame, endpoint: tuple[str, int]) -> None:
--- a/monsoonpier/balancer/packets/context.py
+++ b/monsoonpier/balancer/packets/context.py
@@ -186,19 +186,14 @@
             return now - self.started_at >= needed
         return self.is_converged(now=now)
 
-    def all_started_with_balancer(
-        self, services: Collection[str], *, now: float
-    ) -> bool:
-        """Return whether the services' targets all started when this balancer did.
+    def _all_started_with_balancer(self, names: Collection[str], *, now: float) -> bool:
+        """Return whether all of these targets started when this balancer did.
 
         If so, power was lost everywhere. Targets of all data centres must be known,
         since a power loss may affect one data centre only. A peer that is older than
-        this balancer shows that power was not lost then.
+        this balancer shows that power was not lost then. The age of a target whose
+        agent started later is the least that it can be.
         """
-        return self._all_started_with_balancer(self._names_of(services), now=now)
-
-    def _all_started_with_balancer(self, names: Collection[str], *, now: float) -> bool:
-        """Return whether all of these targets started when this balancer did."""
         if self.membership.has_older_peer:
             return False
         records = self.membership.table.records
@@ -222,9 +217,11 @@
     def may_follow_power_loss(self, services: Collection[str], *, now: float) -> bool:
         """Return whether the services' targets may all have started with this balancer.
 
-        This holds for a while after the start, unless a target is known to be older.
+        This holds for a while after the start, unless a target or a peer is known to be
+        older.
         """
-        if now - self.started_at >= ALONE_SECONDS:
+        is_late = now - self.started_at >= ALONE_SECONDS
+        if is_late or self.membership.has_older_peer:
             return False
         names = self._names_of(services)
         return not self.instances.any_started_before(
@@ -330,6 +327,7 @@
                     payload=packet.raw,
                     tried=tried,
                     wants_reply=wants_reply,
+                    takes_batches=wants_reply,
                 ),
                 flow=packet.flow,
             )
--- a/monsoonpier/balancer/packets/owner_probes.py
+++ b/monsoonpier/balancer/packets/owner_probes.py
@@ -6,18 +6,21 @@
 relays it to the others.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.context import SteeringContext
 from monsoonpier.balancer.packets.flows import FlowEntry, OwnerLookup
 from monsoonpier.model.rendezvous import top
-from monsoonpier.wire.frames import MAX_RELAY_AGENTS, RelayPacket
+from monsoonpier.wire.frames import MAX_RELAY_AGENTS, MAX_RELAY_PACKETS, RelayPacket
 from monsoonpier.wire.packet import Packet
 
 __all__ = ["OwnerProbes"]
 
 MAX_DIRECT_PROBES = 2  # per flow; further probes are relayed by agents
+MAX_SHARED_BYTES = 1_350  # of a frame with several packets, which fits the usual MTU
+ENDPOINT_BYTES = 20  # at the most, of an agent's address in a relay frame
+PACKET_BYTES = 3  # of a packet's length in a frame
 PROBE_RETRY_SECONDS = 0.5  # a full link may delay a probe for this long
 MAX_PENDING_FLOWS = 8_192  # further flows are probed when their callers send again
 
@@ -38,9 +41,8 @@
         """Send a flow's probe to an agent, at once or with the next `flush`."""
         lookup = entry.lookup
         assert lookup is not None
-        probed_at = lookup.probed_at_by_name.get(agent)
-        if probed_at is not None and now - probed_at < PROBE_RETRY_SECONDS:
-            return []  # The reply may still be in transit, or wait in a full link.
+        if not self._is_due(lookup, agent, now=now):
+            return []
         lookup.probed_at_by_name[agent] = now
         packet = _choose_probe(lookup)
         if len(lookup.probed_at_by_name) <= MAX_DIRECT_PROBES:
@@ -52,13 +54,56 @@
             self._pending_flows[packet.flow] = None
         return []
 
+    def probe_together(
+        self, entry: FlowEntry, agents: Collection[str], *, now: float
+    ) -> list[ToAgent]:
+        """Send a flow's probe to several agents, relayed unless they are few."""
+        if len(agents) <= MAX_DIRECT_PROBES:
+            return [
+                action
+                for agent in sorted(agents)
+                for action in self.probe(entry, agent, now=now)
+            ]
+        lookup = entry.lookup
+        assert lookup is not None
+        packet = _choose_probe(lookup)
+        if len(self._pending_flows) >= MAX_PENDING_FLOWS:
+            return []
+        due = {agent for agent in agents if self._is_due(lookup, agent, now=now)}
+        lookup.probed_at_by_name |= dict.fromkeys(due, now)
+        lookup.to_probe |= due
+        self._pending_flows[packet.flow] = None
+        return []
+
+    def _is_due(self, lookup: OwnerLookup, agent: str, *, now: float) -> bool:
+        """Return whether an agent may be probed again.
+
+        The reply to an earlier probe may be in transit, or wait in a full link.
+        """
+        probed_at = lookup.probed_at_by_name.get(agent)
+        return probed_at is None or now - probed_at >= PROBE_RETRY_SECONDS
+
     def flush(self) -> list[ToAgent]:
-        """Return the collected probes; each names the agents to relay it to."""
+        """Return the collected probes; each frame names the agents to relay it to.
+
+        Probes that go to the same agents share a frame.
+        """
         due, self._pending_flows = self._pending_flows, {}
-        return [action for flow in due for action in self._probe_pending(flow)]
+        packets_by_group: dict[tuple[str, frozenset[str]], list[Packet]] = {}
+        for flow in due:
+            for group, packet in self._pop_pending(flow):
+                packets_by_group.setdefault(group, []).append(packet)
+        return [
+            action
+            for (service, names), packets in packets_by_group.items()
+            for batch in _batches(packets, agents=len(names))
+            for action in self._probe_batch(batch, names, service=service)
+        ]
 
-    def _probe_pending(self, flow: bytes) -> list[ToAgent]:
-        """Return the collected probes of one flow."""
+    def _pop_pending(
+        self, flow: bytes
+    ) -> list[tuple[tuple[str, frozenset[str]], Packet]]:
+        """Return one flow's collected probe, by service and its agents to probe."""
         entry = self._context.flows.get(flow)
         if entry is None or entry.lookup is None:
             return []
@@ -70,39 +115,62 @@
         # An agent accepts only frames that name its own service.
         names_by_service = self._context.group_by_service(names)
         return [
-            action
+            ((service, frozenset(group)), packet)
             for service, group in sorted(names_by_service.items())
-            for action in self.probe_all(packet, group, service=service)
         ]
 
     def probe_all(
         self, packet: Packet, names: Collection[str], *, service: str
     ) -> list[ToAgent]:
         """Return frames that send a packet to all these agents, relayed by a few."""
+        return self._probe_batch([packet], names, service=service)
+
+    def _probe_batch(
+        self, packets: list[Packet], names: Collection[str], *, service: str
+    ) -> list[ToAgent]:
+        """Return frames that send packets to all these agents, relayed by a few."""
         # Hashing spreads the relaying over the agents.
-        ranked = list(top(packet.flow.hex(), names, count=len(names)))
+        ranked = list(top(packets[0].flow.hex(), names, count=len(names)))
         size = MAX_RELAY_AGENTS + 1
         groups = [ranked[start : start + size] for start in range(0, len(ranked), size)]
         return [
             action
             for group in groups
-            for action in self._relay_via(packet, group, service=service)
+            for action in self._relay_via(packets, group, service=service)
         ]
 
     def _relay_via(
-        self, packet: Packet, names: list[str], *, service: str
+        self, packets: list[Packet], names: list[str], *, service: str
     ) -> list[ToAgent]:
-        """Return the frame that has one agent relay a packet to the others."""
+        """Return the frame that has one agent relay packets to the others."""
         first, *others = names
         records = [self._context.membership.table.record(name) for name in others]
         frame = RelayPacket(
             service=service,
-            payload=packet.raw,
+            payload=packets[0].raw,
             endpoints=tuple((r.ip, r.port) for r in records if r is not None),
+            takes_batches=True,
+            others=tuple(packet.raw for packet in packets[1:]),
         )
         return self._context.to_agents(frame, names=(first,))
 
 
+def _batches(packets: list[Packet], *, agents: int) -> Iterator[list[Packet]]:
+    """Yield lists of packets that fit into one relay frame to so many agents."""
+    room = MAX_SHARED_BYTES - ENDPOINT_BYTES * min(agents, MAX_RELAY_AGENTS)
+    batch: list[Packet] = []
+    size = 0
+    for packet in packets:
+        is_full = size + len(packet.raw) > room or len(batch) > MAX_RELAY_PACKETS
+        if batch and is_full:
+            yield batch
+            batch, size = [], 0
+        batch.append(packet)
+        size += len(packet.raw) + PACKET_BYTES
+    if batch:
+        yield batch
+
+
 def _choose_probe(lookup: OwnerLookup) -> Packet:
     """Return a flow's probe packet, chosen at first use."""
     if lookup.probe is None:
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -106,7 +106,7 @@
         probes = []
         services = self._services_of(entry)
         if not self._context.may_follow_power_loss(services, now=now):
-            probes = self._probe_inconclusive(entry, now=now)
+            probes = self._probe_inconclusive(entry, agents, now=now)
         return probes + self._query_agents(entry, lookup, now=now)
 
     def _query_agents(
@@ -254,9 +254,8 @@
     def _evaluate(self, entry: FlowEntry, agents: ServiceAgents, *, now: float) -> list:
         """Act on the replies so far: reset the flow, probe targets, or wait.
 
-        If all agents have replied and all targets started with this balancer, power
-        was lost everywhere and none of them owns the flow. Probing them would fill the
-        links during recovery.
+        An inconclusive reply is never a denial: the target may have opened the flow
+        through an earlier agent, however short a time ago it started.
         """
         lookup = entry.lookup
         assert lookup is not None
@@ -267,26 +266,19 @@
         if not remaining:
             return self._on_all_denied(entry, agents, now=now)
         pending = remaining - lookup.inconclusive
-        has_lost_power = not pending and self._context.all_started_with_balancer(
-            self._services_of(entry), now=now
-        )
-        if has_lost_power:
-            lookup.denied |= remaining
-            return self._on_all_denied(entry, agents, now=now)
         if pending <= agents.absent:
-            return self._probe_inconclusive(entry, now=now)
+            return self._probe_inconclusive(entry, agents, now=now)
         return []
 
-    def _probe_inconclusive(self, entry: FlowEntry, *, now: float) -> list:
+    def _probe_inconclusive(
+        self, entry: FlowEntry, agents: ServiceAgents, *, now: float
+    ) -> list:
         """Probe the targets of agents whose replies were inconclusive."""
         lookup = entry.lookup
         assert lookup is not None
-        inconclusive, lookup.inconclusive = lookup.inconclusive - lookup.denied, set()
-        return [
-            action
-            for agent in sorted(inconclusive)
-            for action in self._probes.probe(entry, agent, now=now)
-        ]
+        inconclusive, lookup.inconclusive = lookup.inconclusive, set()
+        names = (inconclusive - lookup.denied) & agents.names
+        return self._probes.probe_together(entry, names, now=now)
 
     def _record_denial(
         self,
@@ -304,16 +296,32 @@
         lookup.denied.add(agent)
         return self._evaluate(entry, agents, now=now)
 
-    def on_denial(
+    def on_denials(
         self, frame: FlowNotOwned, packet: Packet | None, *, now: float
     ) -> list:
-        """Handle an agent's reply that its target doesn't own a flow."""
-        entry = self._context.flows.get(frame.flow)
-        if entry is None:
-            return []
-        if entry.lookup is not None:
-            agents = self._agents_of(entry, now=now)
-            return self._record_denial(entry, frame.flow, frame.agent, agents, now=now)
+        """Handle an agent's reply that its target doesn't own one or more flows."""
+        agents_by_services: dict[frozenset[str], ServiceAgents] = {}
+        actions: list = []
+        for flow in (frame.flow, *frame.others):
+            entry = self._context.flows.get(flow)
+            if entry is None:
+                continue
+            if entry.lookup is None:
+                actions += self._on_owner_denial(entry, frame, packet, now=now)
+                continue
+            agents = self._cached_agents_of(agents_by_services, entry, now=now)
+            actions += self._record_denial(entry, flow, frame.agent, agents, now=now)
+        return actions
+
+    def _on_owner_denial(
+        self,
+        entry: FlowEntry,
+        frame: FlowNotOwned,
+        packet: Packet | None,
+        *,
+        now: float,
+    ) -> list:
+        """Look up the owner of a flow whose presumed owner has returned its packet."""
         if frame.agent not in entry.owners or packet is None:
             return []
         entry.owners = tuple(name for name in entry.owners if name != frame.agent)
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -183,7 +183,7 @@
             case FlowOwned():
                 return self._on_flow_owned(frame, now=now)
             case FlowNotOwned():
-                return self._resolver.on_denial(frame, packet, now=now)
+                return self._resolver.on_denials(frame, packet, now=now)
             case OwnershipReply():
                 return self._resolver.on_agent_reply(frame, now=now)
             case OfferSlot():
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -41,6 +41,7 @@
     "AttemptRejected",
     "DirectoryUpdate",
     "ReserveSlot",
+    "relayed_packets",
     "SynRejected",
     "FirstAttemptQuery",
     "OwnershipQuery",
@@ -62,6 +63,7 @@
 MAX_BALANCERS = 16
 MAX_QUERIED_FLOWS = 80  # flows, at 14 bytes each
 MAX_RELAY_AGENTS = 36  # agents, at 20 bytes each beside a packet of 1,231 bytes
+MAX_RELAY_PACKETS = 32  # in one frame
 MAX_MILLISECONDS = 3_600_000  # one hour
 MAX_PRIORITY = 255
 MAX_ENTRIES = 32  # at about 36 bytes each
@@ -291,7 +293,8 @@
 
     ``wants_reply`` requests a reply in any case, since the balancer doesn't know
     whether this agent owns the flow. ``reply_to`` is the balancer's address if
-    the frame was relayed by another agent.
+    the frame was relayed by another agent. ``takes_batches`` says that the balancer
+    reads `FlowNotOwned` frames about several flows.
 
     The other fields come with a SYN. ``tried`` names the targets that it has been
     sent to, ``in_time_ms`` is the time left to meet the latency target, ``wait_ms``
@@ -308,6 +311,7 @@
     wait_ms: Milliseconds = 0
     priority: Annotated[int, Meta(ge=0, le=MAX_PRIORITY)] = 0
     is_offered: bool = False
+    takes_batches: bool = False
 
 
 class FlowOwned(_Frame, tag=10, kw_only=True, gc=False):
@@ -326,12 +330,14 @@
     """Reports that an agent's target doesn't own a flow.
 
     ``payload`` returns the packet. It is empty if the balancer requested a reply,
-    since the balancer has then kept a copy of the packet.
+    since the balancer has then kept a copy of the packet. ``others`` are further flows
+    that the target doesn't own, about which the balancer requested a reply too.
     """
 
     agent: Name
     flow: FlowAddress
     payload: Payload = b""
+    others: Annotated[tuple[FlowAddress, ...], Meta(max_length=MAX_QUERIED_FLOWS)] = ()
 
 
 class SynRejected(_Frame, tag=12, kw_only=True, gc=False):
@@ -432,7 +438,8 @@
 
     ``held`` names these flows. ``is_conclusive`` says that the target owns none of the
     others; an agent that was started while its target ran can't know that.
-    ``run_ms`` is the time since the target process started, ``None`` if unknown.
+    ``run_ms`` is the time since the target process started, ``None`` if unknown. In an
+    inconclusive reply it is the least possible time, which shows nothing of flows.
     ``is_absent`` says that no process has listened at the target's address since the
     agent's start.
     """
@@ -448,12 +455,42 @@
 class RelayPacket(_Frame, tag=19, kw_only=True, gc=False):
     """Forwards a caller's packet to an agent, which relays it to other agents.
 
-    Each agent replies to the balancer that sent this frame.
+    Each agent replies to the balancer that sent this frame. ``takes_batches`` is that
+    of a `ForwardPacket`. ``others`` are packets of further flows, which an agent of an
+    older build ignores.
     """
 
     service: Name
     payload: Payload
     endpoints: Annotated[tuple[Endpoint, ...], Meta(max_length=MAX_RELAY_AGENTS)]
+    takes_batches: bool = False
+    others: Annotated[tuple[Payload, ...], Meta(max_length=MAX_RELAY_PACKETS)] = ()
+
+    @property
+    def payloads(self) -> tuple[bytes, ...]:
+        """All packets to relay."""
+        return (self.payload, *self.others)
+
+
+def relayed_packets(
+    frame: RelayPacket, *, reply_to: Endpoint | None = None
+) -> tuple[ForwardPacket, ...]:
+    """Return the frames that carry a relay's packets to one agent.
+
+    Args:
+        frame: The frame of the balancer.
+        reply_to: The balancer's address, for an agent that gets them from another.
+    """
+    return tuple(
+        ForwardPacket(
+            service=frame.service,
+            payload=payload,
+            wants_reply=True,
+            reply_to=reply_to,
+            takes_batches=frame.takes_batches,
+        )
+        for payload in frame.payloads
+    )
 
 
 class AttemptRejected(_Frame, tag=30, kw_only=True, gc=False):
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from socket import inet_ntoa
 
+import msgspec
+
 from monsoonpier.agent.packets.actions import (
     ResetFlow,
     ToCallerPacket,
@@ -26,6 +28,7 @@
 from monsoonpier.balancer.packets.context import ResetCaller
 from monsoonpier.balancer.packets.steering import PacketSteering
 from monsoonpier.model.address import Address
+from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.service import Configuration, PacketRoute
 from monsoonpier.model.target import Condition, TargetRecord
 from monsoonpier.process.logs import DecisionLog
@@ -34,9 +37,13 @@
     DeclineSlot,
     FlowNotOwned,
     ForwardPacket,
+    FrameCodec,
+    LoadUpdate,
     OwnershipQuery,
+    RelayPacket,
     ReserveSlot,
     SynRejected,
+    relayed_packets,
 )
 from monsoonpier.wire.packet import Packet
 
@@ -57,6 +64,11 @@
 REOPEN_SECONDS = 0.3  # delay before a long flow is reopened in the warm-up
 WARM_SECONDS = 3.0  # requests of this first period aren't counted
 FIRST_SEQUENCE = 5_000
+FIRST_PORT = 1  # of the balancers; agents take port 0 for none
+RAW_BYTES = 17  # of a simulated packet
+REAL_HEADER_BYTES = 31  # of a caller's packet
+UDP_BYTES = 28  # with IP's
+FRAME_CODEC = FrameCodec(keys=KeyRing(keys=(Key(id=1, secret=b"k" * 32),)))
 DRAIN_SECONDS = 30.0  # after the last arrival, for requests still running
 
 
@@ -106,6 +118,10 @@
         speeds: Relative speeds of targets, cycled within each data centre.
         callers_by_data_centre: Weights of the data centres of callers; random
             addresses if empty.
+        targets_start_first: Whether targets are up before their agents after the
+            outage, so that the agents can't know their flows.
+        link_bits_per_second: The rate of each balancer's link, for each direction;
+            ``None`` is no limit.
     """
 
     targets: int = 7
@@ -130,6 +146,8 @@
     reserves: bool = False
     speeds: tuple[float, ...] = (1.0,)
     callers_by_data_centre: tuple[int, ...] = ()
+    targets_start_first: bool = False
+    link_bits_per_second: float | None = None
     seed: int = 1
 
 
@@ -171,6 +189,7 @@
     running: int = 0
     waiting: list = field(default_factory=list)
     received: set = field(default_factory=set)
+    owned: set = field(default_factory=set)  # flows whose SYN it has received
     is_report_scheduled: bool = False
     is_expiry_scheduled: bool = False
     up_at: float = 0.0  # when its agent has started after an outage
@@ -241,6 +260,8 @@
         self._runs_by_target: Counter[int] = Counter()
         self._is_in_outage = False
         self._up_at_by_number: dict[int, float] = {}
+        self._free_at_by_link: dict[tuple[int, str], float] = {}
+        self._bytes_by_second: Counter[tuple[int, str, int]] = Counter()
         log = DecisionLog("simulation")
         slots = world.slots if refuses else 10_000
         self._slots = slots
@@ -289,7 +310,10 @@
             connections=2000,
             log=log,
         )
-        owner.instance_started(b"i-1", is_first=True, now=self.now)
+        is_late = self.world.targets_start_first and self.now > 0
+        owner.instance_started(
+            b"i-1", is_first=not is_late, is_young=is_late, now=self.now
+        )
         owner.condition = Condition.SERVING
         return _Target(number=number, owner=owner)
 
@@ -563,10 +587,54 @@
         number = self._entry_balancer(flow)
         if self._is_in_outage:
             return
+        delay = self._link_delay(
+            number, "in", UDP_BYTES + REAL_HEADER_BYTES + packet.size
+        )
         self._schedule_after(
-            self.world.caller_latency_seconds, self._deliver_to_balancer, number, packet
+            self.world.caller_latency_seconds + delay,
+            self._deliver_to_balancer,
+            number,
+            packet,
+        )
+
+    # Links
+
+    def bytes_per_second(self, number: int, direction: str, second: int) -> int:
+        """Return the bytes on a balancer's link, ``in`` or ``out``, in one second."""
+        return self._bytes_by_second[number, direction, second]
+
+    @property
+    def most_bytes_per_second(self) -> int:
+        """The bytes on the most used link, direction and second after the outage."""
+        back = self.world.outage[1]
+        return max(
+            (n for (_, _, at), n in self._bytes_by_second.items() if at >= int(back)),
+            default=0,
         )
 
+    def _frame_bytes(self, frame) -> int:
+        """Return a frame's bytes on a link; packets here are shorter than real ones."""
+        payloads = (getattr(frame, "payload", b""), *getattr(frame, "others", ()))
+        packets = [self._packets_by_raw[p] for p in payloads if len(p) == RAW_BYTES]
+        sizes = [REAL_HEADER_BYTES + packet.size - RAW_BYTES for packet in packets]
+        return UDP_BYTES + len(FRAME_CODEC.encode(frame)) + sum(sizes)
+
+    def _frame_delay(self, number: int, direction: str, frame) -> float:
+        """Return how long a frame waits for a balancer's link, and takes there."""
+        if self.world.link_bits_per_second is None:
+            return 0.0
+        return self._link_delay(number, direction, self._frame_bytes(frame))
+
+    def _link_delay(self, number: int, direction: str, size: int) -> float:
+        """Count bytes on a balancer's link; return how long they wait and take."""
+        rate = self.world.link_bits_per_second
+        if rate is None:
+            return 0.0
+        self._bytes_by_second[number, direction, int(self.now)] += size
+        free_at = max(self.now, self._free_at_by_link.get((number, direction), 0.0))
+        self._free_at_by_link[number, direction] = free_at + size * 8 / rate
+        return free_at + size * 8 / rate - self.now
+
     def _entry_balancer(self, flow: _Flow) -> int:
         """Return the balancer to which the fabric forwards the flow's packets.
 
@@ -608,15 +676,20 @@
             match action:
                 case ToAgent(endpoint=("10.2.0.1", port), frame=frame):
                     self._count_placed(frame, port, number)
+                    delay = self._frame_delay(number, "out", frame)
                     self._schedule_after(
-                        LATENCY_SECONDS, self._deliver_to_agent, port, frame, number
+                        LATENCY_SECONDS + delay,
+                        self._deliver_to_agent,
+                        port,
+                        frame,
+                        number,
                     )
                 case ToAgent(endpoint=("10.1.0.1", port), frame=frame):
-                    sender = ("10.1.0.1", number)
+                    sender = _balancer_endpoint(number)
                     self._schedule_after(
                         LATENCY_SECONDS,
                         self._deliver_frame_to_balancer,
-                        port,
+                        port - FIRST_PORT,
                         frame,
                         sender,
                     )
@@ -651,11 +724,11 @@
             return
         target = self.targets[port]
         if isinstance(frame, OwnershipQuery):
-            sender = ("10.1.0.1", balancer)
+            sender = _balancer_endpoint(balancer)
             replies = target.owner.handle_query(frame, sender=sender, now=self.now)
             self._apply_agent_actions(target, replies)
             return
-        sender = ("10.1.0.1", balancer)
+        sender = _balancer_endpoint(balancer)
         match frame:
             case ReserveSlot():
                 actions = target.owner.reserve(frame, balancer=sender, now=self.now)
@@ -665,10 +738,18 @@
                 actions = target.owner.declined(balancer=sender, now=self.now)
                 self._apply_agent_actions(target, actions)
                 return
+        if isinstance(frame, RelayPacket):
+            relays = target.owner.relay(frame, balancer=sender)
+            self._apply_agent_actions(target, relays)
+            for own in relayed_packets(frame):
+                self._deliver_to_agent(port, own, balancer)
+            return
         packet = self._packets_by_raw[frame.payload]
         self._apply_agent_actions(
             target,
-            target.owner.from_balancer(frame, packet, sender=sender, now=self.now),
+            target.owner.from_balancer(
+                frame, packet, sender=frame.reply_to or sender, now=self.now
+            ),
         )
 
     def _apply_agent_actions(self, target: _Target, actions: list) -> None:
@@ -684,9 +765,15 @@
                         self._deliver_to_caller,
                         packet,
                     )
-                case ToProcess(endpoint=(_, balancer), frame=frame):
+                case ToProcess(endpoint=("10.2.0.1", port), frame=frame):
+                    balancer = frame.reply_to[1] - FIRST_PORT
                     self._schedule_after(
-                        LATENCY_SECONDS,
+                        LATENCY_SECONDS, self._deliver_to_agent, port, frame, balancer
+                    )
+                case ToProcess(endpoint=(_, port), frame=frame):
+                    balancer = port - FIRST_PORT
+                    self._schedule_after(
+                        LATENCY_SECONDS + self._frame_delay(balancer, "in", frame),
                         self._deliver_frame_to_balancer,
                         balancer,
                         frame,
@@ -708,11 +795,12 @@
         if target not in self.targets:
             return
         sender = ("10.2.0.1", target.number)
-        for update in target.owner.load_reports(now=self.now):
-            _, balancer = update.endpoint
-            self._reports += 1
+        for update in target.owner.due_reports(now=self.now):
+            balancer = update.endpoint[1] - FIRST_PORT
+            self._reports += isinstance(update.frame, LoadUpdate)
+            delay = self._frame_delay(balancer, "in", update.frame)
             self._schedule_after(
-                LATENCY_SECONDS,
+                LATENCY_SECONDS + delay,
                 self._deliver_frame_to_balancer,
                 balancer,
                 update.frame,
@@ -736,6 +824,7 @@
     def _deliver_to_target(self, target: _Target, packet: Packet) -> None:
         flow = self._flows_by_address[packet.flow]
         if packet.is_syn:
+            target.owned.add(flow.address)
             self._delivered_syns += 1
             self._late_syns += flow.is_closed or flow.is_open
             syn_ack = self._create_packet(
@@ -743,6 +832,10 @@
             )
             self._handle_target_packet(target, syn_ack)
             return
+        if flow.address not in target.owned:
+            returned = msgspec.structs.replace(packet, is_returned=True)
+            self._handle_target_packet(target, returned)
+            return
         request = flow.request
         if not packet.size or request is None or request.response_at is not None:
             return
@@ -867,7 +960,11 @@
         name=f"lb-{number}",
         data_centre=f"dc-{number % DATA_CENTRES}",
         ip="10.1.0.1",
-        port=number,
+        port=number + FIRST_PORT,
         control="10.1.0.1:1",
         epoch=1,
     )
+
+
+def _balancer_endpoint(number: int) -> tuple[str, int]:
+    return ("10.1.0.1", number + FIRST_PORT)
--- a/tests/packets/test_planned_restarts.py
+++ b/tests/packets/test_planned_restarts.py
@@ -1,22 +1,36 @@
 """Live flows while balancers and agents are restarted, or their addresses reused."""
 
+import itertools
 import unittest
 
+from monsoonpier.agent.packets.owner import PacketFlowOwner
+from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.membership import Membership
 from monsoonpier.model.target import Condition
-from monsoonpier.wire.frames import FlowNotOwned, ForwardPacket, OwnershipReply
+from monsoonpier.wire.frames import (
+    FlowNotOwned,
+    FlowOwned,
+    ForwardPacket,
+    OwnershipQuery,
+    OwnershipReply,
+    RelayPacket,
+)
 from monsoonpier.wire.packet import Packet
 from tests.packets.rig import (
     CONVERGED,
+    LOG,
     OWN,
     SteeringRig,
+    load,
     packet,
     record,
     replace,
     resets,
 )
 
+ANSWER_SECONDS = 0.01  # a query or probe, and its answer
 HOSTS = 8
+PROBES = (ForwardPacket, RelayPacket)
 RESTARTED = "maps-5"
 
 
@@ -74,6 +88,14 @@
             actions += self.agent(answer, now=now)
         return actions
 
+    def reached_names(self, actions: list) -> list[str]:
+        """Return the targets that get a packet, directly or relayed."""
+        endpoints = self.reached(
+            [a for a in actions if isinstance(getattr(a, "frame", None), PROBES)]
+        )
+        records = self.membership.table.records
+        return sorted(r.name for r in records if (r.ip, r.port) in endpoints)
+
     @property
     def others(self) -> list[str]:
         """The agents that are not restarted."""
@@ -140,3 +162,91 @@
             actions += rig.agent(denied_by(name, sent), sent, now=101.42)
         actions += rig.steering.retry(now=101.6, draw=rig.draw)
         self.assertEqual(resets(actions), [])
+
+
+class ColdHostTests(unittest.TestCase):
+    """Guards against resets of live flows of hosts that are cold, or have just started.
+
+    Such a host may have opened flows through an earlier agent of its machine.
+    """
+
+    def play(
+        self, *, hosts: int, restarted: int, own_flow: bool, has_peer: bool = True
+    ) -> list[str]:
+        """Restart agents of cold hosts and a balancer; return the reasons of resets.
+
+        Args:
+            hosts: How many hosts the service has, all cold.
+            restarted: How many of their agents are restarted.
+            own_flow: Whether the first of these hosts owns the flow.
+            has_peer: Whether another balancer was running before.
+        """
+        rig = RestartRig(hosts=hosts)
+        if has_peer:
+            rig.meet_peer(started_at=CONVERGED - 10.0, now=100.1)
+        rig.membership.has_agreed = has_peer
+        agents = [self._agent(n, is_restarted=n <= restarted) for n in range(1, 9)]
+        sent = packet(size=10)
+        actions = rig.caller(sent, now=101.2)
+        actions += rig.steering.retry(now=101.24, draw=rig.draw)
+        found: list[str] = []
+        for step in range(1, 20):
+            now = 101.24 + step * ANSWER_SECONDS
+            found += resets(actions)
+            frames = [a.frame for a in self._relayed(actions)]
+            queries = [f for f in frames if isinstance(f, OwnershipQuery)]
+            names = rig.reached_names(actions)
+            answers = [
+                agents[number - 1].query_reply(query, now=now)
+                for query in queries[:1]
+                for number in range(1, hosts + 1)
+            ]
+            answers += [
+                self._probed(name, sent, owns=own_flow and name == "maps-1")
+                for name in names
+                if not queries
+            ]
+            actions = [a for frame in answers for a in rig.agent(frame, now=now)]
+            actions += rig.steering.retry(now=now, draw=rig.draw)
+        return found
+
+    def _agent(self, number: int, *, is_restarted: bool) -> PacketFlowOwner:
+        agent = PacketFlowOwner(
+            name=f"maps-{number}", service="maps", slots=2, connections=100, log=LOG
+        )
+        agent.instance_started(
+            b"i-1", is_first=not is_restarted, is_young=True, now=100.5
+        )
+        agent.condition = Condition.SERVING
+        return agent
+
+    def _relayed(self, actions: list) -> list:
+        return [action for action in actions if isinstance(action, ToAgent)]
+
+    def _probed(self, name: str, sent: Packet, *, owns: bool):
+        if owns:
+            return FlowOwned(flow=sent.flow, agent=name, load=load(), is_open=True)
+        return denied_by(name, sent)
+
+    def test_only_host_is_cold(self) -> None:
+        """Its agent and the balancer are restarted right after the flow has opened."""
+        for has_peer in (True, False):
+            with self.subTest(has_peer=has_peer):
+                reasons = self.play(
+                    hosts=1, restarted=1, own_flow=True, has_peer=has_peer
+                )
+                self.assertEqual(reasons, [])
+
+    def test_all_hosts_are_cold(self) -> None:
+        """A service whose hosts are all cold isn't one that has lost power."""
+        for restarted, has_peer in itertools.product((1, 2, HOSTS), (True, False)):
+            with self.subTest(restarted=restarted, has_peer=has_peer):
+                reasons = self.play(
+                    hosts=HOSTS, restarted=restarted, own_flow=True, has_peer=has_peer
+                )
+                self.assertEqual(reasons, [])
+
+    def test_flow_of_nobody(self) -> None:
+        """A dead flow is reset as soon as all cold hosts have returned its packet."""
+        reasons = self.play(hosts=HOSTS, restarted=2, own_flow=False)
+        self.assertEqual(reasons, ["nobody holds the flow"])
--- a/tests/packets/test_recovery.py
+++ b/tests/packets/test_recovery.py
@@ -15,6 +15,7 @@
     outage=(5.0, BACK),
     seconds=11.0,
 )
+LINK_BITS_PER_SECOND = 5_000_000  # the narrowest link of an entry VM
 FULL_WORLD = World(
     targets=20,
     slots=1,
@@ -46,6 +47,26 @@
             late = self.in_time(many, BACK, BACK + 0.6)
         self.assertGreater(soon, 1.2 * late)
 
+    def test_targets_are_up_before_their_agents(self) -> None:
+        """Dead flows are reset as soon if each has to be probed, and links aren't full.
+
+        Their agents can't know that the targets own no flow from before.
+        """
+        many = replace(
+            WORLD,
+            long_flows=200,
+            targets_start_first=True,
+            link_bits_per_second=LINK_BITS_PER_SECOND,
+        )
+        simulation = Simulation(many)
+        simulation.run()
+        soon = simulation.in_time_between(BACK, BACK + 0.6)
+        self.assertGreater(simulation.in_time_between(BACK + 1, BACK + 3), 0.95)
+        self.assertLess(simulation.most_bytes_per_second * 8, LINK_BITS_PER_SECOND / 2)
+        with mock.patch.object(context, "PEER_DISCOVERY_SECONDS", 4.0):
+            late = self.in_time(many, BACK, BACK + 0.6)
+        self.assertGreater(soon, 1.2 * late)
+
     def test_fully_used_service(self) -> None:
         """Cold targets are overloaded for two seconds; no backlog remains."""
         self.assertGreater(self.in_time(FULL_WORLD, BACK + 3, BACK + 5), 0.95)
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -516,21 +516,42 @@
         rig = SteeringRig(targets=3, started_at=CONVERGED)
         self.assertEqual(self._power_returned(rig, run_ms=30_000), [])
 
+    def _return_probes(self, rig: SteeringRig, names, *, now: float) -> list:
+        """Let targets return the probe of a flow that they don't own."""
+        returned = [FlowNotOwned(agent=name, flow=packet().flow) for name in names]
+        return [a for frame in returned for a in rig.agent(frame, now=now)]
+
     def test_inconclusive_agents_after_power_loss(self) -> None:
-        """No probe is sent if all targets have just started."""
-        rig = SteeringRig(targets=3, started_at=CONVERGED)
+        """Targets that have just started are probed once, and their word is final.
+
+        The caller is told with the last returned probe; few bytes are sent for it.
+        """
+        rig = SteeringRig(targets=12, started_at=CONVERGED)
         rig.membership.has_agreed = True
         rig.caller(packet(), now=100.4)
-        actions: list = []
-        for name in ("maps-1", "maps-2", "maps-3"):
+        names = [f"maps-{number}" for number in range(1, 13)]
+        sent: list = []
+        for name in names:
             reply = self._inconclusive_reply(name, run_ms=300)
-            actions += rig.agent(reply, now=100.41)
-        self.assertEqual(rig.names(actions), [])
-        self.assertEqual(resets(actions), ["nobody holds the flow"])
+            sent += rig.agent(reply, now=100.41)
+        sent += rig.steering.retry(now=100.43, draw=rig.draw)
+        self.assertEqual(rig.reached(sent), rig.known_endpoints)
+        codec = FrameCodec(keys=KeyRing(keys=(Key(id=1, secret=b"k" * 32),)))
+        frame_bytes = sum(len(codec.encode(action.frame)) for action in sent)
+        self.assertLessEqual(len(sent), 3)
+        self.assertLess(frame_bytes, 600)
+        actions = self._return_probes(rig, names[:-1], now=100.44)
+        self.assertEqual(actions, [])
+        last = self._return_probes(rig, names[-1:], now=100.44)
+        self.assertEqual(resets(last), ["nobody holds the flow"])
 
     def test_agent_without_target_after_power_loss(self) -> None:
-        """An agent without a target doesn't delay resets after a power loss."""
-        rig = SteeringRig(targets=3, started_at=CONVERGED)
+        """An agent without a target doesn't delay resets after a power loss.
+
+        The other targets' probes decide, as soon as they are returned.
+        """
+        rig = SteeringRig(targets=2, started_at=CONVERGED)
+        rig.learn(record("maps-3", host=3, condition=Condition.STARTING), now=100.3)
         rig.membership.has_agreed = True
         rig.caller(packet(), now=100.4)
         actions: list = []
@@ -540,6 +561,8 @@
             self._inconclusive_reply("maps-3", run_ms=None), is_absent=True
         )
         actions += rig.agent(absent, now=100.41)
+        self.assertEqual(rig.names(actions), ["maps-1", "maps-2"])
+        actions = self._return_probes(rig, ("maps-1", "maps-2"), now=100.42)
         self.assertEqual(resets(actions), ["nobody holds the flow"])
 
     def _vacant(self, *, then: float, condition: Condition) -> list:
@@ -584,9 +607,10 @@
         """Without an agreeing peer, running agents get time to send a heartbeat."""
         rig = SteeringRig(targets=3, started_at=CONVERGED)
         rig.caller(packet(), now=100.4)
-        actions: list = []
-        for name in ("maps-1", "maps-2", "maps-3"):
-            actions += rig.agent(self._inconclusive_reply(name, run_ms=300), now=100.41)
+        names = ("maps-1", "maps-2", "maps-3")
+        for name in names:
+            rig.agent(self._inconclusive_reply(name, run_ms=300), now=100.41)
+        actions = self._return_probes(rig, names, now=100.45)
         actions += rig.steering.retry(now=101.1, draw=rig.draw)
         self.assertEqual(resets(actions), [])
         late = rig.steering.retry(now=101.21, draw=rig.draw)
