Ask the services whose targets say that they may own flows at an address

Cause: which services a route had before was known to a balancer process only from versions that it had in force itself (EarlierServices). After a restart it asked the present service's agents alone, which denied the flow truthfully.

Fix: TargetRecord names the addresses at which the target may own flows (new optional field; missing means unknown, as before), and a lookup asks the agents of these services too. A restarted agent gets the addresses of its earlier process with a balancer's acknowledgement (new optional field); until then balancers keep them in its record. A new instance of the target starts with none. So this holds if every balancer is replaced, if agents restart in between, and for versions that a balancer has skipped.

Ruled out: handing the earlier services from balancer to balancer, or through the store's copy of the configuration; docs/design/shared-routes.md says why.

--- a/monsoonpier/agent/balancer_link.py
+++ b/monsoonpier/agent/balancer_link.py
@@ -126,16 +126,32 @@
         for balancer in self._peers.select(now=_now()):
             self._send(self._announcement(), balancer.endpoint)
 
-    def set_instance(self, instance: bytes, *, slots: int) -> None:
-        """Update the target's record with its instance and number of slots."""
+    def set_instance(
+        self,
+        instance: bytes,
+        *,
+        slots: int,
+        addresses: tuple[bytes, ...] | None = None,
+    ) -> None:
+        """Update the target's record with what is known of its new instance."""
         self.record = msgspec.structs.replace(
             self.record,
             instance=instance,
             slots=slots,
+            addresses=addresses,
             change=self.record.change + 1,
             is_absent=False,
         )
 
+    def set_addresses(self, addresses: tuple[bytes, ...] | None) -> None:
+        """Announce at once where the target may own flows, if that has changed."""
+        if addresses == self.record.addresses:
+            return
+        self.record = msgspec.structs.replace(
+            self.record, addresses=addresses, change=self.record.change + 1
+        )
+        self.announce(self.record.condition)
+
     def announce_no_target(self) -> None:
         """Announce at once that no target has been found here."""
         self.record = msgspec.structs.replace(
--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -19,12 +19,12 @@
 )
 from monsoonpier.agent.packets.admission import FlowAdmission
 from monsoonpier.agent.packets.denials import DenialBatches
+from monsoonpier.agent.packets.flow_addresses import TargetAddresses
 from monsoonpier.agent.packets.flows import PacketFlow, Phase
 from monsoonpier.agent.packets.instance_state import InstanceState
 from monsoonpier.agent.packets.load import TargetLoad
 from monsoonpier.agent.packets.load_reports import LoadReports
 from monsoonpier.agent.packets.queue import QueuedSyn
-from monsoonpier.model.address import Address
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
@@ -51,7 +51,6 @@
 MAX_RUN_SECONDS = 2.5  # until an unanswered request no longer takes a slot
 MAX_OPENING_BYTES = 19_201  # from the target, before the caller's first packet
 MAX_STREAM_BYTES = 1 << 26  # sequence numbers farther ahead count as behind
-MAX_SERVED_ADDRESSES = 64
 # How long queries wait for the target's first heartbeat after the agent's
 # start. A target that gets no response repeats its heartbeat every 100 ms.
 MAX_QUERY_WAIT_SECONDS = 0.25
@@ -87,7 +86,7 @@
             maxlen=MAX_PENDING_QUERIES
         )
         self._first_query_at = 0.0
-        self._served_addresses: set[Address] = set()
+        self._addresses = TargetAddresses()
         self._denials = DenialBatches(name=name)
         self.target_load = TargetLoad(slots=slots)
         self._reports = LoadReports(load=self.target_load, log=log)
@@ -137,6 +136,17 @@
         """How many flows the target owns."""
         return len(self._flows_by_address)
 
+    @property
+    def addresses(self) -> tuple[bytes, ...] | None:
+        """Where the target may own flows, as its record has it; ``None`` if unknown."""
+        packed = self._addresses.packed
+        return packed if packed or self._target_state.knows_all_flows else None
+
+    def inherit_addresses(self, addresses: tuple[bytes, ...], *, now: float) -> None:
+        """Add addresses that an earlier agent of the same target has recorded."""
+        if not self._target_state.knows_all_flows:
+            self._addresses.inherit(addresses, now=now)
+
     @property
     def has_seen_target(self) -> bool:
         """Whether the target has sent a heartbeat or listened since the start."""
@@ -163,6 +173,8 @@
             now: The present time.
         """
         state = self._target_state
+        if is_first:
+            self._addresses.clear()
         if state.is_replaced_by(instance):
             resets = self.target_ended(now=now)
             state.start(instance, now=now)
@@ -195,6 +207,7 @@
             if flow.is_open and not flow.is_ended
         ]
         self._flows_by_address.clear()
+        self._addresses.clear()
         is_planned = self.condition is not Condition.SERVING
         self.target_load.target_ended(is_planned=is_planned, now=now)
         self._target_state.start(self._target_state.instance, now=now)
@@ -443,7 +456,7 @@
     ) -> list:
         """Deliver a packet of an unknown flow as a probe if the target may own it."""
         may_be_owned = frame.service == self._service or (
-            packet.service_address in self._served_addresses
+            packet.service_address in self._addresses
         )
         has_ended = self.condition is Condition.GONE
         if self._target_state.knows_all_flows or has_ended or not may_be_owned:
@@ -480,8 +493,7 @@
         if packet.is_reset:
             return self._handle_target_reset(packet, flow, now=now)
         actions: list = [_to_caller(packet)]
-        if len(self._served_addresses) < MAX_SERVED_ADDRESSES:
-            self._served_addresses.add(packet.service_address)
+        self._addresses.observe(packet.service_address, now=now)
         if flow is None:
             if packet.is_syn:
                 return actions
@@ -581,6 +593,7 @@
             if now - flow.seen_at > _timeout_seconds(flow):
                 self._remove(address, now=now)
         self._reports.remove_idle(now=now)
+        self._addresses.expire(now=now)
         self._log_slot_use(now=now)
         return self.expire(now=now)
 
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -273,13 +273,15 @@
             cold_seconds=heartbeat.cold_seconds,
         )
         self._has_target_left = False
-        self._link.set_instance(instance, slots=heartbeat.slots)
         resets = self._owner.instance_started(
             instance,
             is_first=heartbeat.sequence <= 1,
             is_young=heartbeat.cold_seconds > 0,
             now=_now(),
         )
+        self._link.set_instance(
+            instance, slots=heartbeat.slots, addresses=self._owner.addresses
+        )
         self._perform(resets)
         self._perform(self._owner.reply_to_pending_queries(now=_now()))
 
@@ -387,6 +389,8 @@
                 self._perform(self._owner.declined(balancer=sender, now=_now()))
             case HeartbeatAck():
                 self._link.handle_ack(frame)
+                self._owner.inherit_addresses(frame.addresses, now=_now())
+                self._report_soon()
                 self._apply_cold_limit(frame)
             case RecordQuery():
                 self._link.answer_query(sender)
@@ -444,6 +448,7 @@
 
     def _report(self) -> None:
         self._report_timer = None
+        self._link.set_addresses(self._owner.addresses)
         for action in self._owner.due_reports(now=_now()):
             self._send_frame(action.frame, action.endpoint)
 
--- a/monsoonpier/balancer/membership.py
+++ b/monsoonpier/balancer/membership.py
@@ -219,7 +219,12 @@
         self._learn_from_agent(record, now=now)
         newest = self.table.record(record.name) or record
         return self._ack(
-            newest, known=True, name_balancers=True, sender=sender, now=now
+            newest,
+            known=True,
+            name_balancers=True,
+            addresses=_missing_addresses(record, newest),
+            sender=sender,
+            now=now,
         )
 
     def _take_reply(self, reply: RecordReply, *, now: float) -> None:
@@ -228,7 +233,8 @@
 
     def _learn_from_agent(self, record: TargetRecord, *, now: float) -> None:
         if self.table.learn(record, now=now):
-            self._queue_update(record)
+            # The stored record may name more addresses.
+            self._queue_update(self.table.record(record.name) or record)
         self.table.record_announcement(record, now=now)
 
     def learn_records(
@@ -277,6 +283,7 @@
         *,
         known: bool,
         name_balancers: bool,
+        addresses: tuple[bytes, ...] = (),
         sender: tuple[str, int],
         now: float,
         is_shedding: bool = False,
@@ -309,6 +316,7 @@
             known_epoch=record.epoch if record is not None else 0,
             evacuation=evacuation,
             cold_per_second=cold_per_second,
+            addresses=addresses,
         )
         return ToAgent(endpoint=sender, frame=ack)
 
@@ -666,3 +674,10 @@
             )
             for record in self.table.observed_in(order.data_centre)
         ]
+
+
+def _missing_addresses(
+    announced: TargetRecord, known: TargetRecord
+) -> tuple[bytes, ...]:
+    """Return the addresses known of an agent that its own record doesn't name."""
+    return tuple(sorted({*(known.addresses or ())} - {*(announced.addresses or ())}))
--- a/monsoonpier/balancer/packets/context.py
+++ b/monsoonpier/balancer/packets/context.py
@@ -99,6 +99,7 @@
         self.opened_by_service: Counter[str] = Counter()
         self._earlier_services = EarlierServices()
         self._services_by_address: dict[Address, frozenset[str]] = {}
+        self._address_changes = 0  # of the table, when the former was last cleared
 
     @property
     def started_at(self) -> float:
@@ -149,9 +150,15 @@
     def _services_at(self, packet: Packet) -> frozenset[str]:
         """Return the services that a packet's address is or was routed to.
 
-        The result is cached, since it is needed for each reply on each dead flow.
+        Earlier ones are known from earlier configurations, and from the records of
+        their targets, which name the addresses at which they may own flows. The result
+        is cached, since it is needed for each reply on each dead flow.
         """
         address = packet.service_address
+        table = self.membership.table
+        if self._address_changes != table.address_changes:
+            self._address_changes = table.address_changes
+            self._services_by_address.clear()
         services = self._services_by_address.get(address)
         if services is not None:
             return services
@@ -159,6 +166,7 @@
         if route is None:
             return frozenset()
         services = route.services | self._earlier_services.get(address)
+        services |= table.services_at(address)
         self._services_by_address[address] = services
         return services
 
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Set
 from dataclasses import dataclass
 from hashlib import blake2b
 from heapq import nsmallest
@@ -12,8 +12,14 @@
 from monsoonpier.balancer.evidence import FORGET_SECONDS, Evidence, QueryReason
 from monsoonpier.balancer.silence_batches import batched, unbatched
 from monsoonpier.balancer.target_choice import Candidate
+from monsoonpier.model.address import Address
 from monsoonpier.model.service import Service
-from monsoonpier.model.target import Condition, LoadReport, TargetRecord
+from monsoonpier.model.target import (
+    MAX_FLOW_ADDRESSES,
+    Condition,
+    LoadReport,
+    TargetRecord,
+)
 from monsoonpier.wire.frames import SilenceBatch, SilenceReport
 
 __all__ = ["BeliefChange", "TargetTable"]
@@ -83,10 +89,13 @@
 
     Attributes:
         evacuated: Data centres whose targets get no new flows.
+        address_changes: How often the answers of `services_at` may have changed.
     """
 
     def __init__(self) -> None:
         self.evacuated: frozenset[str] = frozenset()
+        self.address_changes = 0
+        self._services_by_address: dict[bytes, set[str]] | None = None
         self._entries_by_name: dict[str, _Entry] = {}
         self._names_by_service: dict[str, set[str]] = {}
         self._names_by_endpoint: dict[tuple[str, int], str] = {}
@@ -147,6 +156,7 @@
         if entry is not None and record.answers_queries:
             self._record_capability(entry, epoch=record.epoch)
         if entry is not None and record.rank <= entry.record.rank:
+            self._add_missing_addresses(entry, record)
             return False
         if entry is None:
             entry = _Entry(
@@ -163,6 +173,7 @@
         self._names_by_service.setdefault(record.service, set()).add(record.name)
         self._names_by_process_key[record.process_key] = record.name
         self._toggle_digest(record)
+        self._reset_services_by_address()
         if not entry.evidence.is_confirmed:
             self._names_to_query[record.name] = None
         elif not entry.is_gone:
@@ -173,6 +184,7 @@
         self, entry: _Entry, record: TargetRecord, *, is_confirmed: bool, now: float
     ) -> None:
         earlier = entry.record
+        record = _with_addresses(record, earlier)
         entry.record = record
         entry.learned_at = now
         # The announced condition is newer than the one in the last report.
@@ -187,6 +199,23 @@
             # The agent is the same process and continues its numbering.
             self._reset_load(entry, number=entry.load.number, now=now)
 
+    def _add_missing_addresses(self, entry: _Entry, record: TargetRecord) -> None:
+        """Add the addresses that a relay of an older build has left out."""
+        known = entry.record
+        if known.addresses is None and record.rank == known.rank:
+            entry.record = msgspec.structs.replace(known, addresses=record.addresses)
+            self._reset_services_by_address()
+
+    def _reset_services_by_address(self) -> None:
+        self._services_by_address = None
+        self.address_changes += 1
+
+    def services_at(self, address: Address) -> Set[str]:
+        """Return the services of the targets that may own flows to an address."""
+        if self._services_by_address is None:
+            self._services_by_address = _services_by_address(self.records)
+        return self._services_by_address.get(address.packed, frozenset())
+
     def _record_capability(self, entry: _Entry, *, epoch: int) -> None:
         """Record that the agent answers queries, if it is the process with ``epoch``.
 
@@ -533,6 +562,7 @@
                 self._names_to_query[name] = None
 
     def _remove(self, name: str) -> None:
+        self._reset_services_by_address()
         record = self._entries_by_name.pop(name).record
         self._remove_from_index(record)
         if self._names_by_endpoint.get((record.ip, record.port)) == name:
@@ -754,6 +784,38 @@
     return msgspec.structs.replace(record, answers_queries=True)
 
 
+def _with_addresses(record: TargetRecord, earlier: TargetRecord) -> TargetRecord:
+    """Return a newer record with the addresses of the earlier one that may still hold.
+
+    An agent that has just started doesn't know them, if its target kept running.
+    """
+    if not earlier.addresses or record.condition is Condition.GONE:
+        return record
+    if record.addresses is None:
+        return msgspec.structs.replace(record, addresses=earlier.addresses)
+    is_same_agent = record.epoch == earlier.epoch
+    if is_same_agent or not _may_be_same_instance(record, earlier):
+        return record
+    merged = sorted({*record.addresses, *earlier.addresses})
+    return msgspec.structs.replace(record, addresses=tuple(merged[:MAX_FLOW_ADDRESSES]))
+
+
+def _may_be_same_instance(record: TargetRecord, earlier: TargetRecord) -> bool:
+    """Return whether two records may be about one instance of a target."""
+    instances = {record.instance, earlier.instance} - {b""}
+    return len(instances) < 2
+
+
+def _services_by_address(records: Iterable[TargetRecord]) -> dict[bytes, set[str]]:
+    services_by_address: dict[bytes, set[str]] = {}
+    for record in records:
+        if record.condition is Condition.GONE:
+            continue
+        for address in record.addresses or ():
+            services_by_address.setdefault(address, set()).add(record.service)
+    return services_by_address
+
+
 def _belief_change(entry: _Entry, belief: str, *, now: float) -> BeliefChange:
     evidence = entry.evidence
     received_at = evidence.received_at
--- a/monsoonpier/balancer/update_bytes.py
+++ b/monsoonpier/balancer/update_bytes.py
@@ -1,6 +1,6 @@
 """How much of a gossip message an update takes, at the most."""
 
-from monsoonpier.model.target import TargetRecord
+from monsoonpier.model.target import PACKED_ADDRESS_BYTES, TargetRecord
 from monsoonpier.wire.frames import SilenceBatch, SilenceReport
 
 __all__ = ["batch_bytes", "record_bytes", "report_bytes"]
@@ -10,6 +10,7 @@
 REPORT_BYTES = 32
 BATCH_BYTES = 30
 KEY_BYTES = 10
+ADDRESS_BYTES = 2 + PACKED_ADDRESS_BYTES
 
 
 def record_bytes(record: TargetRecord) -> int:
@@ -21,7 +22,9 @@
         record.ip,
         record.control,
     )
-    return RECORD_BYTES + len(record.instance) + sum(map(_text_bytes, texts))
+    addresses = ADDRESS_BYTES * len(record.addresses or ())
+    fixed = RECORD_BYTES + len(record.instance) + addresses
+    return fixed + sum(map(_text_bytes, texts))
 
 
 def report_bytes(report: SilenceReport) -> int:
--- a/monsoonpier/model/address.py
+++ b/monsoonpier/model/address.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 from dataclasses import dataclass
+from socket import inet_aton
 
 __all__ = ["Address"]
 
@@ -27,6 +28,11 @@
             raise ValueError(f"{text!r} is not an ip:port address")
         return cls(ip=str(ipaddress.IPv4Address(ip)), port=int(port))
 
+    @property
+    def packed(self) -> bytes:
+        """The address in 6 bytes, for messages."""
+        return inet_aton(self.ip) + self.port.to_bytes(2, "big")
+
     @property
     def endpoint(self) -> tuple[str, int]:
         """The address in the form that the standard library's sockets take."""
--- a/monsoonpier/model/target.py
+++ b/monsoonpier/model/target.py
@@ -2,20 +2,27 @@
 
 from enum import IntEnum
 from hashlib import blake2b
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from monsoonpier.model.address import Address
 
 __all__ = [
     "ABSENT_SECONDS",
+    "MAX_FLOW_ADDRESSES",
+    "PACKED_ADDRESS_BYTES",
     "PROCESS_KEY_BYTES",
     "QUEUE_AHEAD",
     "Condition",
+    "FlowAddresses",
     "LoadReport",
     "TargetRecord",
 ]
 
+MAX_FLOW_ADDRESSES = 16  # in a target's record
+PACKED_ADDRESS_BYTES = 6
 PROCESS_KEY_BYTES = 8  # equal keys are unlikely among thousands of targets
 
 # New flows that a target may have beyond its slots. The next run then starts
@@ -27,6 +34,14 @@
 # leaving one has ended. Balancers and agents must use the same value.
 ABSENT_SECONDS = 3.0
 
+PackedAddress = Annotated[
+    bytes, Meta(min_length=PACKED_ADDRESS_BYTES, max_length=PACKED_ADDRESS_BYTES)
+]
+# Packed addresses in ascending order.
+FlowAddresses = Annotated[
+    tuple[PackedAddress, ...], Meta(max_length=MAX_FLOW_ADDRESSES)
+]
+
 
 class Condition(IntEnum):
     """What a target accepts; the states of ``charts/target.toml``."""
@@ -94,6 +109,8 @@
         answers_queries: Whether the agent is known to answer a `RecordQuery`. Older
             builds leave this out, also when they relay the record of an agent that
             answers.
+        addresses: The addresses, packed, at which the target may own flows. ``None``
+            if that isn't known, as with a record of an older build.
     """
 
     name: str
@@ -110,6 +127,7 @@
     condition: Condition = Condition.STARTING
     is_absent: bool = False
     answers_queries: bool = False
+    addresses: FlowAddresses | None = None
 
     @property
     def rank(self) -> tuple[int, int]:
--- a/monsoonpier/wire/frames.py
+++ b/monsoonpier/wire/frames.py
@@ -13,7 +13,12 @@
 from monsoonpier.model.evacuation import MAX_EVACUATIONS, Evacuation
 from monsoonpier.model.keys import FRAME, KeyRing
 from monsoonpier.model.revision import MAX_GENERATION
-from monsoonpier.model.target import PROCESS_KEY_BYTES, LoadReport, TargetRecord
+from monsoonpier.model.target import (
+    PROCESS_KEY_BYTES,
+    FlowAddresses,
+    LoadReport,
+    TargetRecord,
+)
 from monsoonpier.wire.codec import Codec, Dropped, Name, Reason
 
 __all__ = [
@@ -173,7 +178,8 @@
     agent: a larger one than the agent's own means that the agent's wall clock was set
     back. ``evacuation`` is the last known order on the agent's data centre.
     ``cold_per_second`` limits the new flows without a token that a cold target
-    accepts; 0 means no limit.
+    accepts; 0 means no limit. ``addresses`` are those of an earlier process of the
+    agent that the agent's own record doesn't name.
     """
 
     balancer: Name
@@ -187,6 +193,7 @@
     known_epoch: int = 0
     evacuation: Evacuation | None = None
     cold_per_second: Annotated[float, Meta(ge=0)] = 0.0
+    addresses: FlowAddresses = ()
 
 
 class Announce(_Frame, tag=7, kw_only=True, gc=False):
--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -93,6 +93,38 @@
         self.assertTrue(any(request.startswith("maps") for request in ran))
         await self._finish(load)
 
+    async def test_route_that_moves_before_all_are_replaced(self) -> None:
+        """Open flows of an earlier service survive planned restarts of everything.
+
+        All balancers are replaced in turn, agents before and after them.
+        """
+        deployment = await self._start("127.84.31")
+        load = PacketLoad(deployment=deployment, seed=5)
+        load.shared_by_service["maps"] = ("logs",)
+        flows = [await deployment.caller.open(SERVICES["maps"]) for _ in range(8)]
+        for flow in flows:
+            self.assertTrue(await load.request(flow, "maps"))
+        deployment.configure(shares={"logs": 100})
+        await asyncio.sleep(1.0)
+        await self._restart_agent(deployment, "maps-1")
+        await asyncio.sleep(0.5)
+        for name in ("lb-1", "lb-2"):
+            deployment.update_rotation(name, out=True)
+            deployment.nodes_by_name[name].signal(signal.SIGTERM)
+            self.assertEqual(await deployment.nodes_by_name[name].wait(), 0)
+            await deployment.start_balancer(name)
+            await asyncio.sleep(1.5)
+        await self._restart_agent(deployment, "maps-2")
+        await asyncio.sleep(0.5)
+        for flow in flows:
+            self.assertTrue(await load.request(flow, "maps"), load.reasons)
+        self.assertTrue(load.result().is_clean, load.reasons)
+
+    async def _restart_agent(self, deployment: PacketDeployment, name: str) -> None:
+        deployment.nodes_by_name[name].signal(signal.SIGTERM)
+        await deployment.nodes_by_name[name].wait()
+        await deployment.start_agent(name, "maps")
+
     async def test_evacuated(self) -> None:
         """An evacuated data centre gets no new flow, even after restarts."""
         balancers = ("lb-1", "lb-2")
