Tell a later flow from an earlier one with the same ports

Cause: an entry of the flow table is found by addresses and ports alone, and all that was learned of the earlier flow counted for the later one: the confirmed owner, the target of a SYN, the denials of a lookup. That entries have no end is not the cause: with an end after a minute the same happens within the minute.

Fix: an entry knows where the caller's last packet here ended, and the SYN's number. A packet more than 64 KiB away ends the confirmation and a lookup under way; a SYN with another number opens a new flow. If the owner of this very flow has ended, its caller is told at once, without a question, as before. A record that was removed after a long silence is no longer taken for an end.

--- a/monsoonpier/balancer/packets/new_flows.py
+++ b/monsoonpier/balancer/packets/new_flows.py
@@ -96,13 +96,12 @@
         draw: random.Random,
     ) -> list:
         """Handle a SYN or a retransmission of one."""
+        if entry is not None and not _is_retransmission(packet, entry, now=now):
+            entry = None  # Of an earlier flow with these ports.
         if entry is not None:
             entry.latest_syn_offset = max(entry.latest_syn_offset, packet.waited)
         if packet.flow in self._backlog:
             return self._backlog.note_retransmission(packet, now=now)
-        if entry is not None and entry.syn is None and not entry.is_confirmed:
-            # A lookup created the entry, for an earlier flow with these ports.
-            entry = None
         if entry is not None and entry.owners:
             # A retransmission goes to the target that may have opened the flow,
             # unless that target has not answered the earlier SYN in time.
@@ -122,6 +121,8 @@
             first_attempt_at=now - packet.waited,
             latest_syn_offset=packet.waited,
             syn=packet,
+            syn_sequence=packet.sequence,
+            caller_sequence=packet.sequence,
         )
         earlier = self._context.returning_callers.find_earlier(packet, now=now)
         if earlier is not None:
@@ -452,3 +453,14 @@
             load_age=round(load_age, 3),
             version=self._context.membership.configuration.version,
         )
+
+
+def _is_retransmission(packet: Packet, entry: FlowEntry, *, now: float) -> bool:
+    """Return whether a SYN is that of an entry's flow, and not of a later one.
+
+    If the flow's SYN hasn't passed here, only a retransmitted one that comes soon is.
+    """
+    if entry.syn_sequence is not None:
+        return packet.sequence == entry.syn_sequence
+    is_recent = now - entry.created_at < GIVE_UP_SECONDS
+    return entry.is_confirmed and packet.waited > 0 and is_recent
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -74,6 +74,7 @@
         if route is None:
             return self._probe_all(packet)
         entry = FlowEntry(service=route.service, created_at=now)
+        entry.follow(packet)
         self._context.flows.put(packet.flow, entry)
         owner = self._directory.get(packet.flow)
         if owner is not None and self._context.is_possible_owner(owner):
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -149,6 +149,11 @@
             return self._new_flows.open(packet, entry, now=now, draw=draw)
         if entry is None:
             return self._resolver.resolve(packet, now=now)
+        is_continued = entry.follow(packet)
+        if entry.lookup is not None and not is_continued:
+            # The replies so far may be about an earlier flow with these ports.
+            self._context.flows.drop(packet.flow)
+            return self._resolver.resolve(packet, now=now)
         entry.has_fin |= packet.is_fin
         self._new_flows.observe_flow(packet, entry, now=now)
         if entry.lookup is not None:
@@ -251,9 +256,15 @@
     def _on_owners_gone(self, packet: Packet, entry: FlowEntry, *, now: float) -> list:
         """Reset a flow whose owner has ended, if an agent had confirmed that owner.
 
-        Otherwise another target may own the flow, and its owner is looked up again.
+        Otherwise another target may own the flow, and its owner is looked up again, as
+        when the owner is just not known any more.
         """
         self._context.flows.drop(packet.flow)
-        if not entry.is_confirmed:
+        table = self._context.membership.table
+        records = [table.record(name) for name in entry.owners]
+        if not entry.is_confirmed or None in records:
             return self._resolver.resolve(packet, now=now)
-        return [self._context.reset_caller(packet, "target gone", now=now)]
+        reason = "target gone"
+        return [
+            self._context.reset_caller(packet, reason, now=now, owners=entry.owners)
+        ]
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -7,7 +7,7 @@
 from monsoonpier.model.address import Address
 from monsoonpier.wire.codec import Dropped
 
-__all__ = ["Packet", "PacketCodec", "sequence_distance"]
+__all__ = ["SEQUENCE_SPACE", "Packet", "PacketCodec", "sequence_distance"]
 
 SEQUENCE_SPACE = 1 << 32
 
--- /dev/null
+++ b/tests/packets/test_reused_ports.py
@@ -0,0 +1,165 @@
+"""Ports that callers use again, after an earlier flow has ended.
+
+Guards against decisions on a live flow by what was true of an earlier one.
+"""
+
+import unittest
+
+from monsoonpier.balancer.packets.flows import MAX_SEQUENCE_GAP_BYTES
+from monsoonpier.model.service import Configuration
+from monsoonpier.model.target import Condition
+from monsoonpier.wire.frames import (
+    FlowNotOwned,
+    FlowOwned,
+    ForwardPacket,
+    OwnershipQuery,
+)
+from monsoonpier.wire.packet import SEQUENCE_SPACE
+from tests.packets.rig import (
+    CONVERGED,
+    SteeringRig,
+    load,
+    packet,
+    record,
+    replace,
+    resets,
+)
+
+LATER = CONVERGED + 62.0  # longer than a flow lasts
+FIRST_SEQUENCE = 1_000
+SECOND_SEQUENCE = 3_000_000_000
+
+
+def owned(agent: str) -> FlowOwned:
+    return FlowOwned(flow=packet().flow, agent=agent, load=load(), is_open=True)
+
+
+class ReusedPortTests(unittest.TestCase):
+    """A balancer whose table has an entry of an earlier flow."""
+
+    def setUp(self) -> None:
+        self.rig = SteeringRig(targets=3)
+        (self.first_owner,) = self.rig.names(self.rig.caller(self.syn()))
+        self.rig.agent(owned(self.first_owner))
+        self.rig.caller(self.data())
+        self.others = sorted({"maps-1", "maps-2", "maps-3"} - {self.first_owner})
+
+    def syn(self, sequence: int = FIRST_SEQUENCE, **fields):
+        return replace(packet(syn=True, sequence=sequence), **fields)
+
+    def data(self, sequence: int = FIRST_SEQUENCE + 1):
+        return packet(size=100, sequence=sequence)
+
+    def end(self, name: str) -> None:
+        number = int(name[-1])
+        gone = record(name, host=number, epoch=2, condition=Condition.GONE)
+        self.rig.learn(gone, now=LATER)
+
+    def queried(self, actions: list) -> list[str]:
+        return self.rig.names([a for a in actions if _is_query(a)])
+
+    # Packets of flows that opened through another balancer
+
+    def test_owner_of_the_earlier_flow_has_ended(self) -> None:
+        """The later flow isn't reset; its owner is looked up."""
+        self.end(self.first_owner)
+        actions = self.rig.caller(self.data(SECOND_SEQUENCE), now=LATER)
+        self.assertEqual(resets(actions), [])
+        self.assertEqual(self.queried(actions), self.others)
+        found = self.rig.agent(owned(self.others[0]), now=LATER)
+        self.assertEqual(self.rig.names(found), self.others[:1])
+
+    def test_later_packets_of_the_later_flow(self) -> None:
+        """A confirmation of the earlier flow doesn't hold for the later one."""
+        self.rig.caller(self.data(SECOND_SEQUENCE), now=LATER)
+        self.end(self.first_owner)
+        actions = self.rig.caller(self.data(SECOND_SEQUENCE + 100), now=LATER)
+        self.assertEqual(resets(actions), [])
+        self.assertEqual(self.queried(actions), self.others)
+
+    def test_owner_of_this_flow_has_ended(self) -> None:
+        """A flow that goes on where its packets stopped is reset without a question."""
+        for ahead in (0, 100, MAX_SEQUENCE_GAP_BYTES):
+            with self.subTest(ahead=ahead):
+                self.setUp()
+                self.end(self.first_owner)
+                sent = self.data(FIRST_SEQUENCE + 101 + ahead)
+                actions = self.rig.caller(sent, now=LATER)
+                self.assertEqual(resets(actions), ["target gone"])
+                self.assertEqual(len(actions), 1)
+
+    def test_sequence_numbers_wrap(self) -> None:
+        """A flow's numbers go on after the largest one."""
+        self.rig.caller(self.data(SEQUENCE_SPACE - 100), now=LATER)
+        self.rig.agent(owned(self.first_owner), now=LATER)
+        self.end(self.first_owner)
+        actions = self.rig.caller(self.data(0), now=LATER)
+        self.assertEqual(resets(actions), ["target gone"])
+
+    def test_owner_is_not_known_any_more(self) -> None:
+        """A record that was removed doesn't show that the target has ended."""
+        self.rig.membership.table._remove(self.first_owner)
+        actions = self.rig.caller(self.data(FIRST_SEQUENCE + 101), now=LATER)
+        self.assertEqual(resets(actions), [])
+        self.assertEqual(self.queried(actions), self.others)
+
+    def test_denials_of_the_earlier_flow(self) -> None:
+        """Agents that denied an earlier flow are asked again about a later one."""
+        rig = SteeringRig(targets=3)
+        rig.caller(self.data())
+        for name in ("maps-1", "maps-2"):
+            denial = FlowNotOwned(agent=name, flow=packet().flow)
+            rig.agent(denial, now=CONVERGED + 0.1)
+        gone = record("maps-3", host=3, epoch=2, condition=Condition.GONE)
+        rig.learn(gone, now=LATER)
+        actions = rig.caller(self.data(SECOND_SEQUENCE), now=LATER)
+        self.assertEqual(resets(actions), [])
+        queries = [a for a in actions if _is_query(a)]
+        self.assertEqual(rig.names(queries), ["maps-1", "maps-2"])
+
+    # SYNs
+
+    def test_retransmitted_syn(self) -> None:
+        """A retransmission goes to the target that has opened the flow."""
+        copy = self.syn(waited=0.6)
+        actions = self.rig.caller(copy, now=CONVERGED + 0.6)
+        self.assertEqual(self.rig.names(actions), [self.first_owner])
+
+    def test_retransmitted_syn_of_a_flow_from_elsewhere(self) -> None:
+        """So does one whose first SYN has passed another balancer."""
+        rig = SteeringRig(targets=3)
+        rig.agent(owned("maps-2"))
+        actions = rig.caller(self.syn(waited=0.2), now=CONVERGED + 0.2)
+        self.assertEqual(rig.names(actions), ["maps-2"])
+        for late in (self.syn(), self.syn(waited=0.2)):
+            rig = SteeringRig(targets=3)
+            rig.agent(owned("maps-2"))
+            rig.report("maps-2", now=LATER, in_flight=3)
+            actions = rig.caller(late, now=LATER)
+            self.assertNotIn("maps-2", rig.names(actions))
+
+    def test_route_has_moved(self) -> None:
+        """A later flow goes to the route's present service."""
+        self.rig.learn(record("logs-4", host=4, service="logs"), now=LATER)
+        self.rig.configure(version=2, service="logs")
+        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=LATER)
+        self.assertEqual(self.rig.names(actions), ["logs-4"])
+        self.assertEqual([a.frame.service for a in actions], ["logs"])
+
+    def test_route_was_removed(self) -> None:
+        """A later flow is rejected at once."""
+        self.rig.membership.configure(Configuration(version=2))
+        self.rig.steering.configured()
+        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=LATER)
+        self.assertEqual(resets(actions), ["no route"])
+
+    def test_syn_after_the_owner_has_ended(self) -> None:
+        """A later flow is placed on another target at once."""
+        self.end(self.first_owner)
+        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=LATER)
+        self.assertEqual([type(a.frame) for a in actions], [ForwardPacket])
+        self.assertIn(self.rig.names(actions)[0], self.others)
+
+
+def _is_query(action) -> bool:
+    return isinstance(getattr(action, "frame", None), OwnershipQuery)
