Keep idle flows at agents for as long as callers may use them

The platform says in its settings how long a flow may be used (bounds.max_flow_s, 60 s on all sites so far); where that is longer, a live flow that idled would have been reset.

Fix: the adapter passes the figure on, 60 s without one, and the agent keeps idle flows that long.

Evidence: test_idle_flow_is_kept, a flow that idles for 299 of 300 s is still owned; there was no such setting before. No run on a site with a longer bound.

--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -25,6 +25,7 @@
 from monsoonpier.agent.packets.load import TargetLoad
 from monsoonpier.agent.packets.load_reports import LoadReports
 from monsoonpier.agent.packets.queue import QueuedSyn
+from monsoonpier.model.settings import MAX_FLOW_SECONDS
 from monsoonpier.model.target import Condition, LoadReport
 from monsoonpier.process.logs import DecisionLog
 from monsoonpier.wire.frames import (
@@ -46,7 +47,6 @@
 
 ENDED_FLOW_SECONDS = 5.0  # last packets of an ended flow still reach the target
 HALF_OPEN_SECONDS = 3.0  # callers give up a SYN sooner
-MAX_IDLE_SECONDS = 60.0
 MAX_SILENT_SECONDS = 1.0  # without a packet, until a request counts as failed
 MAX_RUN_SECONDS = 2.5  # until an unanswered request no longer takes a slot
 MAX_OPENING_BYTES = 19_201  # from the target, before the caller's first packet
@@ -65,6 +65,8 @@
         service: The only service whose packets are delivered.
         slots: How many requests the target works on at once.
         connections: How many flows the target can own at once.
+        max_idle_seconds: How long an open flow is kept without a packet. It must be as
+            long as callers may use a flow, since a forgotten flow is denied.
         log: The log of decisions.
     """
 
@@ -75,9 +77,11 @@
         service: str,
         slots: int,
         connections: int,
+        max_idle_seconds: float = MAX_FLOW_SECONDS,
         log: DecisionLog,
     ) -> None:
         self._name = name
+        self._max_idle_seconds = max_idle_seconds
         self._log = log
         self._service = service
         self._flows_by_address: dict[bytes, PacketFlow] = {}
@@ -590,13 +594,21 @@
         for address, flow in list(self._flows_by_address.items()):
             if flow.phase is Phase.RUNNING:
                 self._check_run_timeout(flow, now=now)
-            if now - flow.seen_at > _timeout_seconds(flow):
+            if now - flow.seen_at > self._timeout_seconds(flow):
                 self._remove(address, now=now)
         self._reports.remove_idle(now=now)
         self._addresses.expire(now=now)
         self._log_slot_use(now=now)
         return self.expire(now=now)
 
+    def _timeout_seconds(self, flow: PacketFlow) -> float:
+        """Return how long a flow is kept without packets."""
+        if flow.is_ended:
+            return ENDED_FLOW_SECONDS
+        if not flow.is_open:
+            return HALF_OPEN_SECONDS
+        return self._max_idle_seconds
+
     def _log_slot_use(self, *, now: float) -> None:
         """Log the use of slots if a summary is due."""
         self.target_load.use.advance(now=now)
@@ -686,12 +698,3 @@
     if flow.target_sequence is None or packet.size:
         return False
     return sequence_distance(flow.target_sequence, packet.sequence) <= 1
-
-
-def _timeout_seconds(flow: PacketFlow) -> float:
-    """Return how long a flow is kept without packets."""
-    if flow.is_ended:
-        return ENDED_FLOW_SECONDS
-    if not flow.is_open:
-        return HALF_OPEN_SECONDS
-    return MAX_IDLE_SECONDS
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -105,6 +105,7 @@
             service=settings.target.service,
             slots=settings.target.slots,
             connections=settings.target.connections,
+            max_idle_seconds=settings.max_flow_seconds,
             log=DecisionLog("monsoonpier.agent.packets.owner"),
         )
         self._link = BalancerLink(
--- a/monsoonpier/model/settings.py
+++ b/monsoonpier/model/settings.py
@@ -5,9 +5,15 @@
 from monsoonpier.model.address import Address
 from monsoonpier.model.keys import KeyRing
 
-__all__ = ["CONFIGURATION_SECONDS", "Settings", "TargetSettings"]
+__all__ = [
+    "CONFIGURATION_SECONDS",
+    "MAX_FLOW_SECONDS",
+    "Settings",
+    "TargetSettings",
+]
 
 CONFIGURATION_SECONDS = 3.0  # default of the setting of this name
+MAX_FLOW_SECONDS = 60.0  # default of the setting of this name
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -40,6 +46,8 @@
     link_megabits: float | None = None  # Mbit/s of the VM's link; None is no limit
     # In which a stored configuration or evacuation order must be in force.
     configuration_seconds: float = CONFIGURATION_SECONDS
+    # After which a flow without a token may be discarded, also while it is idle.
+    max_flow_seconds: float = MAX_FLOW_SECONDS
 
     @property
     def link_bits_per_second(self) -> float | None:
--- a/monsoonpier/platform/settings.py
+++ b/monsoonpier/platform/settings.py
@@ -13,6 +13,7 @@
 from monsoonpier.model.keys import Key, KeyRing
 from monsoonpier.model.settings import (
     CONFIGURATION_SECONDS,
+    MAX_FLOW_SECONDS,
     Settings,
     TargetSettings,
 )
@@ -45,8 +46,9 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Figures of the platform's rules; only that of the configuration is used."""
+    """Figures of the platform's rules; the others aren't used."""
 
+    max_flow_s: Annotated[float, msgspec.Meta(gt=0)] = MAX_FLOW_SECONDS
     config_apply_ms: Annotated[float, msgspec.Meta(gt=0)] = CONFIGURATION_SECONDS * 1000
 
 
@@ -159,6 +161,7 @@
         reserve_slots=reserve_slots,
         link_megabits=file.limits.link_mbps,
         configuration_seconds=file.bounds.config_apply_ms / 1000,
+        max_flow_seconds=file.bounds.max_flow_s,
     )
     return PlatformSettings(
         common=common,
--- a/tests/packets/test_owner.py
+++ b/tests/packets/test_owner.py
@@ -137,6 +137,28 @@
         sent = packet(size=10)
         self.assertEqual(delivered(self.forward(sent, sender=OTHER_BALANCER)), 1)
 
+    def test_idle_flow_is_kept(self) -> None:
+        """A flow that idles for as long as callers may use it is still owned."""
+        for max_idle_seconds, owned in ((60.0, False), (300.0, True)):
+            with self.subTest(max_idle_seconds=max_idle_seconds):
+                self.owner = PacketFlowOwner(
+                    name="maps-1",
+                    service="maps",
+                    slots=2,
+                    connections=100,
+                    max_idle_seconds=max_idle_seconds,
+                    log=LOG,
+                )
+                self.owner.instance_started(b"i-1", is_first=True, now=0.0)
+                self.owner.condition = Condition.SERVING
+                self.open()
+                self.owner.tick(now=299.0)
+                query = OwnershipQuery(
+                    question=1, service="maps", flows=(packet().flow,)
+                )
+                reply = self.owner.query_reply(query, now=299.0)
+                self.assertEqual(bool(reply.held), owned)
+
     def test_reply_for_open_flow(self) -> None:
         """A balancer that requests a reply gets one that the flow is owned."""
         self.open()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -211,6 +211,12 @@
         self.assertRegex(lines[1], r"\.toml:4:18: 'internal_ports': ")
         self.assertRegex(lines[2], r"\.toml:15:11: '10.200.1.7' is not an ip:port")
 
+    def test_age_of_flows(self) -> None:
+        """How long flows may last is the platform's figure, or a minute."""
+        for text, expected in (("", 60.0), ("[bounds]\nmax_flow_s = 300\n", 300.0)):
+            loaded = self.load(self.TEXT + text)
+            self.assertEqual(loaded.common.max_flow_seconds, expected)
+
     def test_invalid_settings(self) -> None:
         """Invalid settings raise one ``ValueError`` that names the file."""
         cases = {
