--- a/monsoonpier/agent/packets/denials.py
+++ b/monsoonpier/agent/packets/denials.py
@@ -24,9 +24,11 @@
         self._reading_batches: set[tuple[str, int]] = set()
         self._flows_by_balancer: dict[tuple[str, int], dict[bytes, None]] = {}
 
-    def record_capability(self, balancer: tuple[str, int]) -> None:
-        """Record that a balancer reads batches."""
-        if len(self._reading_batches) < MAX_BALANCERS:
+    def record_capability(self, balancer: tuple[str, int], *, reads: bool) -> None:
+        """Record whether a balancer reads batches; one of an older build doesn't."""
+        if not reads:
+            self._reading_batches.discard(balancer)
+        elif len(self._reading_batches) < MAX_BALANCERS:
             self._reading_batches.add(balancer)
 
     def add(self, flow: bytes, *, balancer: tuple[str, int]) -> bool:
--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -304,8 +304,8 @@
         now: float,
     ) -> list:
         """Decide on a caller's packet that a balancer has forwarded."""
-        if frame.takes_batches:
-            self._denials.record_capability(sender)
+        if frame.wants_reply:
+            self._denials.record_capability(sender, reads=frame.takes_batches)
         actions = self._handle_from_balancer(frame, packet, sender=sender, now=now)
         return self._update_accounting(
             actions + self._admission.admit_queued(now=now), now=now
