--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -35,6 +35,7 @@
         probe: The packet that is sent to targets to find out which one owns the flow.
         probed_at_by_name: When the probe was sent to each target, by name.
         to_probe: Names of targets that the probe is yet to be sent to.
+        relays: How many times the probe was relayed.
         denied: Agents that have denied owning the flow.
         inconclusive: Agents that can't tell whether their target owns the flow, since
             it has just started or is absent.
@@ -49,6 +50,7 @@
     probe: Packet | None = None
     probed_at_by_name: dict[str, float] = field(default_factory=dict)
     to_probe: set[str] = field(default_factory=set)
+    relays: int = 0
     denied: set[str] = field(default_factory=set)
     inconclusive: set[str] = field(default_factory=set)
 
--- a/monsoonpier/balancer/packets/owner_probes.py
+++ b/monsoonpier/balancer/packets/owner_probes.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Collection, Iterator
+from dataclasses import dataclass
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.context import SteeringContext
@@ -25,6 +26,21 @@
 MAX_PENDING_FLOWS = 8_192  # further flows are probed when their callers send again
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _RelayGroup:
+    """The agents that get the same probes.
+
+    Attributes:
+        service: Their service.
+        names: Their names.
+        own_frame_for: The flow whose probe shares no frame; empty if it may.
+    """
+
+    service: str
+    names: frozenset[str]
+    own_frame_for: bytes
+
+
 class OwnerProbes:
     """Sends probes to targets, directly or relayed by another agent. Does no I/O."""
 
@@ -86,24 +102,23 @@
     def flush(self) -> list[ToAgent]:
         """Return the collected probes; each frame names the agents to relay it to.
 
-        Probes that go to the same agents share a frame.
+        Probes that go to the same agents share a frame. A repeated one has its own,
+        since an agent of an older build relays only the first packet of a frame.
         """
         due, self._pending_flows = self._pending_flows, {}
-        packets_by_group: dict[tuple[str, frozenset[str]], list[Packet]] = {}
+        packets_by_group: dict[_RelayGroup, list[Packet]] = {}
         for flow in due:
             for group, packet in self._pop_pending(flow):
                 packets_by_group.setdefault(group, []).append(packet)
         return [
             action
-            for (service, names), packets in packets_by_group.items()
-            for batch in _batches(packets, agents=len(names))
-            for action in self._probe_batch(batch, names, service=service)
+            for group, packets in packets_by_group.items()
+            for batch in _batches(packets, agents=len(group.names))
+            for action in self._probe_batch(batch, group.names, service=group.service)
         ]
 
-    def _pop_pending(
-        self, flow: bytes
-    ) -> list[tuple[tuple[str, frozenset[str]], Packet]]:
-        """Return one flow's collected probe, by service and its agents to probe."""
+    def _pop_pending(self, flow: bytes) -> list[tuple[_RelayGroup, Packet]]:
+        """Return one flow's collected probe, by the agents to probe."""
         entry = self._context.flows.get(flow)
         if entry is None or entry.lookup is None:
             return []
@@ -111,11 +126,20 @@
         names, lookup.to_probe = lookup.to_probe - lookup.denied, set()
         if not names:
             return []
+        own_frame_for = flow if lookup.relays else b""
+        lookup.relays += 1
         packet = _choose_probe(lookup)
         # An agent accepts only frames that name its own service.
         names_by_service = self._context.group_by_service(names)
         return [
-            ((service, frozenset(group)), packet)
+            (
+                _RelayGroup(
+                    service=service,
+                    names=frozenset(group),
+                    own_frame_for=own_frame_for,
+                ),
+                packet,
+            )
             for service, group in sorted(names_by_service.items())
         ]
 
--- a/tests/packets/test_probe_batches.py
+++ b/tests/packets/test_probe_batches.py
@@ -33,25 +33,28 @@
 class RelayTests(unittest.TestCase):
     """A balancer whose agents can't know the flows of their targets."""
 
-    def probes(self, *, flows: int, targets: int, packet_bytes: int) -> list:
-        """Look up so many flows at once; return the relay frames."""
+    def probes(
+        self, *, flows: int, targets: int, packet_bytes: int, rounds: int = 1
+    ) -> list:
+        """Look up so many flows at once; return the relay frames of the last round."""
         rig = SteeringRig(targets=targets)
         for number in range(flows):
             sent = packet(number)
             raw = sent.flow + bytes(packet_bytes - len(sent.flow))
             rig.caller(replace(sent, raw=raw), now=CONVERGED)
         rig.steering.retry(now=CONVERGED + 0.1, draw=rig.draw)
-        for question in tuple(rig.steering._resolver._queries._flows_by_query):
-            for number in range(1, targets + 1):
-                reply = OwnershipReply(
-                    question=question,
-                    agent=f"maps-{number}",
-                    held=(),
-                    is_conclusive=False,
-                    run_ms=300,
-                )
-                rig.agent(reply, now=CONVERGED + 0.11)
-        sent = rig.steering.retry(now=CONVERGED + 0.12, draw=rig.draw)
+        for now in (CONVERGED + 0.11 + n for n in range(rounds)):
+            for question in tuple(rig.steering._resolver._queries._flows_by_query):
+                for number in range(1, targets + 1):
+                    reply = OwnershipReply(
+                        question=question,
+                        agent=f"maps-{number}",
+                        held=(),
+                        is_conclusive=False,
+                        run_ms=300,
+                    )
+                    rig.agent(reply, now=now)
+            sent = rig.steering.retry(now=now + 0.01, draw=rig.draw)
         return [a.frame for a in sent if isinstance(a.frame, RelayPacket)]
 
     def test_flows_share_a_frame(self) -> None:
@@ -66,6 +69,11 @@
                 sizes = [len(CODEC.encode(frame)) for frame in relays]
                 self.assertLessEqual(max(sizes), 1_450)
 
+    def test_repeated_probes(self) -> None:
+        """A repeated probe shares no frame: an older agent relays the first packet."""
+        relays = self.probes(flows=5, targets=12, packet_bytes=160, rounds=2)
+        self.assertEqual([len(frame.payloads) for frame in relays], [1] * 5)
+
     def test_large_packets(self) -> None:
         """A packet that leaves no room for another has a frame of its own."""
         relays = self.probes(flows=4, targets=36, packet_bytes=1_231)
