Rebuild the index of addresses only when a record has brought some

Evidence: test_relay_of_an_older_build counts the changes; its new assertion fails without the check by reading, the rest is as before.

--- a/monsoonpier/balancer/packets/owner_probes.py
+++ b/monsoonpier/balancer/packets/owner_probes.py
@@ -57,7 +57,7 @@
         """Send a flow's probe to an agent, at once or with the next `flush`."""
         lookup = entry.lookup
         assert lookup is not None
-        if not self._is_due(lookup, agent, now=now):
+        if not _is_due(lookup, agent, now=now):
             return []
         lookup.probed_at_by_name[agent] = now
         packet = _choose_probe(lookup)
@@ -85,20 +85,12 @@
         packet = _choose_probe(lookup)
         if len(self._pending_flows) >= MAX_PENDING_FLOWS:
             return []
-        due = {agent for agent in agents if self._is_due(lookup, agent, now=now)}
+        due = {agent for agent in agents if _is_due(lookup, agent, now=now)}
         lookup.probed_at_by_name |= dict.fromkeys(due, now)
         lookup.to_probe |= due
         self._pending_flows[packet.flow] = None
         return []
 
-    def _is_due(self, lookup: OwnerLookup, agent: str, *, now: float) -> bool:
-        """Return whether an agent may be probed again.
-
-        The reply to an earlier probe may be in transit, or wait in a full link.
-        """
-        probed_at = lookup.probed_at_by_name.get(agent)
-        return probed_at is None or now - probed_at >= PROBE_RETRY_SECONDS
-
     def flush(self) -> list[ToAgent]:
         """Return the collected probes; each frame names the agents to relay it to.
 
@@ -179,6 +171,15 @@
         return self._context.to_agents(frame, names=(first,))
 
 
+def _is_due(lookup: OwnerLookup, agent: str, *, now: float) -> bool:
+    """Return whether an agent may be probed again.
+
+    The reply to an earlier probe may be in transit, or wait in a full link.
+    """
+    probed_at = lookup.probed_at_by_name.get(agent)
+    return probed_at is None or now - probed_at >= PROBE_RETRY_SECONDS
+
+
 def _batches(packets: list[Packet], *, agents: int) -> Iterator[list[Packet]]:
     """Yield lists of packets that fit into one relay frame to so many agents."""
     room = MAX_SHARED_BYTES - ENDPOINT_BYTES * min(agents, MAX_RELAY_AGENTS)
--- a/monsoonpier/balancer/table.py
+++ b/monsoonpier/balancer/table.py
@@ -202,7 +202,9 @@
     def _add_missing_addresses(self, entry: _Entry, record: TargetRecord) -> None:
         """Add the addresses that a relay of an older build has left out."""
         known = entry.record
-        if known.addresses is None and record.rank == known.rank:
+        if record.addresses is None or known.addresses is not None:
+            return
+        if record.rank == known.rank:
             entry.record = msgspec.structs.replace(known, addresses=record.addresses)
             self._reset_services_by_address()
 
--- a/tests/packets/test_moved_routes.py
+++ b/tests/packets/test_moved_routes.py
@@ -118,6 +118,9 @@
         table = TargetTable()
         table.learn(record("logs-3", **EARLIER | {"addresses": None}), now=0.0)
         self.assertEqual(table.services_at(SERVICE), set())
+        changes = table.address_changes
+        table.learn(record("logs-3", **EARLIER | {"addresses": None}), now=0.0)
+        self.assertEqual(table.address_changes, changes)
         table.learn(record("logs-3", **EARLIER), now=0.0)
         self.assertEqual(table.services_at(SERVICE), {"logs"})
 
