Remove the set of starting agents that no decision needs any more

Since then OwnerResolver used it in a fast path only, where it let some cases through that the test behind it turns away all the same: while an agent that is starting hasn't replied, the pending agents are no subset of the absent ones. So the fast path is right without it, and agents_of, which runs for each reply, doesn't look at the record of every agent of the service once more. - Simulation.bytes_per_second was used by nobody.

--- a/monsoonpier/balancer/packets/context.py
+++ b/monsoonpier/balancer/packets/context.py
@@ -51,15 +51,12 @@
         names: Agents that have not ended, except those without a target that could
             own a flow from before.
         absent: Those among ``names`` that currently report no target.
-        starting: Those among ``names`` that have not reported their target's state
-            since they started.
         without_target: Agents of the services that are not among ``names``.
     """
 
     names: frozenset[str]
     absent: frozenset[str]
-    starting: frozenset[str]
-    without_target: frozenset[str] = frozenset()
+    without_target: frozenset[str]
 
 
 class SteeringContext:
@@ -246,7 +243,6 @@
             absent=frozenset(
                 name for name in names - vacant if self._reports_no_target(name)
             ),
-            starting=frozenset(self._starting(names - vacant)),
             without_target=frozenset(vacant),
         )
 
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -261,7 +261,7 @@
         lookup = entry.lookup
         assert lookup is not None
         replied = len(lookup.denied) + len(lookup.inconclusive)
-        if replied + len(agents.absent) + len(agents.starting) < len(agents.names):
+        if replied + len(agents.absent) < len(agents.names):
             return []  # A fast path: too few replies to decide yet.
         remaining = agents.names - lookup.denied
         if not remaining:
--- a/standins/packets/simulation.py
+++ b/standins/packets/simulation.py
@@ -599,10 +599,6 @@
 
     # Links
 
-    def bytes_per_second(self, number: int, direction: str, second: int) -> int:
-        """Return the bytes on a balancer's link, ``in`` or ``out``, in one second."""
-        return self._bytes_by_second[number, direction, second]
-
     @property
     def most_bytes_per_second(self) -> int:
         """The bytes on the most used link, direction and second after the outage."""
