Log the numbers and the age of the answers behind each reset

- A balancer's reset names the sequence and acknowledgement numbers of the packet that it answers, the age of the oldest denial, and up to 32 agents that denied the flow (4 before).
- An agent's reset names the number that it is sent with.
- An agent logs a reset that it forwards for its target; nothing did.

--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -551,6 +551,14 @@
                 now=now,
                 omit_payload=flow.balancer_keeps_packet,
             )
+        self._log.note(
+            "target reset a flow",
+            now=now,
+            flow=packet.flow,
+            sequence=packet.sequence,
+            acknowledged=packet.acknowledged,
+            is_ended=flow.is_ended,
+        )
         return [_to_caller(packet)]
 
     def _record_earlier_flow(self, packet: Packet, *, now: float) -> PacketFlow:
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -430,7 +430,10 @@
                     reset = self._packet_codec.reset(flow, acknowledged=acknowledged)
                     self._send_to_caller(reset, ip=ip, flow=flow)
                     _log.info(
-                        "caller reset", flow=format_flow(flow), reason="target ended"
+                        "caller reset",
+                        flow=format_flow(flow),
+                        reason="target ended",
+                        acknowledged=acknowledged,
                     )
         self._report_soon()
 
--- a/monsoonpier/balancer/packets/context.py
+++ b/monsoonpier/balancer/packets/context.py
@@ -428,6 +428,8 @@
             now=now,
             flow=packet.flow,
             reason=reason,
+            sequence=packet.sequence,
+            acknowledged=packet.acknowledged,
             version=self.membership.configuration.version,
             targets=len(self.membership.table),
             **evidence,
--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -4,6 +4,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 from monsoonpier.balancer.packets.returning import EarlierAttempt
@@ -36,7 +37,7 @@
         probed_at_by_name: When the probe was sent to each target, by name.
         to_probe: Names of targets that the probe is yet to be sent to.
         relays: How many times the probe was relayed.
-        denied: Agents that have denied owning the flow.
+        denied_at_by_name: When agents have denied owning the flow, by target's name.
         inconclusive: Agents that can't tell whether their target owns the flow, since
             it has just started or is absent.
     """
@@ -51,9 +52,14 @@
     probed_at_by_name: dict[str, float] = field(default_factory=dict)
     to_probe: set[str] = field(default_factory=set)
     relays: int = 0
-    denied: set[str] = field(default_factory=set)
+    denied_at_by_name: dict[str, float] = field(default_factory=dict)
     inconclusive: set[str] = field(default_factory=set)
 
+    @property
+    def denied(self) -> Set[str]:
+        """Names of targets whose agents have denied owning the flow."""
+        return self.denied_at_by_name.keys()
+
     def buffer(self, packet: Packet) -> None:
         """Buffer a packet; when the buffer is full it replaces the last one."""
         if len(self.packets) < MAX_BUFFERED_PACKETS:
--- a/monsoonpier/balancer/packets/owner_queries.py
+++ b/monsoonpier/balancer/packets/owner_queries.py
@@ -86,7 +86,7 @@
         """Return the agents that have not denied all of these flows."""
         entries = [self._context.flows.get(flow) for flow in flows]
         denied = [
-            entry.lookup.denied
+            set(entry.lookup.denied)
             for entry in entries
             if entry is not None and entry.lookup is not None
         ]
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -34,7 +34,7 @@
 MAX_RETRIED_FLOWS = 16_384  # the open flows of a balancer at the target size
 RECHECK_SECONDS = 0.1  # between checks of early denials
 MAX_EARLY_DENIALS = 8_192  # flows denied before all agents are known; half of these
-MAX_LOGGED_NAMES = 4  # of agents in one field of a log line
+MAX_LOGGED_NAMES = 32  # of agents in one field of a log line of 4,096 bytes
 ANY_SERVICE = "*"  # used while no configuration names the service
 
 
@@ -294,7 +294,7 @@
         self._context.log.note("flow denied", now=now, flow=flow, target=agent)
         lookup = entry.lookup
         assert lookup is not None
-        lookup.denied.add(agent)
+        lookup.denied_at_by_name[agent] = now
         return self._evaluate(entry, agents, now=now)
 
     def on_denials(
@@ -330,7 +330,10 @@
             return []
         self._directory.forget(frame.flow)
         lookup = OwnerLookup(
-            started_at=now, queried_at=now, packets=[packet], denied={frame.agent}
+            started_at=now,
+            queried_at=now,
+            packets=[packet],
+            denied_at_by_name={frame.agent: now},
         )
         entry.lookup = lookup
         agents = self._agents_of(entry, now=now)
@@ -373,6 +376,7 @@
         evidence = {
             "denials": len(lookup.denied),
             "denied_by": _first_names(lookup.denied),
+            "oldest_denial_seconds": _age_of_oldest(lookup, now=now),
             "without_target": _first_names(agents.without_target),
             "lookup_seconds": round(now - lookup.started_at, 3),
             "uptime_seconds": round(now - self._context.started_at, 3),
@@ -465,6 +469,11 @@
         return actions
 
 
+def _age_of_oldest(lookup: OwnerLookup, *, now: float) -> float:
+    """Return the age in seconds of a lookup's first denial; 0 without one."""
+    return round(now - min(lookup.denied_at_by_name.values(), default=now), 3)
+
+
 def _first_names(names: Collection[str]) -> list[str]:
     """Return the first few of these names, for a log line."""
     return heapq.nsmallest(MAX_LOGGED_NAMES, names)
