Reset a flow only on the word of the agents that may own it now

Cause: when the owner in a flow's entry had ended, PacketSteering reset the flow without asking anybody. What told a later flow from the earlier one was a sequence number, which callers choose, and the 30 s for which the record of an ended target is kept. Neither is a statement about the flow.

Fix: the end of a known owner begins a lookup. The agents are queried at once, without the directory, since a flow whose owner has ended is mostly dead. The caller is reset, still as `target gone`, when the last of them has denied the flow. Numbers now only part the lookup of a later flow from that of an earlier one, by the acknowledgement number too: it names the target that has opened the flow. An entry keeps no number of its last packet any more.

A flow whose route is gone as well is reset at once, as before.

--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from monsoonpier.balancer.packets.returning import EarlierAttempt
-from monsoonpier.wire.packet import SEQUENCE_SPACE, Packet, sequence_distance
+from monsoonpier.wire.packet import Packet, are_near, sequence_distance
 
 __all__ = ["FlowStatistics", "FlowTable", "OwnerLookup", "FlowEntry"]
 
@@ -16,9 +16,6 @@
 LONG_FLOW_SECONDS = 2.0  # a flow still in use then counts as one with several requests
 SMOOTHING = 0.1  # weight of the latest flow in its address's statistics
 MAX_FLOW_BYTES = 1 << 30  # a larger acknowledged distance means a reordered packet
-# Between two packets of a flow seen here: more than callers have in flight. A flow that
-# uses the ports of an earlier one starts at a random number.
-MAX_SEQUENCE_GAP_BYTES = 65_536
 MAX_BUFFERED_PACKETS = 16  # per flow; about one window
 
 
@@ -40,6 +37,8 @@
         denied_at_by_name: When agents have denied owning the flow, by target's name.
         inconclusive: Agents that can't tell whether their target owns the flow, since
             it has just started or is absent.
+        ended_owners: Names of the targets that owned a flow with these ports and have
+            ended.
     """
 
     started_at: float
@@ -54,12 +53,25 @@
     relays: int = 0
     denied_at_by_name: dict[str, float] = field(default_factory=dict)
     inconclusive: set[str] = field(default_factory=set)
+    ended_owners: tuple[str, ...] = ()
 
     @property
     def denied(self) -> Set[str]:
         """Names of targets whose agents have denied owning the flow."""
         return self.denied_at_by_name.keys()
 
+    def is_about(self, packet: Packet) -> bool:
+        """Return whether a packet is of the flow that is looked up.
+
+        A later flow may use the same addresses and ports. The packet's acknowledgement
+        number tells which target has opened its flow.
+        """
+        last = self.packets[-1]
+        return are_near(last.sequence, packet.sequence) and (
+            are_near(last.acknowledged, packet.acknowledged)
+            or not (last.is_ack and packet.is_ack)
+        )
+
     def buffer(self, packet: Packet) -> None:
         """Buffer a packet; when the buffer is full it replaces the last one."""
         if len(self.packets) < MAX_BUFFERED_PACKETS:
@@ -89,7 +101,6 @@
         is_queued: Whether the SYN waits for a slot at the last of ``owners``.
         syn: The SYN, until the flow is open.
         syn_sequence: The sequence number of the SYN; ``None`` if it didn't pass here.
-        caller_sequence: The sequence number behind the caller's last packet here.
         syn_sent_at: When the SYN was last sent to a target.
         tried: Names of targets that the SYN was sent to.
         lookup: The lookup of the owner, while it is in progress.
@@ -112,7 +123,6 @@
     is_queued: bool = False
     syn: Packet | None = None
     syn_sequence: int | None = None
-    caller_sequence: int | None = None
     syn_sent_at: float = 0.0
     tried: tuple[str, ...] = ()
     lookup: OwnerLookup | None = None
@@ -121,35 +131,12 @@
     sent_bytes: int = 0
     first_acknowledged: int | None = None
 
-    def follow(self, packet: Packet) -> bool:
-        """Record a packet's place; return whether it continues the entry's flow.
-
-        If not, packets of the flow passed elsewhere in between, or a later flow uses
-        the same addresses and ports, whose owner isn't confirmed then.
-        """
-        end = packet.sequence + packet.size
-        known = self.caller_sequence
-        if known is None or not _is_near(known, packet.sequence):
-            self.caller_sequence = end
-            self.is_confirmed = False
-            return False
-        if sequence_distance(known, end) <= MAX_SEQUENCE_GAP_BYTES:
-            self.caller_sequence = end
-        return True
-
     def link_earlier_attempt(self, earlier: EarlierAttempt) -> None:
         """Count the flow as a further attempt of a request that was rejected before."""
         self.first_attempt_at = min(self.first_attempt_at, earlier.first_attempt_at)
         self.attempts = earlier.attempts + 1
 
 
-def _is_near(known: int, sequence: int) -> bool:
-    """Return whether two sequence numbers are likely to be of one flow."""
-    ahead = sequence_distance(known, sequence)
-    behind = SEQUENCE_SPACE - ahead
-    return ahead <= MAX_SEQUENCE_GAP_BYTES or behind <= MAX_SEQUENCE_GAP_BYTES
-
-
 class FlowTable:
     """Recently seen flows by their addresses and ports, with LRU eviction."""
 
--- a/monsoonpier/balancer/packets/new_flows.py
+++ b/monsoonpier/balancer/packets/new_flows.py
@@ -122,7 +122,6 @@
             latest_syn_offset=packet.waited,
             syn=packet,
             syn_sequence=packet.sequence,
-            caller_sequence=packet.sequence,
         )
         earlier = self._context.returning_callers.find_earlier(packet, now=now)
         if earlier is not None:
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -19,7 +19,7 @@
 )
 from monsoonpier.wire.packet import Packet
 
-__all__ = ["OwnerResolver"]
+__all__ = ["TARGET_GONE", "OwnerResolver"]
 
 # Ten round trips to a balancer of the same data centre; then the agents are queried.
 DIRECTORY_TIMEOUT_SECONDS = 0.03
@@ -36,6 +36,9 @@
 MAX_EARLY_DENIALS = 8_192  # flows denied before all agents are known; half of these
 MAX_LOGGED_NAMES = 32  # of agents in one field of a log line of 4,096 bytes
 ANY_SERVICE = "*"  # used while no configuration names the service
+# Reasons of resets.
+TARGET_GONE = "target gone"
+NOT_OWNED = "nobody holds the flow"
 
 
 class OwnerResolver:
@@ -68,28 +71,38 @@
 
     # Starting lookups
 
-    def resolve(self, packet: Packet, *, now: float) -> list:
-        """Look up the owner of a packet's flow; the packet is buffered meanwhile."""
+    def resolve(
+        self, packet: Packet, *, ended_owners: tuple[str, ...] = (), now: float
+    ) -> list:
+        """Look up the owner of a packet's flow; the packet is buffered meanwhile.
+
+        Args:
+            packet: The packet.
+            ended_owners: Names of the targets that owned a flow with these ports and
+                have ended. The flow is likely to have ended with them, so the agents
+                are queried at once.
+            now: The current time.
+        """
         route = self._context.route(packet)
         if route is None:
             return self._probe_all(packet)
         entry = FlowEntry(service=route.service, created_at=now)
-        entry.follow(packet)
         self._context.flows.put(packet.flow, entry)
         owner = self._directory.get(packet.flow)
         if owner is not None and self._context.is_possible_owner(owner):
             entry.owners = (owner,)
             return self._context.forward(packet, entry, names=entry.owners)
-        queries = self._directory.query(packet.flow)
+        queries = [] if ended_owners else self._directory.query(packet.flow)
         lookup = OwnerLookup(
             started_at=now,
             queried_at=now,
             packets=[packet],
             pending_replies=len(queries),
+            ended_owners=ended_owners,
         )
         entry.lookup = lookup
         if not queries:
-            return self._query_agents(entry, lookup, now=now)
+            return self._query_remaining(entry, lookup, now=now)
         self._directory_deadlines.append((now + DIRECTORY_TIMEOUT_SECONDS, packet.flow))
         return queries
 
@@ -110,6 +123,16 @@
             probes = self._probe_inconclusive(entry, agents, now=now)
         return probes + self._query_agents(entry, lookup, now=now)
 
+    def _query_remaining(
+        self, entry: FlowEntry, lookup: OwnerLookup, *, now: float
+    ) -> list:
+        """Query the agents that haven't denied a flow; decide if there are none."""
+        agents = self._agents_of(entry, now=now)
+        if agents.names - lookup.denied:
+            return self._query_agents(entry, lookup, now=now)
+        lookup.has_queried_agents = True
+        return self._on_all_denied(entry, agents, now=now)
+
     def _query_agents(
         self, entry: FlowEntry, lookup: OwnerLookup, *, now: float
     ) -> list:
@@ -336,11 +359,7 @@
             denied_at_by_name={frame.agent: now},
         )
         entry.lookup = lookup
-        agents = self._agents_of(entry, now=now)
-        if not agents.names - lookup.denied:
-            lookup.has_queried_agents = True
-            return self._on_all_denied(entry, agents, now=now)
-        return self._query_agents(entry, lookup, now=now)
+        return self._query_remaining(entry, lookup, now=now)
 
     def _on_all_denied(
         self, entry: FlowEntry, agents: ServiceAgents, *, now: float
@@ -369,7 +388,7 @@
         """Reset a flow that no target owns."""
         packet = lookup.packets[-1]
         self._context.flows.drop(packet.flow)
-        reason = "nobody holds the flow"
+        reason = TARGET_GONE if lookup.ended_owners else NOT_OWNED
         self._context.returning_callers.record_reset(
             packet, first_attempt_at=lookup.started_at, now=now
         )
@@ -380,6 +399,7 @@
             "without_target": _first_names(agents.without_target),
             "lookup_seconds": round(now - lookup.started_at, 3),
             "uptime_seconds": round(now - self._context.started_at, 3),
+            "owners": lookup.ended_owners,
         }
         return [self._context.reset_caller(packet, reason, now=now, **evidence)]
 
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -16,7 +16,7 @@
 from monsoonpier.balancer.packets.context import SteeringContext
 from monsoonpier.balancer.packets.flows import FlowEntry
 from monsoonpier.balancer.packets.new_flows import NewFlowHandler
-from monsoonpier.balancer.packets.owner_resolver import OwnerResolver
+from monsoonpier.balancer.packets.owner_resolver import TARGET_GONE, OwnerResolver
 from monsoonpier.balancer.packets.wait_statistics import ServiceWaits
 from monsoonpier.model.waiting_summary import WaitingSummary
 from monsoonpier.process.logs import DecisionLog
@@ -149,9 +149,8 @@
             return self._new_flows.open(packet, entry, now=now, draw=draw)
         if entry is None:
             return self._resolver.resolve(packet, now=now)
-        is_continued = entry.follow(packet)
-        if entry.lookup is not None and not is_continued:
-            # The replies so far may be about an earlier flow with these ports.
+        if entry.lookup is not None and not entry.lookup.is_about(packet):
+            # The replies so far are about an earlier flow with these ports.
             self._context.flows.drop(packet.flow)
             return self._resolver.resolve(packet, now=now)
         entry.has_fin |= packet.is_fin
@@ -254,17 +253,20 @@
         return self._resolver.finish_lookup(entry)
 
     def _on_owners_gone(self, packet: Packet, entry: FlowEntry, *, now: float) -> list:
-        """Reset a flow whose owner has ended, if an agent had confirmed that owner.
+        """Look up the owner of a flow whose known owner has ended or isn't known.
 
-        Otherwise another target may own the flow, and its owner is looked up again, as
-        when the owner is just not known any more.
+        The known owner may be that of an earlier flow with the same ports, so its end
+        alone is no reason for a reset.
         """
         self._context.flows.drop(packet.flow)
         table = self._context.membership.table
         records = [table.record(name) for name in entry.owners]
         if not entry.is_confirmed or None in records:
             return self._resolver.resolve(packet, now=now)
-        reason = "target gone"
-        return [
-            self._context.reset_caller(packet, reason, now=now, owners=entry.owners)
-        ]
+        if self._context.route(packet) is None:
+            return [
+                self._context.reset_caller(
+                    packet, TARGET_GONE, now=now, owners=entry.owners
+                )
+            ]
+        return self._resolver.resolve(packet, ended_owners=entry.owners, now=now)
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -7,9 +7,17 @@
 from monsoonpier.model.address import Address
 from monsoonpier.wire.codec import Dropped
 
-__all__ = ["SEQUENCE_SPACE", "Packet", "PacketCodec", "sequence_distance"]
+__all__ = [
+    "MAX_SEQUENCE_GAP_BYTES",
+    "SEQUENCE_SPACE",
+    "Packet",
+    "PacketCodec",
+    "are_near",
+    "sequence_distance",
+]
 
 SEQUENCE_SPACE = 1 << 32
+MAX_SEQUENCE_GAP_BYTES = 65_536  # of one flow; callers have less in flight
 
 
 class Packet(msgspec.Struct, frozen=True, kw_only=True, gc=False):
@@ -69,3 +77,9 @@
 def sequence_distance(start: int, end: int) -> int:
     """Return the distance from ``start`` to ``end``, modulo the sequence space."""
     return (end - start) % SEQUENCE_SPACE
+
+
+def are_near(first: int, second: int) -> bool:
+    """Return whether two numbers of one end can be of the same flow."""
+    ahead = sequence_distance(first, second)
+    return min(ahead, SEQUENCE_SPACE - ahead) <= MAX_SEQUENCE_GAP_BYTES
