Count no late reply about an earlier flow as a denial of a later one

What callers could see: a live flow is reset while its owner's reply is under way, if its ports were looked up before for an earlier flow, whose last denial comes late.

Cause: a reply was matched to a lookup by addresses and ports only. A query's number says which flows it was about, but not for which lookup it was sent, and a returned probe says neither.

Fix: a reply counts if its query was sent after the lookup began; a returned packet, if it is of the flow that is looked up; a denial without the packet, if this lookup has sent a probe to that agent. Left: a denial without its packet that is still under way when the later lookup probes the same agent.

Ruled out as too costly: denials that must be younger than the last packet. The packets of a window arrive within a millisecond, so that every upload of a dead flow would be queried twice.

Evidence: test_late_replies_about_the_earlier_flow fails before in 3 of 3 subtests; both guards' mutations are killed.

--- a/monsoonpier/balancer/packets/owner_queries.py
+++ b/monsoonpier/balancer/packets/owner_queries.py
@@ -7,12 +7,13 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.context import SteeringContext
 from monsoonpier.wire.frames import MAX_QUERIED_FLOWS, OwnershipQuery
 
-__all__ = ["OwnerQueries"]
+__all__ = ["OwnerQueries", "SentQuery"]
 
 BATCH_SECONDS = 0.02  # flows looked up within this time share a query
 # Batches are longer when many flows are looked up: a query's frame costs as much as
@@ -22,13 +23,21 @@
 MAX_REMEMBERED_QUERIES = 256  # of the last ten seconds, at one in 40 ms
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SentQuery:
+    """The flows of a query, and when it was sent."""
+
+    flows: tuple[bytes, ...]
+    sent_at: float
+
+
 class OwnerQueries:
     """Collects flows and queries the agents of their services. Does no I/O."""
 
     def __init__(self, *, context: SteeringContext) -> None:
         self._context = context
         self._pending_by_service: dict[str, list[bytes]] = {}
-        self._flows_by_query: OrderedDict[int, tuple[bytes, ...]] = OrderedDict()
+        self._sent_by_number: OrderedDict[int, SentQuery] = OrderedDict()
         # A reply may arrive after this balancer has restarted, so query numbers of
         # the previous process must not be reused.
         self._last_query = int(context.started_at * MICROSECONDS)
@@ -62,9 +71,9 @@
             )
         ]
 
-    def flows_of(self, query: int) -> tuple[bytes, ...]:
-        """Return the flows of a query; none if the query is no longer remembered."""
-        return self._flows_by_query.get(query, ())
+    def sent(self, number: int) -> SentQuery | None:
+        """Return the query with this number, if it is still remembered."""
+        return self._sent_by_number.get(number)
 
     def _build_queries(
         self, service: str, flows: tuple[bytes, ...], *, now: float
@@ -72,9 +81,9 @@
         """Return the frames of one query to the agents of a service."""
         names = self._agents_to_query(service, flows)
         self._last_query += 1
-        self._flows_by_query[self._last_query] = flows
-        if len(self._flows_by_query) > MAX_REMEMBERED_QUERIES:
-            self._flows_by_query.popitem(last=False)
+        self._sent_by_number[self._last_query] = SentQuery(flows=flows, sent_at=now)
+        if len(self._sent_by_number) > MAX_REMEMBERED_QUERIES:
+            self._sent_by_number.popitem(last=False)
         for flow in flows:
             self._context.log.note(
                 "owner queried", now=now, flow=flow, agents=len(names)
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -251,11 +251,16 @@
             is_seen_from_start=frame.is_conclusive and frame.run_ms is not None,
             now=now,
         )
+        query = self._queries.sent(frame.question)
+        if query is None:
+            return []
         agents_by_services: dict[frozenset[str], ServiceAgents] = {}
-        for flow in self._queries.flows_of(frame.question):
+        for flow in query.flows:
             entry = self._context.flows.get(flow)
             if entry is None or entry.lookup is None:
                 continue
+            if query.sent_at < entry.lookup.started_at:
+                continue  # The reply is about an earlier flow with these ports.
             agents = self._cached_agents_of(agents_by_services, entry, now=now)
             if flow in frame.held:
                 self._context.log.note(
@@ -333,6 +338,8 @@
             if entry.lookup is None:
                 actions += self._on_owner_denial(entry, frame, packet, now=now)
                 continue
+            if not _is_denied(entry.lookup, frame, packet):
+                continue  # The reply is about an earlier flow with these ports.
             agents = self._cached_agents_of(agents_by_services, entry, now=now)
             actions += self._record_denial(entry, flow, frame.agent, agents, now=now)
         return actions
@@ -489,6 +496,16 @@
         return actions
 
 
+def _is_denied(lookup: OwnerLookup, frame: FlowNotOwned, packet: Packet | None) -> bool:
+    """Return whether an agent's denial is about the flow that is looked up.
+
+    The denial returns the packet, or answers a probe of this lookup.
+    """
+    if packet is not None:
+        return lookup.is_about(packet)
+    return frame.agent in lookup.probed_at_by_name
+
+
 def _age_of_oldest(lookup: OwnerLookup, *, now: float) -> float:
     """Return the age in seconds of a lookup's first denial; 0 without one."""
     return round(now - min(lookup.denied_at_by_name.values(), default=now), 3)
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -179,6 +179,35 @@
         queries = [a for a in actions if _is_query(a)]
         self.assertEqual(rig.names(queries), ["maps-1", "maps-2"])
 
+    def test_late_replies_about_the_earlier_flow(self) -> None:
+        """A late denial of the earlier flow doesn't stand for one of the later flow.
+
+        Else the later flow is reset while its owner's reply is under way.
+        """
+        late_reply = OwnershipReply(
+            question=1, agent="maps-3", held=(), is_conclusive=True
+        )
+        late_denial = FlowNotOwned(agent="maps-3", flow=packet().flow)
+        sent = self.data()
+        late_packet = replace(late_denial, payload=sent.raw)
+        for late, returned in (
+            (late_reply, None),
+            (late_denial, None),
+            (late_packet, sent),
+        ):
+            with self.subTest(late=late):
+                rig = SteeringRig(targets=3)
+                rig.caller(self.data(), now=LATER)
+                rig.caller(self.data(SECOND_SEQUENCE), now=LATER + 1.0)
+                for name in ("maps-1", "maps-2"):
+                    reply = replace(late_reply, question=2, agent=name)
+                    rig.agent(reply, now=LATER + 1.01)
+                actions = rig.agent(late, returned, now=LATER + 1.02)
+                self.assertEqual(resets(actions), [])
+                held = replace(late_reply, question=2, held=(packet().flow,))
+                found = rig.agent(held, now=LATER + 1.03)
+                self.assertEqual(rig.names(found), ["maps-3"])
+
     # SYNs
 
     def test_retransmitted_syn(self) -> None:
