Take a SYN with an earlier flow's number for a later flow when it comes late

Fix: a SYN is a retransmission for 3 s after the flow's first one, and not after its caller's FIN; callers give up after 1.4 s. Ruled out: 1.4 s for all, since test_retransmission_goes_to_same_target has one held up for 2.2 s.

Four tests of test_reused_ports fail before; the mutations of the three conditions are killed. 132 tests of steering, reservations and first attempts pass.

--- a/monsoonpier/balancer/packets/new_flows.py
+++ b/monsoonpier/balancer/packets/new_flows.py
@@ -45,6 +45,7 @@
 # have ended.
 QUEUE_SILENCE_SECONDS = 0.7
 GIVE_UP_SECONDS = 1.4  # after the first SYN; then callers open another flow
+MAX_SYN_AGE_SECONDS = 3.0  # a retransmission may arrive after its caller has given up
 MAX_PLACEMENTS = 6  # of one SYN in a row, before it is queued for a slot
 
 
@@ -457,9 +458,13 @@
 def _is_retransmission(packet: Packet, entry: FlowEntry, *, now: float) -> bool:
     """Return whether a SYN is that of an entry's flow, and not of a later one.
 
-    If the flow's SYN hasn't passed here, only a retransmitted one that comes soon is.
+    Retransmissions come soon, and not after the caller has closed the flow. A later
+    flow may start with the same number. If the flow's first SYN hasn't passed here,
+    only a retransmitted one is of an open flow.
     """
+    age = now - entry.created_at
+    if entry.has_fin:
+        return False
     if entry.syn_sequence is not None:
-        return packet.sequence == entry.syn_sequence
-    is_recent = now - entry.created_at < GIVE_UP_SECONDS
-    return entry.is_confirmed and packet.waited > 0 and is_recent
+        return packet.sequence == entry.syn_sequence and age < MAX_SYN_AGE_SECONDS
+    return entry.is_confirmed and packet.waited > 0 and age < GIVE_UP_SECONDS
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -230,24 +230,47 @@
             self.assertNotIn("maps-2", rig.names(actions))
 
     def test_route_has_moved(self) -> None:
-        """A later flow goes to the route's present service."""
-        self.rig.learn(record("logs-4", host=4, service="logs"), now=LATER)
-        self.rig.configure(version=2, service="logs")
-        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=LATER)
-        self.assertEqual(self.rig.names(actions), ["logs-4"])
-        self.assertEqual([a.frame.service for a in actions], ["logs"])
+        """A later flow goes to the route's present service, whatever its number."""
+        for sequence in (FIRST_SEQUENCE, SECOND_SEQUENCE):
+            with self.subTest(sequence=sequence):
+                self.setUp()
+                self.rig.learn(record("logs-4", host=4, service="logs"), now=LATER)
+                self.rig.configure(version=2, service="logs")
+                actions = self.rig.caller(self.syn(sequence), now=LATER)
+                self.assertEqual(self.rig.names(actions), ["logs-4"])
+                self.assertEqual([a.frame.service for a in actions], ["logs"])
 
     def test_route_was_removed(self) -> None:
         """A later flow is rejected at once."""
         self.rig.membership.configure(Configuration(version=2))
         self.rig.steering.configured()
-        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=LATER)
-        self.assertEqual(resets(actions), ["no route"])
+        for sequence in (FIRST_SEQUENCE, SECOND_SEQUENCE):
+            actions = self.rig.caller(self.syn(sequence), now=LATER)
+            self.assertEqual(resets(actions), ["no route"])
 
     def test_syn_after_the_owner_has_ended(self) -> None:
         """A later flow is placed on another target at once."""
-        self.end(self.first_owner)
-        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=LATER)
+        for sequence in (FIRST_SEQUENCE, SECOND_SEQUENCE):
+            with self.subTest(sequence=sequence):
+                self.setUp()
+                self.end(self.first_owner)
+                actions = self.rig.caller(self.syn(sequence), now=LATER)
+                self.assertEqual([type(a.frame) for a in actions], [ForwardPacket])
+                self.assertIn(self.rig.names(actions)[0], self.others)
+
+    def test_syn_soon_after_the_flow_was_closed(self) -> None:
+        """It is no retransmission then, even with the same number."""
+        closed = replace(self.data(FIRST_SEQUENCE + 101), is_fin=True)
+        self.rig.caller(closed, now=CONVERGED + 0.1)
+        self.end(self.first_owner, now=CONVERGED + 0.2)
+        actions = self.rig.caller(self.syn(), now=CONVERGED + 0.3)
+        self.assertEqual([type(a.frame) for a in actions], [ForwardPacket])
+        self.assertIn(self.rig.names(actions)[0], self.others)
+
+    def test_syn_with_another_number(self) -> None:
+        """It opens a later flow, even soon and if the earlier one wasn't closed."""
+        self.end(self.first_owner, now=CONVERGED + 0.2)
+        actions = self.rig.caller(self.syn(SECOND_SEQUENCE), now=CONVERGED + 0.3)
         self.assertEqual([type(a.frame) for a in actions], [ForwardPacket])
         self.assertIn(self.rig.names(actions)[0], self.others)
 
