Deny packets of a later flow at the agent of an earlier flow's target

For 5 s after a flow's end, and while an open one is idle, it delivered all packets with these ports to its target, and claimed the flow in a lookup. A target answers data of an ended flow with a reset, which was forwarded.

Fix: PROTOCOL.md has a flow open "at the host whose seq is acknowledged by the client's next packet". The agent sees all of its target's packets, so it knows the target's numbers: a packet that acknowledges others (more than 64 KiB away) isn't of its flow and is denied; if the agent doesn't know all flows, the packet is tried at the target. A balancer passes over the claim of an agent that has denied the flow's packet. The target's numbers only go forward, except by a SYN with another number.

Ruled out: to forget an ended flow at once, as its last packets are repeated; the caller's numbers, as callers choose them.

--- a/monsoonpier/agent/packets/flows.py
+++ b/monsoonpier/agent/packets/flows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from monsoonpier.wire.packet import Packet
+from monsoonpier.wire.packet import Packet, are_near, is_ahead
 
 __all__ = ["PacketFlow", "Phase"]
 
@@ -31,6 +31,8 @@
         tried: The names of the targets that the flow's SYN was sent to.
         target_sequence: The target's initial sequence number; ``None`` before
             its answer.
+        target_end: The sequence number after the target's latest packet; ``None``
+            before its first packet here.
         is_open: Whether the caller has acknowledged this target's answer to
             its SYN.
         probe_packet: A packet that was delivered to learn whether the target
@@ -57,6 +59,7 @@
     caller_end: int | None = None
     tried: tuple[str, ...] = ()
     target_sequence: int | None = None
+    target_end: int | None = None
     is_open: bool = False
     probe_packet: Packet | None = None
     phase: Phase = Phase.IDLE
@@ -71,3 +74,26 @@
     def is_ended(self) -> bool:
         """Whether both sides have closed."""
         return self.has_caller_fin and self.has_target_fin
+
+    def record_target_packet(self, packet: Packet) -> None:
+        """Record how far the target's numbers have come.
+
+        A packet may be a retransmission. A SYN with another number opens a later flow.
+        """
+        end = packet.sequence + packet.size + (packet.is_syn or packet.is_fin)
+        if packet.is_syn:
+            if packet.sequence != self.target_sequence:
+                self.target_sequence = packet.sequence
+                self.target_end = end
+        elif self.target_end is None or is_ahead(end, of=self.target_end):
+            self.target_end = end
+
+    def may_include(self, packet: Packet) -> bool:
+        """Return whether a caller's packet can be of this flow.
+
+        A later flow may use the same addresses and ports. It is of the target whose
+        numbers its caller acknowledges.
+        """
+        if self.target_end is None or not packet.is_ack:
+            return True
+        return are_near(packet.acknowledged, self.target_end)
--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -353,6 +353,8 @@
             return self._handle_syn(frame, packet, flow, sender=sender, now=now)
         if flow is None:
             return self._handle_unknown_flow(frame, packet, sender=sender, now=now)
+        if flow.is_open and not flow.may_include(packet):
+            return self._handle_other_flow(frame, packet, sender=sender, now=now)
         flow.seen_at = now
         if flow.is_open:
             actions = self._deliver(packet, flow, now=now)
@@ -480,6 +482,22 @@
         self._log.note("unknown flow probed at the target", now=now, flow=packet.flow)
         return [ToTarget(raw=packet.raw)]
 
+    def _handle_other_flow(
+        self,
+        frame: ForwardPacket,
+        packet: Packet,
+        *,
+        sender: tuple[str, int],
+        now: float,
+    ) -> list:
+        """Handle a packet that isn't of the recorded flow with its addresses and ports.
+
+        The record is that of an earlier flow, unless this agent doesn't know all flows.
+        """
+        if not self._target_state.knows_all_flows:
+            self._remove(packet.flow, now=now)
+        return self._handle_unknown_flow(frame, packet, sender=sender, now=now)
+
     # Packets of the target
 
     def from_target(self, packet: Packet, *, now: float) -> list:
@@ -503,9 +521,10 @@
                 return actions
             flow = self._record_earlier_flow(packet, now=now)
         flow.seen_at = now
+        is_first = flow.target_sequence is None
+        flow.record_target_packet(packet)
         if packet.is_syn:
-            if flow.target_sequence is None:
-                flow.target_sequence = packet.sequence
+            if is_first:
                 self._admission.expect(packet.flow, flow, now=now)
                 actions.append(
                     self._owned_reply(
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -262,6 +262,8 @@
             if query.sent_at < entry.lookup.started_at:
                 continue  # The reply is about an earlier flow with these ports.
             agents = self._cached_agents_of(agents_by_services, entry, now=now)
+            if flow in frame.held and frame.agent in entry.lookup.denied:
+                continue  # It has denied this flow's packet, and owns an earlier flow.
             if flow in frame.held:
                 self._context.log.note(
                     "owner found", now=now, flow=flow, target=frame.agent
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -13,6 +13,7 @@
     "Packet",
     "PacketCodec",
     "are_near",
+    "is_ahead",
     "sequence_distance",
 ]
 
@@ -83,3 +84,8 @@
     """Return whether two numbers of one end can be of the same flow."""
     ahead = sequence_distance(first, second)
     return min(ahead, SEQUENCE_SPACE - ahead) <= MAX_SEQUENCE_GAP_BYTES
+
+
+def is_ahead(number: int, *, of: int) -> bool:
+    """Return whether a number comes after another one, in half the sequence space."""
+    return 0 < sequence_distance(of, number) < SEQUENCE_SPACE // 2
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -5,6 +5,7 @@
 
 import unittest
 
+from monsoonpier.agent.packets.actions import ToCallerPacket, ToTarget
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import (
@@ -17,10 +18,16 @@
 )
 from monsoonpier.wire.packet import MAX_SEQUENCE_GAP_BYTES, SEQUENCE_SPACE
 from tests.packets.rig import (
+    BALANCER,
     CONVERGED,
     OWN,
+    TARGET_SEQUENCE,
     SteeringRig,
+    answer,
+    carry,
+    frames,
     load,
+    owner,
     packet,
     record,
     replace,
@@ -275,5 +282,99 @@
         self.assertIn(self.rig.names(actions)[0], self.others)
 
 
+class EarlierFlowAtAgentTests(unittest.TestCase):
+    """An agent with the record of an earlier flow whose ports are used again."""
+
+    OTHER_TARGET_SEQUENCE = 2_000_000_000
+
+    def setUp(self) -> None:
+        self.open()
+
+    def open(self, *, is_closed: bool = False, **fields) -> None:
+        """Let a flow be opened at the agent's target, and closed."""
+        self.owner = owner(**fields)
+        self.forward(packet(syn=True))
+        self.owner.from_target(answer(syn=True), now=1.0)
+        self.forward(packet(size=100))
+        self.owner.from_target(answer(sequence=TARGET_SEQUENCE + 1, size=50), now=1.1)
+        if is_closed:
+            self.forward(packet(fin=True, acknowledged=TARGET_SEQUENCE + 51))
+            fin = answer(sequence=TARGET_SEQUENCE + 51, fin=True)
+            self.owner.from_target(fin, now=1.2)
+
+    def forward(self, sent, *, now: float = 1.0, **fields) -> list:
+        frame = carry(sent, **fields)
+        return self.owner.from_balancer(frame, sent, sender=BALANCER, now=now)
+
+    def later_packet(self):
+        """Return a packet of a flow that another target has opened."""
+        return packet(size=100, acknowledged=self.OTHER_TARGET_SEQUENCE)
+
+    def test_packet_of_a_later_flow(self) -> None:
+        """It is denied and isn't delivered, however the earlier flow has ended.
+
+        Else the target gets another target's flow, and may reset it.
+        """
+        for is_closed, now in ((False, 1.5), (False, 30.0), (True, 1.5), (True, 4.0)):
+            with self.subTest(is_closed=is_closed, now=now):
+                self.open(is_closed=is_closed)
+                actions = self.forward(self.later_packet(), now=now)
+                self.assertEqual(len(frames(actions, FlowNotOwned)), 1)
+                self.assertFalse(any(isinstance(a, ToTarget) for a in actions))
+
+    def test_agent_that_does_not_know_all_flows(self) -> None:
+        """It tries the packet at its target; the target's reset isn't forwarded."""
+        self.open(is_closed=True)
+        self.owner = owner(is_first=False)
+        self.owner.from_target(answer(sequence=TARGET_SEQUENCE + 1, size=50), now=1.0)
+        actions = self.forward(self.later_packet(), now=1.5)
+        self.assertEqual([type(a) for a in actions], [ToTarget])
+        self.assertEqual(self.owner.target_load.open, 0)
+        reset = answer(reset=True, sequence=self.OTHER_TARGET_SEQUENCE)
+        actions = self.owner.from_target(reset, now=1.51)
+        self.assertEqual(len(frames(actions, FlowNotOwned)), 1)
+        self.assertFalse(any(isinstance(a, ToCallerPacket) for a in actions))
+
+    def test_packets_of_this_flow(self) -> None:
+        """Acknowledgements from one window behind to the latest are of the flow."""
+        for number in range(80):
+            sequence = TARGET_SEQUENCE + 51 + 1_200 * number
+            sent = answer(sequence=sequence, size=1_200)
+            self.owner.from_target(sent, now=2.0)
+        end = TARGET_SEQUENCE + 51 + 1_200 * 80
+        # Retransmissions don't take the target's numbers back.
+        self.owner.from_target(answer(syn=True), now=2.05)
+        again = answer(sequence=TARGET_SEQUENCE + 51, size=1_200)
+        self.owner.from_target(again, now=2.05)
+        for behind in (0, 1_200, 16 * 1_200):
+            delivered = self.forward(packet(acknowledged=end - behind), now=2.1)
+            self.assertEqual([type(a) for a in delivered], [ToTarget])
+
+    def test_later_flow_at_the_same_target(self) -> None:
+        """Its packets are delivered, though its caller didn't close the earlier one."""
+        self.forward(packet(syn=True), now=20.0)
+        again = answer(syn=True, sequence=self.OTHER_TARGET_SEQUENCE - 1)
+        self.owner.from_target(again, now=20.0)
+        actions = self.forward(self.later_packet(), now=20.1)
+        self.assertEqual([type(a) for a in actions], [ToTarget])
+
+    def test_owner_is_found_beside_the_earlier_one(self) -> None:
+        """A lookup passes over an agent that claims the flow and denies its packet."""
+        rig = SteeringRig(targets=3)
+        sent = self.later_packet()
+        rig.caller(sent, now=LATER)
+        claim = OwnershipReply(
+            question=1, agent="maps-1", held=(sent.flow,), is_conclusive=True
+        )
+        self.assertEqual(rig.names(rig.agent(claim, now=LATER + 0.01)), ["maps-1"])
+        denial = FlowNotOwned(agent="maps-1", flow=sent.flow, payload=sent.raw)
+        queries = rig.agent(denial, sent, now=LATER + 0.05)
+        self.assertEqual(rig.names(queries), ["maps-2", "maps-3"])
+        again = replace(claim, question=2)
+        self.assertEqual(rig.agent(again, now=LATER + 0.06), [])
+        held = replace(again, agent="maps-3")
+        self.assertEqual(rig.names(rig.agent(held, now=LATER + 0.07)), ["maps-3"])
+
+
 def _is_query(action) -> bool:
     return isinstance(getattr(action, "frame", None), OwnershipQuery)
