Take no answer about an earlier flow for the ownership of a probed one

Cause: an agent that has started after its target tries a packet of a flow that it doesn't know at the target, and took any answer for the target's ownership. A target that still has the earlier flow answers with the numbers of that one. So the agent confirmed the flow at each packet and never denied it.

Fix: the answer must have the numbers that the probe acknowledges. If it hasn't, the agent denies the probe, and keeps what it has learned as the earlier flow's record. Such a record is as good as any, so an agent that doesn't know all flows denies packets of others by it too, instead of trying each at the target.

--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -354,7 +354,9 @@
         if flow is None:
             return self._handle_unknown_flow(frame, packet, sender=sender, now=now)
         if flow.is_open and not flow.may_include(packet):
-            return self._handle_other_flow(frame, packet, sender=sender, now=now)
+            return self._not_owned_reply(
+                packet, sender=sender, now=now, omit_payload=frame.wants_reply
+            )
         flow.seen_at = now
         if flow.is_open:
             actions = self._deliver(packet, flow, now=now)
@@ -482,22 +484,6 @@
         self._log.note("unknown flow probed at the target", now=now, flow=packet.flow)
         return [ToTarget(raw=packet.raw)]
 
-    def _handle_other_flow(
-        self,
-        frame: ForwardPacket,
-        packet: Packet,
-        *,
-        sender: tuple[str, int],
-        now: float,
-    ) -> list:
-        """Handle a packet that isn't of the recorded flow with its addresses and ports.
-
-        The record is that of an earlier flow, unless this agent doesn't know all flows.
-        """
-        if not self._target_state.knows_all_flows:
-            self._remove(packet.flow, now=now)
-        return self._handle_unknown_flow(frame, packet, sender=sender, now=now)
-
     # Packets of the target
 
     def from_target(self, packet: Packet, *, now: float) -> list:
@@ -533,13 +519,7 @@
                 )
             return actions
         if flow.probe_packet is not None:
-            self._mark_open(packet.flow, flow, now=now)
-            self.target_load.change_phase(flow, Phase.IDLE, now=now)
-            actions.append(
-                self._owned_reply(
-                    packet.flow, sender=flow.balancer, is_open=True, now=now
-                )
-            )
+            actions += self._conclude_probe(packet, flow, now=now)
         if packet.size:
             is_failure = packet.is_failure
             self.target_load.request_answered(flow, is_failure=is_failure, now=now)
@@ -549,6 +529,31 @@
                 self.target_load.request_aborted(flow, now=now)
         return actions
 
+    def _conclude_probe(
+        self, packet: Packet, flow: PacketFlow, *, now: float
+    ) -> list[ToProcess]:
+        """Tell a balancer whether the target that has answered owns the probed flow.
+
+        The target may have an earlier flow with the same addresses and ports.
+        """
+        probe = flow.probe_packet
+        assert probe is not None
+        is_owned = flow.may_include(probe)
+        self._mark_open(packet.flow, flow, now=now)
+        self.target_load.change_phase(flow, Phase.IDLE, now=now)
+        if is_owned:
+            return [
+                self._owned_reply(
+                    packet.flow, sender=flow.balancer, is_open=True, now=now
+                )
+            ]
+        return self._not_owned_reply(
+            probe,
+            sender=flow.balancer,
+            now=now,
+            omit_payload=flow.balancer_keeps_packet,
+        )
+
     def _handle_target_reset(
         self, packet: Packet, flow: PacketFlow | None, *, now: float
     ) -> list:
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -5,7 +5,7 @@
 
 import unittest
 
-from monsoonpier.agent.packets.actions import ToCallerPacket, ToTarget
+from monsoonpier.agent.packets.actions import ToTarget
 from monsoonpier.model.service import Configuration
 from monsoonpier.model.target import Condition
 from monsoonpier.wire.frames import (
@@ -323,17 +323,28 @@
                 self.assertFalse(any(isinstance(a, ToTarget) for a in actions))
 
     def test_agent_that_does_not_know_all_flows(self) -> None:
-        """It tries the packet at its target; the target's reset isn't forwarded."""
-        self.open(is_closed=True)
+        """Its target's answer to a probe may be about an earlier flow.
+
+        Else a target that still has a flow of a caller that went away takes all
+        packets of the later flow.
+        """
         self.owner = owner(is_first=False)
-        self.owner.from_target(answer(sequence=TARGET_SEQUENCE + 1, size=50), now=1.0)
         actions = self.forward(self.later_packet(), now=1.5)
         self.assertEqual([type(a) for a in actions], [ToTarget])
-        self.assertEqual(self.owner.target_load.open, 0)
-        reset = answer(reset=True, sequence=self.OTHER_TARGET_SEQUENCE)
-        actions = self.owner.from_target(reset, now=1.51)
+        about_earlier = answer(sequence=TARGET_SEQUENCE + 51)
+        actions = self.owner.from_target(about_earlier, now=1.51)
+        self.assertEqual(len(frames(actions, FlowNotOwned)), 1)
+        self.assertEqual(len(frames(actions, FlowOwned)), 0)
+        actions = self.forward(self.later_packet(), now=1.6)
         self.assertEqual(len(frames(actions, FlowNotOwned)), 1)
-        self.assertFalse(any(isinstance(a, ToCallerPacket) for a in actions))
+        self.assertFalse(any(isinstance(a, ToTarget) for a in actions))
+
+    def test_probe_of_the_target_s_flow(self) -> None:
+        """An answer with the numbers that the probe acknowledges confirms the flow."""
+        self.owner = owner(is_first=False)
+        self.forward(packet(size=10), now=1.5)
+        actions = self.owner.from_target(answer(sequence=TARGET_SEQUENCE + 1), now=1.51)
+        self.assertEqual([f.is_open for f in frames(actions, FlowOwned)], [True])
 
     def test_packets_of_this_flow(self) -> None:
         """Acknowledgements from one window behind to the latest are of the flow."""
