Record a flow that a target opens with the ports of one that hasn't ended

Cause: the SYN of a later flow that reaches an agent before the end of the earlier one is delivered as a retransmission. The target opens a flow of its own, but the agent kept the earlier flow's record for it, with its FINs, and forgot it 5 s after the last packet like an ended flow. Then it denied the flow.

Fix: a SYN of the target with another number begins a record of its own; packets of the target with other numbers are forwarded, but change no record.

--- a/monsoonpier/agent/packets/flows.py
+++ b/monsoonpier/agent/packets/flows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from monsoonpier.wire.packet import Packet, are_near, is_ahead
+from monsoonpier.wire.packet import Packet, are_near
 
 __all__ = ["PacketFlow", "Phase"]
 
@@ -75,18 +75,27 @@
         """Whether both sides have closed."""
         return self.has_caller_fin and self.has_target_fin
 
-    def record_target_packet(self, packet: Packet) -> None:
+    def is_followed_by(self, packet: Packet) -> bool:
+        """Return whether a target's SYN opens a later flow with the same ports."""
+        if self.target_sequence is not None:
+            return packet.sequence != self.target_sequence
+        return self.target_end is not None and not are_near(
+            packet.sequence, self.target_end
+        )
+
+    def record_target_packet(self, packet: Packet) -> bool:
         """Record how far the target's numbers have come.
 
-        A packet may be a retransmission. A SYN with another number opens a later flow.
+        Returns:
+            Whether the packet can be of this flow.
         """
+        if packet.is_syn and self.target_sequence is None:
+            self.target_sequence = packet.sequence
         end = packet.sequence + packet.size + (packet.is_syn or packet.is_fin)
-        if packet.is_syn:
-            if packet.sequence != self.target_sequence:
-                self.target_sequence = packet.sequence
-                self.target_end = end
-        elif self.target_end is None or is_ahead(end, of=self.target_end):
-            self.target_end = end
+        if self.target_end is not None and not are_near(end, self.target_end):
+            return packet.is_syn  # A repeated SYN has the flow's first number.
+        self.target_end = end
+        return True
 
     def may_include(self, packet: Packet) -> bool:
         """Return whether a caller's packet can be of this flow.
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -367,7 +367,16 @@
         again = answer(syn=True, sequence=self.OTHER_TARGET_SEQUENCE - 1)
         self.owner.from_target(again, now=20.0)
         actions = self.forward(self.later_packet(), now=20.1)
-        self.assertEqual([type(a) for a in actions], [ToTarget])
+        self.assertEqual([f.is_open for f in frames(actions, FlowOwned)], [True])
+        self.assertEqual(sum(isinstance(a, ToTarget) for a in actions), 1)
+        # The earlier flow's FIN isn't the later one's, whose caller has sent its own.
+        self.owner.from_target(
+            answer(sequence=TARGET_SEQUENCE + 51, fin=True), now=20.1
+        )
+        fin = packet(fin=True, acknowledged=self.OTHER_TARGET_SEQUENCE)
+        self.forward(fin, now=20.1)
+        self.owner.tick(now=40.0)
+        self.assertEqual(self.owner.flows, 1)
 
     def test_owner_is_found_beside_the_earlier_one(self) -> None:
         """A lookup passes over an agent that claims the flow and denies its packet."""
