Pass over agents that have returned a flow's packet in later lookups too

What callers could see: a live flow got no answer, and its balancer queried agents every 20 ms, if its ports were used before by flows at two other targets that hadn't been closed.

Cause: an agent's claim by addresses and ports ends a lookup, and its return of the packet begins the next, which didn't know of an earlier agent that had returned the packet too. So two agents with earlier flows were believed in turns.

Fix: a flow's entry keeps the names of the agents that have returned its packet, until the owner is confirmed, or a packet of another flow is returned.

Ruled out: acknowledgement numbers in queries. They would answer at once, but cost 5 bytes for each of 14 in every query after a loss of power, for a rare case.

--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -8,9 +8,15 @@
 from dataclasses import dataclass, field
 
 from monsoonpier.balancer.packets.returning import EarlierAttempt
-from monsoonpier.wire.packet import Packet, are_near, sequence_distance
+from monsoonpier.wire.packet import Packet, are_of_one_flow, sequence_distance
 
-__all__ = ["FlowStatistics", "FlowTable", "OwnerLookup", "FlowEntry"]
+__all__ = [
+    "FlowEntry",
+    "FlowStatistics",
+    "FlowTable",
+    "OwnerLookup",
+    "PacketDenials",
+]
 
 MAX_FLOWS = 65_536  # five times the 13,500 open flows of a balancer at the target size
 LONG_FLOW_SECONDS = 2.0  # a flow still in use then counts as one with several requests
@@ -61,16 +67,8 @@
         return self.denied_at_by_name.keys()
 
     def is_about(self, packet: Packet) -> bool:
-        """Return whether a packet is of the flow that is looked up.
-
-        A later flow may use the same addresses and ports. The packet's acknowledgement
-        number tells which target has opened its flow.
-        """
-        last = self.packets[-1]
-        return are_near(last.sequence, packet.sequence) and (
-            are_near(last.acknowledged, packet.acknowledged)
-            or not (last.is_ack and packet.is_ack)
-        )
+        """Return whether a packet is of the flow that is looked up."""
+        return are_of_one_flow(self.packets[-1], packet)
 
     def buffer(self, packet: Packet) -> None:
         """Buffer a packet; when the buffer is full it replaces the last one."""
@@ -80,6 +78,22 @@
             self.packets[-1] = packet
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PacketDenials:
+    """The agents that have returned a packet of a flow, since it isn't theirs.
+
+    They may own an earlier flow with the same addresses and ports.
+    """
+
+    packet: Packet
+    names: frozenset[str]
+
+    def with_denial(self, packet: Packet, name: str) -> "PacketDenials":
+        """Return the denials with one more; only with it if it is of a later flow."""
+        names = self.names if are_of_one_flow(self.packet, packet) else frozenset()
+        return PacketDenials(packet=packet, names=names | {name})
+
+
 @dataclass(slots=True, kw_only=True)
 class FlowEntry:
     """An entry of the flow table: what this balancer knows of one flow.
@@ -104,6 +118,7 @@
         syn_sent_at: When the SYN was last sent to a target.
         tried: Names of targets that the SYN was sent to.
         lookup: The lookup of the owner, while it is in progress.
+        denials: The agents that have returned a packet, until the owner is confirmed.
         is_in_statistics: Whether the flow has been counted in its address's statistics.
         has_fin: Whether the caller has sent a FIN.
         sent_bytes: Bytes that the caller has sent.
@@ -126,6 +141,7 @@
     syn_sent_at: float = 0.0
     tried: tuple[str, ...] = ()
     lookup: OwnerLookup | None = None
+    denials: PacketDenials | None = None
     is_in_statistics: bool = False
     has_fin: bool = False
     sent_bytes: int = 0
--- a/monsoonpier/balancer/packets/owner_resolver.py
+++ b/monsoonpier/balancer/packets/owner_resolver.py
@@ -7,7 +7,7 @@
 from monsoonpier.balancer.actions import ToAgent
 from monsoonpier.balancer.packets.context import ServiceAgents, SteeringContext
 from monsoonpier.balancer.packets.directory import OwnerDirectory
-from monsoonpier.balancer.packets.flows import FlowEntry, OwnerLookup
+from monsoonpier.balancer.packets.flows import FlowEntry, OwnerLookup, PacketDenials
 from monsoonpier.balancer.packets.owner_probes import OwnerProbes
 from monsoonpier.balancer.packets.owner_queries import OwnerQueries
 from monsoonpier.wire.frames import (
@@ -361,11 +361,13 @@
         if entry.owners:
             return []
         self._directory.forget(frame.flow)
+        earlier = entry.denials or PacketDenials(packet=packet, names=frozenset())
+        entry.denials = earlier.with_denial(packet, frame.agent)
         lookup = OwnerLookup(
             started_at=now,
             queried_at=now,
             packets=[packet],
-            denied_at_by_name={frame.agent: now},
+            denied_at_by_name=dict.fromkeys(entry.denials.names, now),
         )
         entry.lookup = lookup
         return self._query_remaining(entry, lookup, now=now)
--- a/monsoonpier/balancer/packets/steering.py
+++ b/monsoonpier/balancer/packets/steering.py
@@ -248,6 +248,7 @@
             )
         entry.owners = (frame.agent,)
         entry.is_confirmed = True
+        entry.denials = None
         entry.syn = None
         self._resolver.schedule_registration(frame.flow, frame.agent, now=now)
         return self._resolver.finish_lookup(entry)
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -13,7 +13,7 @@
     "Packet",
     "PacketCodec",
     "are_near",
-    "is_ahead",
+    "are_of_one_flow",
     "sequence_distance",
 ]
 
@@ -86,6 +86,13 @@
     return min(ahead, SEQUENCE_SPACE - ahead) <= MAX_SEQUENCE_GAP_BYTES
 
 
-def is_ahead(number: int, *, of: int) -> bool:
-    """Return whether a number comes after another one, in half the sequence space."""
-    return 0 < sequence_distance(of, number) < SEQUENCE_SPACE // 2
+def are_of_one_flow(first: Packet, second: Packet) -> bool:
+    """Return whether two packets of a caller with the same ports are of one flow.
+
+    A later flow may use the ports of an earlier one, and numbers near those of its
+    caller. The acknowledgement number tells which target has opened the flow.
+    """
+    if not are_near(first.sequence, second.sequence):
+        return False
+    is_told = first.is_ack and second.is_ack
+    return not is_told or are_near(first.acknowledged, second.acknowledged)
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -378,6 +378,52 @@
         self.owner.tick(now=40.0)
         self.assertEqual(self.owner.flows, 1)
 
+    def test_two_agents_with_earlier_flows(self) -> None:
+        """An agent that has returned the flow's packet isn't believed again.
+
+        Else a balancer asks in turns while the claims of both last, and never finds
+        the owner.
+        """
+        rig = SteeringRig(targets=3)
+        sent = self.later_packet()
+        rig.caller(sent, now=LATER)
+        claim = OwnershipReply(
+            question=1, agent="maps-1", held=(sent.flow,), is_conclusive=True
+        )
+        for question, name in ((1, "maps-1"), (2, "maps-2")):
+            now = LATER + question
+            claimed = rig.agent(replace(claim, question=question, agent=name), now=now)
+            self.assertEqual(rig.names(claimed), [name])
+            denial = FlowNotOwned(agent=name, flow=sent.flow, payload=sent.raw)
+            queries = rig.agent(denial, sent, now=now + 0.5)
+        self.assertEqual(rig.names(queries), ["maps-3"])
+        last = replace(claim, question=3, agent="maps-3", held=())
+        reset = rig.agent(last, now=LATER + 3.0)
+        self.assertEqual(resets(reset), ["nobody holds the flow"])
+
+    def test_denials_of_an_earlier_flow(self) -> None:
+        """They are no reason to pass over an agent that owns the later flow."""
+        rig = SteeringRig(targets=3)
+        rig.agent(owned("maps-1"))
+        earlier = packet(size=100)
+        rig.agent(
+            FlowNotOwned(agent="maps-1", flow=earlier.flow, payload=earlier.raw),
+            earlier,
+        )
+        held = OwnershipReply(
+            question=1, agent="maps-2", held=(earlier.flow,), is_conclusive=True
+        )
+        rig.agent(held, now=CONVERGED + 0.1)
+        later = self.later_packet()
+        rig.caller(later, now=LATER)
+        rig.agent(
+            FlowNotOwned(agent="maps-2", flow=later.flow, payload=later.raw),
+            later,
+            now=LATER + 0.01,
+        )
+        found = rig.agent(replace(held, question=2, agent="maps-1"), now=LATER + 0.05)
+        self.assertEqual(rig.names(found), ["maps-1"])
+
     def test_owner_is_found_beside_the_earlier_one(self) -> None:
         """A lookup passes over an agent that claims the flow and denies its packet."""
         rig = SteeringRig(targets=3)
