Probe targets with a packet that has to be answered as soon as there is one

What callers could see: after the restart of an entry VM and of an agent, a flow whose first packet is a bare acknowledgement got no answer any more.

Cause: the first packet of a lookup was its probe for good. No target answers an acknowledgement, so its agent could never tell who owns the flow, though the caller's next request waited in the lookup's buffer.

Fix: the first packet that has to be answered takes its place, and is sent to all agents that were probed.

--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -71,7 +71,13 @@
         return are_of_one_flow(self.packets[-1], packet)
 
     def buffer(self, packet: Packet) -> None:
-        """Buffer a packet; when the buffer is full it replaces the last one."""
+        """Buffer a packet; when the buffer is full it replaces the last one.
+
+        It may be a better probe than an acknowledgement, which no target answers.
+        """
+        if self.probe is not None and self.probe.is_bare and not packet.is_bare:
+            self.probe = None
+            self.probed_at_by_name.clear()
         if len(self.packets) < MAX_BUFFERED_PACKETS:
             self.packets.append(packet)
         else:
--- a/monsoonpier/balancer/packets/owner_probes.py
+++ b/monsoonpier/balancer/packets/owner_probes.py
@@ -208,5 +208,4 @@
 
     A bare acknowledgement comes last, since no target answers it.
     """
-    is_bare = not packet.size and not packet.is_fin
-    return (is_bare, packet.size)
+    return (packet.is_bare, packet.size)
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -53,6 +53,11 @@
     is_failure: bool = False
     waited: float = 0.0
 
+    @property
+    def is_bare(self) -> bool:
+        """Whether this is an acknowledgement alone, which its receiver won't answer."""
+        return not self.size and not self.is_fin
+
 
 class PacketCodec(Protocol):
     """Parses packets and builds resets; implemented by the platform's adapter."""
--- a/tests/packets/test_steering.py
+++ b/tests/packets/test_steering.py
@@ -301,6 +301,18 @@
         actions = self._answers(sure=False)
         self.assertEqual(len(actions[0].frame.payload), 12 + 10)
 
+    def test_acknowledgement_is_a_poor_probe(self) -> None:
+        """A packet that has to be answered is tried in place of a bare one, at once.
+
+        Targets don't answer the bare one, so that the flow would be stuck.
+        """
+        self.rig.caller(packet())
+        bare = self._answers(sure=False)
+        self.assertEqual([len(a.frame.payload) for a in bare], [12])
+        self.rig.caller(packet(size=10), now=100.11)
+        actions = self._answers(sure=False, now=100.12)
+        self.assertEqual([len(a.frame.payload) for a in actions], [12 + 10])
+
     def test_reset_when_all_deny(self) -> None:
         """The caller is reset if, and only if, all agents have denied the flow."""
         self.rig.caller(packet())
