Believe a target's instance on two heartbeats if nothing else shows that it lives

Cause: without start times, any heartbeat of an unknown instance replaced the current one. A heartbeat that a cut had held up put an instance that had crashed in the place of the living one, whose heartbeats counted as stale ever after: they were acknowledged and ignored, `draining` and Leave too.

Fix: an instance that doesn't report a later start is believed on its second heartbeat, also one that was replaced before. One heartbeat of an ended instance can be under way at the most. The first isn't acknowledged, so that nothing is confirmed that is ignored, and a living target repeats it at once (100 ms). After a known end the first heartbeat of a new instance is enough, as before.

Ruled out: to acknowledge the first heartbeat; a new instance would be served 1.2 s later, and its `draining` acknowledged and ignored for as long.

Tests: test_without_start_time asked that a single heartbeat of an unknown instance is believed, which is this fault; it asks for the second one now, and one after a known end. Heartbeats of other instances were asked to be acknowledged in three tests, and must not be now; what is served is asked as before.

--- a/monsoonpier/agent/packets/instance_history.py
+++ b/monsoonpier/agent/packets/instance_history.py
@@ -10,14 +10,19 @@
 
 from monsoonpier.agent.packets.messages import TargetHeartbeat, TargetInstance
 
-__all__ = ["CurrentHeartbeat", "StaleHeartbeat", "NewInstance", "InstanceHistory"]
-
-MAX_PREVIOUS_INSTANCES = 16  # instances whose delayed heartbeats are recognised
-# A clock that was set back makes a newer instance look older than the current
-# one. Two heartbeats confirm it: at most one heartbeat of an ended instance
-# can be in transit, since a target waits for the response before it sends the
-# next.
+__all__ = [
+    "CurrentHeartbeat",
+    "InstanceHistory",
+    "NewInstance",
+    "StaleHeartbeat",
+    "UnconfirmedHeartbeat",
+]
+
+# At most one heartbeat of an ended instance can be in transit, since a target waits
+# for the response before it sends the next. So two show that an instance lives which
+# doesn't report a later start, or which another one had replaced.
 CONFIRMING_HEARTBEATS = 2
+MAX_PREVIOUS_INSTANCES = 16  # instances that must be confirmed even after an end
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,11 +37,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StaleHeartbeat:
-    """A heartbeat to ignore: an outdated one, or one of an unconfirmed instance."""
+    """An outdated heartbeat of the current instance, to ignore."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UnconfirmedHeartbeat:
+    """A heartbeat of an instance that may have ended, to ignore.
+
+    It isn't acknowledged, so that a living target soon repeats it.
+    """
 
 
 class InstanceHistory:
-    """The current instance of the target and earlier ones. Does no I/O."""
+    """The current instance of the target and those it replaced. Does no I/O."""
 
     def __init__(self) -> None:
         self._current: TargetInstance | None = None
@@ -51,7 +64,7 @@
 
     def classify(
         self, heartbeat: TargetHeartbeat, *, has_ended: bool
-    ) -> NewInstance | CurrentHeartbeat | StaleHeartbeat:
+    ) -> NewInstance | CurrentHeartbeat | StaleHeartbeat | UnconfirmedHeartbeat:
         """Classify a heartbeat and record the instance that sent it.
 
         Args:
@@ -60,10 +73,10 @@
         """
         if heartbeat.run == self._current:
             return self._classify_current(heartbeat)
+        if not self._replaces_current(heartbeat, has_ended=has_ended):
+            return UnconfirmedHeartbeat()
         if heartbeat.run in self._previous:
-            return StaleHeartbeat()
-        if not (has_ended or self._is_newer(heartbeat.run) or self._confirm(heartbeat)):
-            return StaleHeartbeat()
+            self._previous.remove(heartbeat.run)
         if self._current is not None:
             self._previous.append(self._current)
         self._current = heartbeat.run
@@ -80,12 +93,21 @@
         self._clear_unconfirmed()
         return CurrentHeartbeat()
 
+    def _replaces_current(self, heartbeat: TargetHeartbeat, *, has_ended: bool) -> bool:
+        """Return whether a heartbeat shows that another instance lives now."""
+        is_new = heartbeat.run not in self._previous
+        if is_new and (has_ended or self._is_newer(heartbeat.run)):
+            return True
+        return self._confirm(heartbeat)
+
     def _is_newer(self, instance: TargetInstance) -> bool:
-        """Return whether an instance reports a later start than the current."""
+        """Return whether an instance is the first, or reports a later start."""
         current = self._current
-        if current is None or current.born_ms is None:
+        if current is None:
             return True
-        return instance.born_ms is not None and instance.born_ms > current.born_ms
+        if current.born_ms is None or instance.born_ms is None:
+            return False
+        return instance.born_ms > current.born_ms
 
     def _confirm(self, heartbeat: TargetHeartbeat) -> bool:
         """Count a heartbeat of an unconfirmed instance; return whether it is confirmed.
--- a/monsoonpier/agent/packets/process.py
+++ b/monsoonpier/agent/packets/process.py
@@ -17,6 +17,7 @@
     InstanceHistory,
     NewInstance,
     StaleHeartbeat,
+    UnconfirmedHeartbeat,
 )
 from monsoonpier.agent.packets.liveness import TargetLiveness
 from monsoonpier.agent.packets.messages import LeaveNotice, TargetHeartbeat
@@ -231,7 +232,7 @@
         return False
 
     def _handle_heartbeat(self, heartbeat: TargetHeartbeat) -> bool:
-        """Apply a heartbeat unless it is stale; return ``True`` to acknowledge it."""
+        """Apply a heartbeat unless it is stale; return whether to acknowledge it."""
         owner = self._owner
         match self._instances.classify(heartbeat, has_ended=self._has_target_ended):
             case StaleHeartbeat():
@@ -242,6 +243,14 @@
                     served=owner.instance.decode(),
                 )
                 return True
+            case UnconfirmedHeartbeat():
+                _log.info(
+                    "heartbeat of another instance not confirmed",
+                    instance=heartbeat.run.instance.decode(),
+                    sequence=heartbeat.sequence,
+                    served=owner.instance.decode(),
+                )
+                return False
             case NewInstance():
                 self._begin_instance(heartbeat)
                 is_new = True
--- a/standins/packets/port_reuse.py
+++ b/standins/packets/port_reuse.py
@@ -55,6 +55,7 @@
 SYN_COPY_SECONDS = (0.0, 0.2, 0.6)
 MAX_STRAY_PACKETS = 2  # of a flow at other targets
 REORDER_SECONDS = 2.0  # in which its own target gets none
+CLOSE_SECONDS = 2.0  # four frames, at the longest delay
 RESET_WINDOW = 76_800  # around the caller's last acknowledgement number
 STARTED_AT = -100.0  # of the first processes, so that they have converged
 
@@ -173,11 +174,12 @@
             self._schedule(seconds, self._send_data, flow, begin, via)
 
     def close(self, port: int, *, via: int) -> None:
-        """Close a flow with a FIN."""
+        """Close a flow with a FIN, and wait until no packet of it is under way."""
         flow = self.flows_by_port[port]
         if flow.is_open:
             flow.is_open = False
             self._send_segment(flow, ACK | FIN, flow.sequence, via=via)
+            self.run(CLOSE_SECONDS)
 
     def abandon(self, port: int) -> None:
         """Leave a flow without a word."""
--- a/tests/packets/test_agent_process.py
+++ b/tests/packets/test_agent_process.py
@@ -168,17 +168,22 @@
         self.assertTrue(self.process.take(heartbeat(sequence=4)))
         self.assertIs(self.owner.condition, Condition.LEAVING)
 
+    def replace_instance(self) -> None:
+        """Send heartbeats of an instance, and of the next one until it is served."""
+        self.process.take(heartbeat())
+        for sequence in (1, 2):
+            self.process.take(heartbeat(instance="i-2", sequence=sequence))
+        self.assertEqual(self.owner.instance, b"i-2")
+
     async def test_heartbeat_of_earlier_instance(self) -> None:
         """A delayed heartbeat doesn't bring back an instance that was replaced."""
-        self.process.take(heartbeat())
-        self.process.take(heartbeat(instance="i-2"))
-        self.assertTrue(self.process.take(heartbeat(sequence=9)))
+        self.replace_instance()
+        self.assertFalse(self.process.take(heartbeat(sequence=9)))
         self.assertEqual(self.owner.instance, b"i-2")
 
     async def test_leave_notice_of_earlier_instance(self) -> None:
         """A delayed leave notice doesn't end the instance that followed."""
-        self.process.take(heartbeat())
-        self.process.take(heartbeat(instance="i-2"))
+        self.replace_instance()
         self.process.take(leave_notice("i-1"))
         self.assertIs(self.owner.condition, Condition.SERVING)
 
@@ -203,6 +208,10 @@
     def send_heartbeat(self, **fields) -> None:
         self.assertTrue(self.process.take(heartbeat(**fields)))
 
+    def send_unconfirmed(self, **fields) -> None:
+        """Send a heartbeat that must be repeated."""
+        self.assertFalse(self.process.take(heartbeat(**fields)))
+
     async def test_sequence_starts_again(self) -> None:
         """A new instance's first heartbeat is accepted despite its low sequence."""
         self.send_heartbeat(born=1_000, sequence=70, is_draining=True)
@@ -213,10 +222,10 @@
     async def test_stale_heartbeat_of_previous_instance(self) -> None:
         """A higher sequence doesn't bring the earlier instance back."""
         self.send_heartbeat(born=9_000, sequence=1)
-        self.send_heartbeat(born=1_000, sequence=70, is_draining=True)
+        self.send_unconfirmed(born=1_000, sequence=70, is_draining=True)
         self.assertIs(self.owner.condition, Condition.SERVING)
         self.send_heartbeat(born=9_000, sequence=2)
-        self.send_heartbeat(born=1_000, sequence=71, is_draining=True)
+        self.send_unconfirmed(born=1_000, sequence=71, is_draining=True)
         self.assertIs(self.owner.condition, Condition.SERVING)
 
     async def test_flows_of_previous_instance(self) -> None:
@@ -230,11 +239,11 @@
     async def test_clock_set_back_between_instances(self) -> None:
         """An instance that looks older is served after a second heartbeat."""
         self.send_heartbeat(born=9_000, sequence=70)
-        self.send_heartbeat(born=1_000, sequence=1)
+        self.send_unconfirmed(born=1_000, sequence=1)
         self.assertEqual(self.owner.instance, b"i-1@9000")
         self.send_heartbeat(born=1_000, sequence=2)
         self.assertEqual(self.owner.instance, b"i-1@1000")
-        self.send_heartbeat(born=9_000, sequence=71)
+        self.send_unconfirmed(born=9_000, sequence=71)
         self.assertEqual(self.owner.instance, b"i-1@1000")
 
     async def test_clock_set_back_after_known_end(self) -> None:
@@ -267,7 +276,40 @@
         self.assertEqual(load.failed_percent(now=0.1), 0)
 
     async def test_without_start_time(self) -> None:
-        """Without a start time, instances differ by identity alone."""
+        """Without a start time, a new instance is served from its second heartbeat.
+
+        The first isn't acknowledged, so that the second comes at once.
+        """
         self.send_heartbeat(sequence=5)
+        self.send_unconfirmed(instance="i-2", sequence=1)
+        self.assertEqual(self.owner.instance, b"i-1")
+        self.send_heartbeat(instance="i-2", sequence=2)
+        self.assertEqual(self.owner.instance, b"i-2")
+
+    async def test_without_start_time_after_known_end(self) -> None:
+        """One heartbeat is enough if the earlier instance is known to have ended."""
+        self.send_heartbeat(sequence=5)
+        self.process._on_target_gone()
         self.send_heartbeat(instance="i-2", sequence=1)
         self.assertEqual(self.owner.instance, b"i-2")
+
+    async def test_delayed_heartbeat_of_a_crashed_instance(self) -> None:
+        """It doesn't take the place of the living instance, which can drain.
+
+        Else all heartbeats of the living one are acknowledged and ignored.
+        """
+        self.send_heartbeat(instance="i-2", sequence=1)
+        self.send_unconfirmed(instance="i-1", sequence=1)
+        self.assertEqual(self.owner.instance, b"i-2")
+        self.send_heartbeat(instance="i-2", sequence=2, is_draining=True)
+        self.assertIs(self.owner.condition, Condition.LEAVING)
+
+    async def test_delayed_heartbeat_after_a_known_end(self) -> None:
+        """The living instance is believed again at its second heartbeat."""
+        self.send_heartbeat(instance="i-2", sequence=4)
+        self.process._on_target_gone()
+        self.send_heartbeat(instance="i-1", sequence=1)
+        self.send_unconfirmed(instance="i-2", sequence=5, is_draining=True)
+        self.send_heartbeat(instance="i-2", sequence=6, is_draining=True)
+        self.assertEqual(self.owner.instance, b"i-2")
+        self.assertIs(self.owner.condition, Condition.LEAVING)
