Reset an earlier flow with its own numbers after a probe of a later one

What callers could see: the end of a target reset a live flow of another target that had the ports of a flow left open at the first one.

Cause: an agent that doesn't know all flows took the acknowledgement number of the probe, which is the later flow's, into the record that the answer had shown to be the earlier flow's. The reset at the target's end was sent with that number.

Fix: such a record gets the number of the target's answer.

are_near takes one modulo in place of two.

--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -550,6 +550,7 @@
                     packet.flow, sender=flow.balancer, is_open=True, now=now
                 )
             ]
+        flow.acknowledged = packet.sequence  # A reset is for the earlier flow's caller.
         return self._not_owned_reply(
             probe,
             sender=flow.balancer,
--- a/monsoonpier/wire/packet.py
+++ b/monsoonpier/wire/packet.py
@@ -87,8 +87,8 @@
 
 def are_near(first: int, second: int) -> bool:
     """Return whether two numbers of one end can be of the same flow."""
-    ahead = sequence_distance(first, second)
-    return min(ahead, SEQUENCE_SPACE - ahead) <= MAX_SEQUENCE_GAP_BYTES
+    shifted = second - first + MAX_SEQUENCE_GAP_BYTES
+    return shifted % SEQUENCE_SPACE <= 2 * MAX_SEQUENCE_GAP_BYTES
 
 
 def are_of_one_flow(first: Packet, second: Packet) -> bool:
--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -338,6 +338,9 @@
         actions = self.forward(self.later_packet(), now=1.6)
         self.assertEqual(len(frames(actions, FlowNotOwned)), 1)
         self.assertFalse(any(isinstance(a, ToTarget) for a in actions))
+        # The end of the target resets the earlier flow, not the probed one.
+        (reset,) = self.owner.target_ended(now=2.0)
+        self.assertEqual(reset.acknowledged, TARGET_SEQUENCE + 51)
 
     def test_probe_of_the_target_s_flow(self) -> None:
         """An answer with the numbers that the probe acknowledges confirms the flow."""
