Test ports used again with real processes; complete the stand-in of targets

test_ports_used_again opens flows with the ports and numbers of earlier ones through another balancer and moves them to that of the earlier ones: soon after their end, and after their target has left.

The model counts packets at other targets within 4 s only: one that is tried there now and again while a flow is idle breaks no rule.

--- a/standins/packets/caller.py
+++ b/standins/packets/caller.py
@@ -73,14 +73,32 @@
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
 
-    async def open(self, service: tuple[str, int]) -> "CallerFlow":
+    async def open(
+        self,
+        service: tuple[str, int],
+        *,
+        port: int | None = None,
+        initial_sequence: int | None = None,
+    ) -> "CallerFlow":
         """Open a flow to a service.
 
+        Args:
+            service: The service's address and port.
+            port: The caller's port; a new one if ``None``.
+            initial_sequence: The number of the SYN; drawn if ``None``.
+
         Raises:
             FlowEnded: If it is reset or opening it times out.
         """
-        self._next_port += 1
-        flow = CallerFlow(caller=self, own=(self.ip, self._next_port), peer=service)
+        if port is None:
+            self._next_port += 1
+            port = self._next_port
+        flow = CallerFlow(
+            caller=self,
+            own=(self.ip, port),
+            peer=service,
+            initial_sequence=initial_sequence,
+        )
         self._flows[flow.own] = flow
         try:
             await flow.open()
@@ -139,13 +157,20 @@
     """A flow of a caller; responses arrive in the order of requests."""
 
     def __init__(
-        self, *, caller: PacketCaller, own: tuple[str, int], peer: tuple[str, int]
+        self,
+        *,
+        caller: PacketCaller,
+        own: tuple[str, int],
+        peer: tuple[str, int],
+        initial_sequence: int | None = None,
     ) -> None:
         self.caller = caller
         self.own = own
         self.peer = peer
         self.resets = 0
-        self._initial_sequence = random.getrandbits(32)
+        if initial_sequence is None:
+            initial_sequence = random.getrandbits(32)
+        self._initial_sequence = initial_sequence
         self._stream: Stream | None = None
         self._changed = asyncio.Event()
         self._end_reason: str | None = None
--- a/standins/packets/port_reuse.py
+++ b/standins/packets/port_reuse.py
@@ -482,7 +482,8 @@
         if target.record.name == flow.target[0]:
             flow.stray_at.clear()
             return
-        flow.stray_at.append(self.now)
+        recent = [at for at in flow.stray_at if self.now - at < 2 * REORDER_SECONDS]
+        flow.stray_at = [*recent, self.now]
         seconds = self.now - flow.stray_at[0]
         if len(flow.stray_at) > MAX_STRAY_PACKETS and seconds >= REORDER_SECONDS:
             self._note("delivered to another target", flow, target.record.name)
--- a/tests/packets/test_processes.py
+++ b/tests/packets/test_processes.py
@@ -4,6 +4,7 @@
 import signal
 import unittest
 
+from standins.packets.caller import CallerFlow
 from standins.packets.deployment import SERVICES, PacketDeployment
 from standins.packets.load import PacketLoad
 
@@ -120,6 +121,58 @@
             self.assertTrue(await load.request(flow, "maps"), load.reasons)
         self.assertTrue(load.result().is_clean, load.reasons)
 
+    async def test_ports_used_again(self) -> None:
+        """Live flows with the ports and numbers of earlier ones aren't reset.
+
+        A balancer that has carried the earlier flows gets the live ones, at once and
+        after the earlier flows' target has left.
+        """
+        deployment = await self._start("127.84.33")
+        load = PacketLoad(deployment=deployment, seed=5)
+        await self._use_ports(load, via="lb-1")
+        again = await self._use_ports(load, via="lb-2", is_closed=False)
+        deployment.update_rotation("lb-1")
+        deployment.update_rotation("lb-2", out=True)
+        for flow in again:
+            self.assertTrue(await load.request(flow, "maps"), load.reasons)
+            flow.close()
+        await self._leave(deployment, "maps-1")
+        again = await self._use_ports(load, via="lb-2", is_closed=False)
+        deployment.update_rotation("lb-1")
+        deployment.update_rotation("lb-2", out=True)
+        for flow in again:
+            self.assertTrue(await load.request(flow, "maps"), load.reasons)
+        self.assertTrue(load.result().is_clean, load.reasons)
+
+    async def _use_ports(
+        self, load: PacketLoad, *, via: str, is_closed: bool = True
+    ) -> list[CallerFlow]:
+        """Open flows from the same ports with the same numbers through a balancer."""
+        for name in ("lb-1", "lb-2"):
+            load.deployment.update_rotation(name, out=name != via)
+        flows = []
+        for port in range(30_001, 30_017):
+            flow = await load.deployment.caller.open(
+                SERVICES["maps"], port=port, initial_sequence=port
+            )
+            self.assertTrue(await load.request(flow, "maps"), load.reasons)
+            if is_closed:
+                flow.close()
+            flows.append(flow)
+        await asyncio.sleep(0.2)
+        return flows
+
+    async def _leave(self, deployment: PacketDeployment, name: str) -> None:
+        """Drain a target and take it away with its agent."""
+        target = deployment.targets_by_name[name]
+        target.is_draining = True
+        await asyncio.sleep(1.5)
+        await target.leave()
+        await deployment.stop_target(name)
+        deployment.nodes_by_name[name].signal(signal.SIGTERM)
+        await deployment.nodes_by_name[name].wait()
+        await asyncio.sleep(0.5)
+
     async def _restart_agent(self, deployment: PacketDeployment, name: str) -> None:
         deployment.nodes_by_name[name].signal(signal.SIGTERM)
         await deployment.nodes_by_name[name].wait()
