--- a/monsoonpier/balancer/packets/flows.py
+++ b/monsoonpier/balancer/packets/flows.py
@@ -95,7 +95,7 @@
     names: frozenset[str]
 
     def with_denial(self, packet: Packet, name: str) -> "PacketDenials":
-        """Return the denials with one more; only with it if it is of a later flow."""
+        """Return these denials and another, or it alone if it is of another flow."""
         names = self.names if are_of_one_flow(self.packet, packet) else frozenset()
         return PacketDenials(packet=packet, names=names | {name})
 
