Return the packet in the denials of test_denials_of_the_earlier_flow

Since late denials don't count, the test's denials without a packet were ignored, and it passed without the check that it guards: its mutation survived. With the packet they count, as an agent's that doesn't send batches; the mutation is killed again. What is asserted is unchanged.

--- a/tests/packets/test_reused_ports.py
+++ b/tests/packets/test_reused_ports.py
@@ -176,9 +176,10 @@
         """Agents that denied an earlier flow are asked again about a later one."""
         rig = SteeringRig(targets=3)
         rig.caller(self.data())
+        sent = self.data()
         for name in ("maps-1", "maps-2"):
-            denial = FlowNotOwned(agent=name, flow=packet().flow)
-            rig.agent(denial, now=CONVERGED + 0.1)
+            denial = FlowNotOwned(agent=name, flow=sent.flow, payload=sent.raw)
+            rig.agent(denial, sent, now=CONVERGED + 0.1)
         gone = record("maps-3", host=3, epoch=2, condition=Condition.GONE)
         rig.learn(gone, now=LATER)
         actions = rig.caller(self.data(SECOND_SEQUENCE), now=LATER)
