Record a later flow by admission's own code; end a test's wait by loop turns

Found by reading the change again; behaviour stays as it is.

- PacketFlowOwner wrote again what FlowAdmission does when it delivers a SYN: drop the record with the same ports, and make one.
Both call FlowAdmission.record_flow.
- test_cancelled_as_a_connection_ends waited 0.05 s for the watch to end, which a machine that is held up may exceed.

--- a/monsoonpier/agent/packets/admission.py
+++ b/monsoonpier/agent/packets/admission.py
@@ -287,20 +287,32 @@
     def _deliver(self, syn: QueuedSyn, *, now: float) -> ToTarget:
         """Record the flow of a SYN, keep a slot for it and deliver the SYN."""
         packet = syn.packet
-        ended = self._flows_by_address.pop(packet.flow, None)
-        if ended is not None:
-            self._load.flow_removed(ended, now=now)
+        flow = self.record_flow(packet, balancer=syn.balancer, tried=syn.tried, now=now)
+        self._load.cold.record(now=now)
+        self.expect(packet.flow, flow, now=now)
+        return ToTarget(raw=packet.raw)
+
+    def record_flow(
+        self,
+        packet: Packet,
+        *,
+        balancer: tuple[str, int],
+        tried: tuple[str, ...],
+        now: float,
+    ) -> PacketFlow:
+        """Record a new flow in place of an earlier one with the same ports."""
+        earlier = self._flows_by_address.pop(packet.flow, None)
+        if earlier is not None:
+            self._load.flow_removed(earlier, now=now)
         flow = PacketFlow(
             caller_ip=packet.caller_ip,
-            balancer=syn.balancer,
+            balancer=balancer,
             seen_at=now,
             phase_began_at=now,
-            tried=syn.tried,
+            tried=tried,
         )
         self._flows_by_address[packet.flow] = flow
-        self._load.cold.record(now=now)
-        self.expect(packet.flow, flow, now=now)
-        return ToTarget(raw=packet.raw)
+        return flow
 
     def _enqueue(
         self,
--- a/monsoonpier/agent/packets/owner.py
+++ b/monsoonpier/agent/packets/owner.py
@@ -507,7 +507,10 @@
                 return actions
             flow = self._record_earlier_flow(packet, now=now)
         elif packet.is_syn and flow.is_followed_by(packet):
-            flow = self._record_later_flow(packet, flow, now=now)
+            # The flow's SYN was delivered as a retransmission of the earlier one's.
+            flow = self._admission.record_flow(
+                packet, balancer=flow.balancer, tried=flow.tried, now=now
+            )
         flow.seen_at = now
         is_first = flow.target_sequence is None
         if not flow.record_target_packet(packet):
@@ -602,24 +605,6 @@
         self.target_load.count_open(flow)
         return flow
 
-    def _record_later_flow(
-        self, packet: Packet, earlier: PacketFlow, *, now: float
-    ) -> PacketFlow:
-        """Record a flow that the target opens with the ports of one that hasn't ended.
-
-        Its SYN was delivered as a retransmission of that flow's.
-        """
-        self._remove(packet.flow, now=now)
-        flow = PacketFlow(
-            caller_ip=earlier.caller_ip,
-            balancer=earlier.balancer,
-            seen_at=now,
-            phase_began_at=now,
-            tried=earlier.tried,
-        )
-        self._flows_by_address[packet.flow] = flow
-        return flow
-
     def _handle_returned(
         self, packet: Packet, flow: PacketFlow | None, *, now: float
     ) -> list:
--- a/tests/packets/test_liveness.py
+++ b/tests/packets/test_liveness.py
@@ -8,7 +8,7 @@
 from monsoonpier.agent.packets.liveness import TargetLiveness
 from monsoonpier.model.address import Address
 
-MAX_TURNS = 8  # of the event loop, from a connection's end to its reader
+MAX_TURNS = 8  # of the event loop, in which a connection or the watch ends
 
 
 class CancellationTests(unittest.IsolatedAsyncioTestCase):
@@ -48,7 +48,8 @@
             for _ in range(turns):
                 await asyncio.sleep(0)
             watch.cancel()
-            await asyncio.wait([watch], timeout=0.05)
+            for _ in range(MAX_TURNS):
+                await asyncio.sleep(0)
             is_ended = watch.done()
             watch.cancel()
             with contextlib.suppress(asyncio.CancelledError):
